--- /dev/null
+++ b/tests/cmake/config_snapshot.cmake
@@ -0,0 +1,1 @@
+teaselreach_test(config_snapshot_test SOURCES unit/config_snapshot_test.cpp LIBS tr_config)
