Feature: [Queue] Fair queue by client account with deadlines and bounds

Cause: an upstream has 2 or 3 slots, so accounts contend for slots; a plain queue lets one account's backlog delay the others.

--- /dev/null
+++ b/src/queue/fair_queue_query.cpp
@@ -0,0 +1,35 @@
+/** @file fair_queue_query.cpp Questions to the fair queue. */
+#include "queue/fair_queue_base.h"
+
+namespace teaselreach::queue {
+
+std::size_t FairQueue::sizeOf(const core::ClientAccountId &account) const
+{
+    const auto found = flows_.find(account);
+    return found == flows_.end() ? 0 : found->second.size;
+}
+
+std::optional<core::MonoTime> FairQueue::nextExpiry() const
+{
+    if (expiries_.empty())
+        return std::nullopt;
+    return expiries_.begin()->first;
+}
+
+/** @return The oldest ticket of the most urgent class that has one; the flow is not empty. */
+Ticket FairQueue::frontOf(const Flow &flow)
+{
+    for (const auto &lane : flow.byClass) {
+        if (!lane.empty())
+            return lane.front();
+    }
+    return Ticket {};
+}
+
+/** @return The latest time at which dispatching the request can still meet its deadline. */
+core::MonoTime FairQueue::latestDispatch(const QueuedRequest &request)
+{
+    return request.deadline - request.expectedService;
+}
+
+} // namespace teaselreach::queue
