--- /dev/null
+++ b/src/burn/burn_plot.cpp
@@ -0,0 +1,119 @@
+/** @file burn_plot.cpp The burn report as an SVG picture. */
+#include "burn/burn_report_func.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <sstream>
+
+namespace teaselreach::burn {
+
+namespace {
+
+// Sizes in SVG user units.
+constexpr int labelWidth = 320;
+constexpr int barWidth = 480;
+constexpr int valueWidth = 90;
+constexpr int barHeight = 12;
+constexpr int rowGap = 14;
+constexpr int headHeight = 64;
+constexpr int footHeight = 40;
+constexpr int rowHeight = barHeight * static_cast<int>(burnSpans.size()) + rowGap;
+
+/** Burn rates above this are drawn at full width; their value is written beside the bar. */
+constexpr double maxDrawnBurn = 10;
+
+/** Fill colours of the windows, distinguishable without colour vision by their lightness. */
+constexpr std::array<const char *, burnSpans.size()> fills {"#08306b", "#2171b5", "#6baed6",
+                                                            "#c6dbef"};
+
+/** @return Text with the characters escaped that XML gives a meaning. */
+std::string escaped(const std::string &text)
+{
+    std::string result;
+    for (const char c : text) {
+        switch (c) {
+        case '<':
+            result += "&lt;";
+            break;
+        case '>':
+            result += "&gt;";
+            break;
+        case '&':
+            result += "&amp;";
+            break;
+        default:
+            result.push_back(c);
+        }
+    }
+    return result;
+}
+
+/** Writes a text element. */
+void writeText(std::ostream &out, int x, int y, const std::string &text)
+{
+    out << "<text x=\"" << x << "\" y=\"" << y << "\">" << escaped(text) << "</text>\n";
+}
+
+/** Writes the title, the legend of windows and the line at a burn rate of 1. */
+void writeHead(std::ostream &out, int height)
+{
+    writeText(out, 10, 22, "Service-level burn rate (1 = error budget used up in 3 days)");
+    int x = labelWidth;
+    for (std::size_t i = 0; i < burnSpans.size(); ++i) {
+        out << "<rect x=\"" << x << "\" y=\"34\" width=\"12\" height=\"12\" fill=\"" << fills[i]
+            << "\"/>\n";
+        writeText(out, x + 18, 45, std::string(burnSpans[i].name));
+        x += 70;
+    }
+    const int one = labelWidth + static_cast<int>(barWidth / maxDrawnBurn);
+    out << "<line x1=\"" << one << "\" y1=\"" << headHeight - 8 << "\" x2=\"" << one << "\" y2=\""
+        << height - footHeight << "\" stroke=\"#b30000\" stroke-dasharray=\"4 3\"/>\n";
+}
+
+/** Writes the bars of one row. */
+void writeRow(std::ostream &out, const BurnRow &row, int y)
+{
+    writeText(out, 10, y + barHeight, row.objective.str() + " / " + row.account.str());
+    char budget[64];
+    std::snprintf(budget, sizeof budget, "budget left %.1f%%", budgetLeft(row) * 100);
+    writeText(out, 10, y + 2 * barHeight + 4, budget);
+    for (std::size_t i = 0; i < burnSpans.size(); ++i) {
+        const double rate = burnRate(row.counts[i], row.target);
+        const int width = static_cast<int>(std::min(rate, maxDrawnBurn) / maxDrawnBurn * barWidth);
+        const int top = y + static_cast<int>(i) * barHeight;
+        out << "<rect x=\"" << labelWidth << "\" y=\"" << top << "\" width=\"" << std::max(width, 1)
+            << "\" height=\"" << barHeight - 2 << "\" fill=\"" << fills[i] << "\"/>\n";
+        char value[32];
+        std::snprintf(value, sizeof value, "%.2f", rate);
+        writeText(out, labelWidth + width + 6, top + barHeight - 3, value);
+    }
+}
+
+} // namespace
+
+std::string reportAsSvg(const BurnReport &report)
+{
+    const int height = headHeight + rowHeight * static_cast<int>(report.rows.size()) + footHeight;
+    const int width = labelWidth + barWidth + valueWidth;
+    std::ostringstream out;
+    out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << width << "\" height=\"" << height
+        << "\" font-family=\"sans-serif\" font-size=\"12\">\n"
+        << "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n";
+    writeHead(out, height);
+    int y = headHeight;
+    for (const BurnRow &row : report.rows) {
+        writeRow(out, row, y);
+        y += rowHeight;
+    }
+    std::string missing;
+    for (const core::VmId &vm : report.unreachable)
+        missing += " " + vm.str();
+    writeText(out, 10, height - 14,
+              std::to_string(report.answered.size())
+                  + " VMs answered; not reached:" + (missing.empty() ? " none" : missing));
+    out << "</svg>\n";
+    return out.str();
+}
+
+} // namespace teaselreach::burn
