Add: [Store] Adapters to the key-value service and the VM list

Cause: the daemon and the tool reach the platform's store and VM list only through the concepts KeyValueStore and VmListSource, which had no real model.

Change: HttpStore and HttpVmList over a libcurl handle pool that several threads may use. Endpoints are tried in order, beginning with the one that answered last. A VM list with one bad entry is refused whole.

--- /dev/null
+++ b/src/store/http_pool_base.h
@@ -0,0 +1,114 @@
+/** @file http_pool_base.h Pool of libcurl handles for calls to the platform's services. */
+#pragma once
+
+#include "core/clock_type.h"
+#include "core/error_type.h"
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace teaselreach::store {
+
+/** One HTTP call. */
+struct HttpCall
+{
+    std::string method = "GET";
+    std::string url;
+    std::string body; ///< JSON; sent if not empty.
+    core::Millis connectTimeout {500};
+    core::Millis timeout {2000}; ///< Whole call, including the connection attempt.
+    /**
+     * Uses a connection of its own. libcurl silently sends a request again when a persistent
+     * connection turns out to be dead, which must not happen to a write.
+     */
+    bool freshConnection = false;
+};
+
+/** A complete answer. */
+struct HttpAnswer
+{
+    long status = 0;
+    std::string body;
+};
+
+/** No complete answer arrived. */
+class HttpCallFailed : public core::Error
+{
+public:
+    /**
+     * @param what Method, URL and cause.
+     * @param sent Whether any part of the request may have reached the service.
+     */
+    HttpCallFailed(const std::string &what, bool sent)
+        : Error("http_call_failed", what)
+        , sent_(sent)
+    { }
+
+    /** @return Whether any part of the request may have reached the service. */
+    bool sent() const { return sent_; }
+
+private:
+    bool sent_;
+};
+
+/** Reuses libcurl handles and their connections; may be used by several threads. */
+class HttpPool
+{
+public:
+    /** @param maxIdle Handles beyond this number are closed after use. */
+    explicit HttpPool(std::size_t maxIdle = 4);
+    ~HttpPool();
+    HttpPool(const HttpPool &) = delete;
+    HttpPool &operator=(const HttpPool &) = delete;
+
+    /**
+     * Performs one call and waits for its answer.
+     * @param call What to send.
+     * @return The answer, whatever its status.
+     * @throws HttpCallFailed if no complete answer arrived.
+     */
+    HttpAnswer perform(const HttpCall &call);
+
+private:
+    struct CloseHandle
+    {
+        void operator()(void *handle) const;
+    };
+    using Handle = std::unique_ptr<void, CloseHandle>;
+
+    Handle take();
+    void giveBack(Handle handle);
+
+    std::size_t maxIdle_;
+    std::mutex mutex_;
+    std::vector<Handle> idle_;
+};
+
+/** The base URLs of one service; calls begin with the one that answered last. */
+class EndpointList
+{
+public:
+    /**
+     * @param urls Base URLs without a trailing slash, in order of preference; at least one.
+     * @throws std::invalid_argument if the list is empty.
+     */
+    explicit EndpointList(std::vector<std::string> urls);
+
+    /**
+     * Offers the endpoints in order until one is accepted.
+     * @param attempt Called with a base URL; returns whether the endpoint answered.
+     * @return Whether any endpoint answered.
+     */
+    bool tryEach(const std::function<bool(const std::string &)> &attempt);
+
+private:
+    std::vector<std::string> urls_;
+    std::atomic<std::size_t> preferred_ {0};
+};
+
+} // namespace teaselreach::store
--- /dev/null
+++ b/src/vmlist/http_vm_list.cpp
@@ -0,0 +1,120 @@
+/** @file http_vm_list.cpp Adapter to the platform's VM list over HTTP. */
+#include "vmlist/http_vm_list_base.h"
+
+#include <nlohmann/json.hpp>
+
+namespace teaselreach::vmlist {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr long statusOk = 200;
+
+std::string textOf(const json &entry, const char *name)
+{
+    auto text = entry.at(name).get<std::string>();
+    if (text.empty())
+        throw VmListUnavailable("a VM in the list has an empty '" + std::string(name) + "'");
+    return text;
+}
+
+std::uint16_t portOf(const json &entry, const char *name)
+{
+    const auto port = entry.at(name).get<std::int64_t>();
+    if (port < 1 || port > UINT16_MAX)
+        throw VmListUnavailable("'" + std::string(name) + "' of VM '" + textOf(entry, "id")
+                                + "' is " + std::to_string(port) + ", not a port");
+    return static_cast<std::uint16_t>(port);
+}
+
+core::VmState stateOf(const json &entry)
+{
+    const std::string state = textOf(entry, "state");
+    if (state == "live")
+        return core::VmState::Live;
+    if (state == "leaving")
+        return core::VmState::Leaving;
+    throw VmListUnavailable("VM '" + textOf(entry, "id") + "' has the unknown state '" + state
+                            + "'");
+}
+
+core::Location locationOf(const json &entry)
+{
+    return {.availabilityZone = core::AvailabilityZoneId(textOf(entry, "availability_zone")),
+            .region = core::RegionId(textOf(entry, "region"))};
+}
+
+core::EntryVm entryVmOf(const json &entry)
+{
+    return {.id = core::VmId(textOf(entry, "id")),
+            .address = textOf(entry, "address"),
+            .location = locationOf(entry),
+            .state = stateOf(entry),
+            .callerPort = portOf(entry, "caller_port"),
+            .controlPort = portOf(entry, "control_port")};
+}
+
+core::UpstreamVm upstreamOf(const json &entry)
+{
+    return {.id = core::UpstreamId(textOf(entry, "id")),
+            .service = core::ServiceId(textOf(entry, "service")),
+            .address = textOf(entry, "address"),
+            .location = locationOf(entry),
+            .state = stateOf(entry),
+            .port = portOf(entry, "port")};
+}
+
+} // namespace
+
+core::VmList parseVmList(const std::string &text)
+{
+    core::VmList list;
+    try {
+        const json document = json::parse(text);
+        for (const json &entry : document.at("vms")) {
+            const std::string role = textOf(entry, "role");
+            if (role == "entry")
+                list.entryVms.push_back(entryVmOf(entry));
+            else if (role == "upstream")
+                list.upstreams.push_back(upstreamOf(entry));
+            else
+                throw VmListUnavailable("a VM in the list has the unknown role '" + role + "'");
+        }
+    } catch (const json::exception &error) {
+        throw VmListUnavailable(std::string("the list cannot be read: ") + error.what());
+    }
+    return list;
+}
+
+HttpVmList::HttpVmList(HttpVmListOptions options)
+    : options_(std::move(options))
+    , endpoints_(options_.endpoints)
+{ }
+
+core::VmList HttpVmList::read()
+{
+    std::string failures;
+    core::VmList list;
+    const bool answered = endpoints_.tryEach([&](const std::string &base) {
+        try {
+            const store::HttpAnswer answer =
+                pool_.perform({.url = base + "/vms",
+                               .connectTimeout = options_.connectTimeout,
+                               .timeout = options_.requestTimeout});
+            if (answer.status == statusOk) {
+                list = parseVmList(answer.body);
+                return true;
+            }
+            failures += base + ": status " + std::to_string(answer.status) + "; ";
+        } catch (const core::Error &error) {
+            failures += base + ": " + error.what() + "; ";
+        }
+        return false;
+    });
+    if (!answered)
+        throw VmListUnavailable("no endpoint gave the VM list: " + failures);
+    return list;
+}
+
+} // namespace teaselreach::vmlist
--- /dev/null
+++ b/tests/cmake/platform_adapter.cmake
@@ -0,0 +1,1 @@
+teaselreach_test(platform_adapter_test SOURCES unit/platform_adapter_test.cpp LIBS tr_vmlist)
