--- /dev/null
+++ b/bench/cmake/fairness.cmake
@@ -0,0 +1,1 @@
+teaselreach_bench(fairness_bench SOURCES fairness_bench.cpp LIBS tr_queue)
--- /dev/null
+++ b/bench/fairness_bench.cpp
@@ -0,0 +1,232 @@
+/**
+ * @file fairness_bench.cpp How seven client accounts fare while an eighth sends 5 times its rate.
+ *
+ * Virtual time, fixed seed. One service of 20 upstreams with 2 slots; eight accounts, each with an
+ * eighth of 75% of the capacity as its rate. Compared: a first-in-first-out queue (baseline), the
+ * fair queue without limits, and the fair queue behind token buckets. Exits with 1 if the worst of
+ * the seven has a refusal or a 99th percentile over 1.2 times its figure without the crowd.
+ */
+#include "queue/fair_queue_base.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace teaselreach;
+
+namespace {
+
+constexpr int accountCount = 8;
+constexpr int crowdingAccount = 0;
+constexpr int slots = 40;
+constexpr double meanServiceSeconds = 0.025;
+constexpr double accountRate = 0.75 * slots / meanServiceSeconds / accountCount; // requests/s
+constexpr double crowdFactor = 5;
+constexpr double runSeconds = 120;
+constexpr core::Millis requestTimeout {2000};
+constexpr double maxLatencyRatio = 1.2;
+
+enum class Discipline { Fifo, Fair, FairWithLimits };
+
+struct Arrival
+{
+    double at; ///< Seconds.
+    int account;
+    double service; ///< Seconds.
+};
+
+struct AccountResult
+{
+    std::vector<double> latencies; ///< Seconds.
+    int refused = 0;
+
+    double percentile99()
+    {
+        if (latencies.empty())
+            return 0;
+        std::sort(latencies.begin(), latencies.end());
+        return latencies[latencies.size() * 99 / 100];
+    }
+};
+
+using Results = std::array<AccountResult, accountCount>;
+
+core::MonoTime toTime(double seconds)
+{
+    return core::MonoTime(core::Micros(static_cast<std::int64_t>(seconds * 1e6)));
+}
+
+/** The other accounts' arrivals are the same with and without the crowd. */
+std::vector<Arrival> makeArrivals(bool crowd)
+{
+    std::vector<Arrival> arrivals;
+    for (int account = 0; account < accountCount; ++account) {
+        std::mt19937_64 random(static_cast<unsigned>(100 + account));
+        const bool crowding = crowd && account == crowdingAccount;
+        std::exponential_distribution<double> gap(0.95 * accountRate
+                                                  * (crowding ? crowdFactor / 0.95 : 1));
+        std::exponential_distribution<double> service(1 / meanServiceSeconds);
+        for (double at = gap(random); at < runSeconds; at += gap(random))
+            arrivals.push_back({.at = at, .account = account, .service = service(random)});
+    }
+    std::sort(arrivals.begin(), arrivals.end(),
+              [](const Arrival &a, const Arrival &b) { return a.at < b.at; });
+    return arrivals;
+}
+
+/** A central token bucket for each account; the burst is one second of the rate. */
+class Limits
+{
+public:
+    bool admit(const Arrival &arrival)
+    {
+        double &level = levels_[arrival.account];
+        double &updated = updated_[arrival.account];
+        level = std::min(accountRate, level + (arrival.at - updated) * accountRate);
+        updated = arrival.at;
+        if (level < 1)
+            return false;
+        level -= 1;
+        return true;
+    }
+
+private:
+    std::array<double, accountCount> levels_ = filledLevels();
+    std::array<double, accountCount> updated_ {};
+
+    static std::array<double, accountCount> filledLevels()
+    {
+        std::array<double, accountCount> levels {};
+        levels.fill(accountRate);
+        return levels;
+    }
+};
+
+/** Plays arrivals against the slots. */
+class Run
+{
+public:
+    Run(Discipline discipline, std::vector<Arrival> arrivals)
+        : discipline_(discipline)
+        , arrivals_(std::move(arrivals))
+    { }
+
+    Results play()
+    {
+        for (std::size_t i = 0; i < arrivals_.size(); ++i) {
+            finishUntil(arrivals_[i].at);
+            arrive(i);
+        }
+        finishUntil(runSeconds + 3600);
+        return std::move(results_);
+    }
+
+private:
+    void arrive(std::size_t index)
+    {
+        const Arrival &arrival = arrivals_[index];
+        AccountResult &result = results_[static_cast<std::size_t>(arrival.account)];
+        if (discipline_ == Discipline::FairWithLimits && !limits_.admit(arrival)) {
+            ++result.refused;
+            return;
+        }
+        // One account and class for all requests makes the fair queue a plain one.
+        const int flow = discipline_ == Discipline::Fifo ? 0 : arrival.account;
+        const auto queued = queue_.enqueue({.ticket = queue::Ticket(index),
+                                            .account = core::ClientAccountId(std::to_string(flow)),
+                                            .deadline = toTime(arrival.at) + requestTimeout},
+                                           toTime(arrival.at));
+        if (queued != queue::EnqueueResult::Queued)
+            ++result.refused;
+        dispatch(arrival.at);
+    }
+
+    void finishUntil(double until)
+    {
+        while (!finishes_.empty() && finishes_.top() <= until) {
+            const double now = finishes_.top();
+            finishes_.pop();
+            --busy_;
+            dispatch(now);
+        }
+    }
+
+    void dispatch(double now)
+    {
+        for (const queue::Ticket ticket : queue_.takeExpired(toTime(now)))
+            ++results_[static_cast<std::size_t>(arrivals_[ticket.count()].account)].refused;
+        while (busy_ < slots) {
+            const auto ticket = queue_.takeNext();
+            if (!ticket)
+                return;
+            const Arrival &arrival = arrivals_[ticket->count()];
+            const double finish = now + arrival.service;
+            finishes_.push(finish);
+            ++busy_;
+            results_[static_cast<std::size_t>(arrival.account)].latencies.push_back(finish
+                                                                                    - arrival.at);
+        }
+    }
+
+    Discipline discipline_;
+    std::vector<Arrival> arrivals_;
+    Limits limits_;
+    queue::FairQueue queue_ {{.maxQueued = 4000, .maxQueuedPerAccount = 4000}};
+    std::priority_queue<double, std::vector<double>, std::greater<>> finishes_;
+    int busy_ = 0;
+    Results results_;
+};
+
+struct Verdict
+{
+    double worstRatio = 0;
+    double worstPercentile = 0; ///< Seconds.
+    int refused = 0;
+};
+
+/** Compares the seven accounts within their rate with and without the crowd. */
+Verdict measure(Discipline discipline)
+{
+    Results calm = Run(discipline, makeArrivals(false)).play();
+    Results crowded = Run(discipline, makeArrivals(true)).play();
+    Verdict verdict;
+    for (std::size_t account = 0; account < accountCount; ++account) {
+        if (account == crowdingAccount)
+            continue;
+        const double percentile = crowded[account].percentile99();
+        verdict.worstRatio =
+            std::max(verdict.worstRatio, percentile / calm[account].percentile99());
+        verdict.worstPercentile = std::max(verdict.worstPercentile, percentile);
+        verdict.refused += crowded[account].refused;
+    }
+    return verdict;
+}
+
+} // namespace
+
+int main()
+{
+    const std::vector<std::pair<const char *, Discipline>> disciplines = {
+        {"first in, first out", Discipline::Fifo},
+        {"fair queue", Discipline::Fair},
+        {"fair queue and limits", Discipline::FairWithLimits}};
+    std::printf("%-24s %16s %14s %8s\n", "discipline", "worst p99 (ms)", "ratio to calm",
+                "refused");
+    Verdict last;
+    for (const auto &[name, discipline] : disciplines) {
+        last = measure(discipline);
+        std::printf("%-24s %16.1f %14.2f %8d\n", name, last.worstPercentile * 1000, last.worstRatio,
+                    last.refused);
+    }
+    const bool met = last.worstRatio <= maxLatencyRatio && last.refused == 0;
+    std::printf("bound: ratio <= %.1f and 0 refused with limits: %s\n", maxLatencyRatio,
+                met ? "met" : "MISSED");
+    return met ? 0 : 1;
+}
--- /dev/null
+++ b/src/queue/concurrency_limit.cpp
@@ -0,0 +1,39 @@
+/** @file concurrency_limit.cpp How many requests one VM may have in flight at a service. */
+#include "queue/concurrency_limit_base.h"
+
+#include <algorithm>
+
+namespace teaselreach::queue {
+
+ConcurrencyLimit::ConcurrencyLimit(ConcurrencyLimitOptions options)
+    : options_(options)
+    , limit_(options.maximum)
+{ }
+
+void ConcurrencyLimit::answered()
+{
+    limit_ = std::min(options_.maximum, limit_ + 1 / limit_);
+}
+
+void ConcurrencyLimit::shed(core::MonoTime now)
+{
+    if (decreased_ && now < lastDecrease_ + options_.decreaseInterval)
+        return;
+    limit_ = std::max(options_.minimum, limit_ * options_.decrease);
+    lastDecrease_ = now;
+    decreased_ = true;
+}
+
+void ConcurrencyLimit::setMaximum(double maximum)
+{
+    const bool unlimited = limit_ >= options_.maximum;
+    options_.maximum = std::max(maximum, options_.minimum);
+    limit_ = unlimited ? options_.maximum : std::min(limit_, options_.maximum);
+}
+
+int ConcurrencyLimit::current() const
+{
+    return std::max(1, static_cast<int>(limit_));
+}
+
+} // namespace teaselreach::queue
