Add: [Record] JSON form, schema versions, validation and edits of records

Cause: records had types only; operators' input could not be read, checked or changed.

Change: JSON form of the six kinds with schema_version, upgrade steps from route version 1 (retry) and limit version 1 (per_minute), typed problems (record, field, value, expectation), rules between records, and editRecords(), which checks a change on the whole set and applies it only in mode Execute. A new limit gets 3 homes from a burst of 100, 2 from 40, else 1.

--- /dev/null
+++ b/src/record/record_edit.cpp
@@ -0,0 +1,146 @@
+/** @file record_edit.cpp Changes to a set of records: checked first, then applied. */
+#include "record/record_edit_func.h"
+#include "record/record_validate_func.h"
+
+#include <algorithm>
+
+namespace teaselreach::record {
+
+namespace {
+
+template <typename T>
+auto findIn(std::vector<T> &records, const std::string &id)
+{
+    return std::find_if(records.begin(), records.end(),
+                        [&id](const T &record) { return idOf(record) == id; });
+}
+
+void refuse(const RecordRef &ref, const std::string &field, const std::string &value,
+            const std::string &expected)
+{
+    throw InvalidRecords({{ref, field, "'" + value + "'", expected}});
+}
+
+/** Rules about the step from one form of a record to the next. */
+template <typename T>
+void checkStep(const RecordRef &, const T &, const T &)
+{ }
+
+/** A withdrawn key stays withdrawn: daemons may have told callers so. */
+void checkStep(const RecordRef &ref, const Key &before, const Key &after)
+{
+    if (before.withdrawn && !after.withdrawn)
+        refuse(ref, "withdrawn", "false", "true, since the key was withdrawn; create a new key");
+    if (before.account != after.account)
+        refuse(ref, "account", after.account.str(),
+               "'" + before.account.str() + "'; create a new key for another account");
+}
+
+/** Shares are held by homes without agreement, so their number is fixed at creation. */
+void checkStep(const RecordRef &ref, const Limit &before, const Limit &after)
+{
+    if (before.homes != after.homes)
+        refuse(ref, "homes", std::to_string(after.homes),
+               std::to_string(before.homes) + ", which is fixed at creation");
+}
+
+template <typename T>
+void withdraw(std::vector<T> &records, typename std::vector<T>::iterator found)
+{
+    records.erase(found);
+}
+
+void withdraw(std::vector<Key> &, std::vector<Key>::iterator found)
+{
+    found->withdrawn = true;
+}
+
+template <typename T>
+void applyEdit(RecordSet &records, const RecordEdit &edit)
+{
+    auto &list = recordsOf<T>(records);
+    const auto found = findIn(list, edit.ref.id);
+    const bool exists = found != list.end();
+    if (edit.operation == EditOperation::Create && exists)
+        refuse(edit.ref, "id", edit.ref.id, "an id that is not in use");
+    const bool mustExist =
+        edit.operation == EditOperation::Change || edit.operation == EditOperation::Withdraw;
+    if (mustExist && !exists)
+        refuse(edit.ref, "id", edit.ref.id, "the id of a record that exists");
+    if (edit.operation == EditOperation::Withdraw)
+        return withdraw(list, found);
+    const T &record = std::get<T>(edit.record.value());
+    if (!exists) {
+        list.push_back(record);
+        return;
+    }
+    checkStep(edit.ref, *found, record);
+    *found = record;
+}
+
+using Apply = void (*)(RecordSet &, const RecordEdit &);
+/// In the order of RecordKind.
+constexpr std::array<Apply, 6> appliers {applyEdit<ClientAccount>, applyEdit<Key>,
+                                         applyEdit<Route>,         applyEdit<Limit>,
+                                         applyEdit<Service>,       applyEdit<Objective>};
+
+} // namespace
+
+RecordEdit makeEdit(EditOperation operation, AnyRecord record)
+{
+    RecordRef ref = refOf(record);
+    return {operation, std::move(ref), std::move(record)};
+}
+
+std::optional<AnyRecord> findRecord(const RecordSet &records, const RecordRef &ref)
+{
+    std::optional<AnyRecord> result;
+    const auto search = [&](const auto &list) {
+        for (const auto &record : list) {
+            if (!result && idOf(record) == ref.id)
+                result = AnyRecord(record);
+        }
+    };
+    switch (ref.kind) {
+    case RecordKind::ClientAccount:
+        search(records.accounts);
+        break;
+    case RecordKind::Key:
+        search(records.keys);
+        break;
+    case RecordKind::Route:
+        search(records.routes);
+        break;
+    case RecordKind::Limit:
+        search(records.limits);
+        break;
+    case RecordKind::Service:
+        search(records.services);
+        break;
+    case RecordKind::Objective:
+        search(records.objectives);
+        break;
+    }
+    return result;
+}
+
+void editRecords(RecordSet &records, const std::vector<RecordEdit> &edits, CommandMode mode)
+{
+    RecordSet edited = records;
+    std::vector<RecordProblem> problems;
+    for (const RecordEdit &edit : edits) {
+        try {
+            appliers[static_cast<std::size_t>(edit.ref.kind)](edited, edit);
+        } catch (const InvalidRecords &error) {
+            problems.insert(problems.end(), error.problems().begin(), error.problems().end());
+        }
+    }
+    for (RecordProblem &problem : validateRecordSet(edited))
+        problems.push_back(std::move(problem));
+    if (!problems.empty())
+        throw InvalidRecords(std::move(problems));
+    if (mode == CommandMode::Execute)
+        records = std::move(edited);
+}
+
+} // namespace teaselreach::record
--- /dev/null
+++ b/src/record/record_json_func.h
@@ -0,0 +1,39 @@
+/** @file record_json_func.h The JSON form of records, in all schema versions. */
+#pragma once
+
+#include "record/any_record_type.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <optional>
+#include <string_view>
+
+namespace teaselreach::record {
+
+/**
+ * @param name The value of `kind` or the name on the command line.
+ * @return The kind, or nothing if there is none with this name.
+ */
+std::optional<RecordKind> kindFromName(std::string_view name);
+
+/** @return The record in its newest schema version. */
+nlohmann::json toJson(const AnyRecord &record);
+
+/**
+ * Converts a record of any known schema version to the newest one.
+ * @param json The stored form; has `kind`, `id` and `schema_version`.
+ * @return The same record in the newest schema version.
+ * @throws UnknownSchemaVersion, InvalidRecords
+ */
+nlohmann::json upgradeRecord(nlohmann::json json);
+
+/**
+ * Reads a record of any known schema version. Fields that it does not know are refused.
+ * @throws UnknownSchemaVersion, InvalidRecords if a field is missing, unknown or of another type.
+ */
+AnyRecord fromJson(const nlohmann::json &json);
+
+/** @return Kind and id of a stored record, empty id if it has none. */
+std::optional<RecordRef> refOfJson(const nlohmann::json &json);
+
+} // namespace teaselreach::record
--- /dev/null
+++ b/tests/unit/record_test.cpp
@@ -0,0 +1,169 @@
+/** @file record_test.cpp Tests of the stored form, the rules and the edits of records. */
+#include "record/record_edit_func.h"
+#include "record/record_json_func.h"
+#include "record/record_validate_func.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace teaselreach;
+using namespace teaselreach::record;
+using nlohmann::json;
+
+namespace {
+
+RecordSet makeRecords()
+{
+    RecordSet records;
+    records.services = {{.id = core::ServiceId("slots")}};
+    records.routes = {{.id = core::RouteId("book"),
+                       .pathPrefix = "/bookings",
+                       .methods = {"POST"},
+                       .service = core::ServiceId("slots"),
+                       .routeClass = RouteClass::Urgent}};
+    records.accounts = {{.id = core::ClientAccountId("bakery"),
+                         .displayName = "Bakery",
+                         .routes = {core::RouteId("book")}}};
+    records.keys = {{.id = core::KeyId("k1"),
+                     .account = core::ClientAccountId("bakery"),
+                     .digest = std::string(64, 'a')}};
+    records.limits = {
+        {.account = core::ClientAccountId("bakery"), .ratePerSecond = 2, .burst = 4, .homes = 1}};
+    records.objectives = {{.id = core::ObjectiveId("o"), .service = core::ServiceId("slots")}};
+    return records;
+}
+
+/** @return The problems that a change is refused with; empty if it passes. */
+std::vector<RecordProblem> problemsOf(RecordSet records, const std::vector<RecordEdit> &edits)
+{
+    const RecordSet before = records;
+    try {
+        editRecords(records, edits, CommandMode::Check);
+    } catch (const InvalidRecords &error) {
+        CHECK(records == before);
+        return error.problems();
+    }
+    CHECK(records == before);
+    return {};
+}
+
+RecordEdit withdrawEdit(RecordKind kind, const std::string &id)
+{
+    return {EditOperation::Withdraw, {kind, id}, {}};
+}
+
+} // namespace
+
+TEST_CASE("every kind survives its JSON form unchanged")
+{
+    const RecordSet records = makeRecords();
+    forEachRecord(records, [](const auto &record) {
+        CHECK(fromJson(json::parse(toJson(AnyRecord(record)).dump())) == AnyRecord(record));
+    });
+}
+
+TEST_CASE("older schema versions are read in their newest form")
+{
+    const auto route = std::get<Route>(fromJson(json::parse(
+        R"({"kind":"route","id":"r","schema_version":1,"path_prefix":"/a","service":"s",
+            "retry":true})")));
+    CHECK(route.idempotent);
+    CHECK(route.routeClass == RouteClass::Normal);
+    const auto limit = std::get<Limit>(fromJson(json::parse(
+        R"({"kind":"limit","id":"a","schema_version":1,"per_minute":120,"burst":50})")));
+    CHECK(limit.ratePerSecond == doctest::Approx(2));
+    CHECK(limit.homes == 2);
+}
+
+TEST_CASE("an unknown schema version is refused, not read as another version")
+{
+    for (const int version : {0, 3, 99}) {
+        const json route {{"kind", "route"}, {"id", "r"}, {"schema_version", version}};
+        CHECK_THROWS_AS(fromJson(route), UnknownSchemaVersion);
+    }
+}
+
+TEST_CASE("a malformed stored record is refused with field, value and expectation")
+{
+    struct Case
+    {
+        const char *text;
+        const char *field;
+    };
+    const std::vector<Case> cases {
+        {R"([])", "record"},
+        {R"({"kind":"rout","id":"r","schema_version":1})", "kind"},
+        {R"({"kind":"route","schema_version":2})", "id"},
+        {R"({"kind":"route","id":"r"})", "schema_version"},
+        {R"({"kind":"service","id":"s","schema_version":1,"flor":0.5})", "flor"},
+        {R"({"kind":"service","id":"s","schema_version":1,"floor":"0.5"})", "floor"},
+        {R"({"kind":"service","id":"s","schema_version":1,"slots_per_upstream":1e99})",
+         "slots_per_upstream"},
+        {R"({"kind":"route","id":"r","schema_version":2,"path_prefix":"/","service":"s",
+             "class":"fast"})",
+         "class"},
+        {R"({"kind":"route","id":"r","schema_version":1,"path_prefix":"/","service":"s",
+             "retry":1})",
+         "retry"},
+        {R"({"kind":"limit","id":"a","schema_version":1,"burst":3})", "per_minute"},
+    };
+    for (const Case &each : cases) {
+        CAPTURE(each.text);
+        try {
+            fromJson(json::parse(each.text));
+            FAIL("accepted");
+        } catch (const InvalidRecords &error) {
+            REQUIRE(error.problems().size() == 1);
+            CHECK(error.problems()[0].field == each.field);
+            CHECK(!error.problems()[0].expected.empty());
+        }
+    }
+}
+
+TEST_CASE("values out of range are refused")
+{
+    const RecordSet valid = makeRecords();
+    REQUIRE(validateRecordSet(valid).empty());
+    const auto refused = [&valid](auto &&breakIt) {
+        RecordSet records = valid;
+        breakIt(records);
+        return validateRecordSet(records).size() == 1;
+    };
+    CHECK(refused([](RecordSet &r) { r.accounts[0].weight = 0; }));
+    CHECK(refused([](RecordSet &r) { r.keys[0].digest = "secret"; }));
+    CHECK(refused([](RecordSet &r) { r.routes[0].pathPrefix = "bookings"; }));
+    CHECK(refused([](RecordSet &r) { r.routes[0].pathPrefix = "/.teaselreach/entry"; }));
+    CHECK(refused([](RecordSet &r) { r.routes[0].methods = {"post"}; }));
+    CHECK(refused([](RecordSet &r) { r.limits[0].ratePerSecond = 0; }));
+    CHECK(refused([](RecordSet &r) { r.limits[0].burst = std::stod("nan"); }));
+    CHECK(refused([](RecordSet &r) { r.limits[0].homes = 4; }));
+    CHECK(refused([](RecordSet &r) { r.services[0].floor = 1.1; }));
+    CHECK(refused([](RecordSet &r) { r.objectives[0].target = 1; }));
+}
+
+TEST_CASE("references to records that do not exist are refused")
+{
+    const RecordSet records = makeRecords();
+    CHECK(problemsOf(records, {withdrawEdit(RecordKind::Service, "slots")}).size() == 2);
+    CHECK(problemsOf(records, {withdrawEdit(RecordKind::Route, "book")}).size() == 1);
+    CHECK(problemsOf(records, {withdrawEdit(RecordKind::ClientAccount, "bakery")}).size() == 2);
+    Route twin = records.routes[0];
+    twin.id = core::RouteId("twin");
+    CHECK(problemsOf(records, {makeEdit(EditOperation::Create, twin)}).size() == 1);
+}
+
+TEST_CASE("an edit that breaks a rule changes nothing, a valid one has the checked effect")
+{
+    RecordSet records = makeRecords();
+    Limit limit = records.limits[0];
+    limit.homes = 2;
+    CHECK(problemsOf(records, {makeEdit(EditOperation::Change, limit)})[0].field == "homes");
+    CHECK(problemsOf(records, {makeEdit(EditOperation::Create, records.keys[0])}).size() == 1);
+    CHECK(problemsOf(records, {withdrawEdit(RecordKind::Key, "nobody")}).size() == 1);
+
+    editRecords(records, {withdrawEdit(RecordKind::Key, "k1")}, CommandMode::Execute);
+    CHECK(records.keys[0].withdrawn);
+    Key revived = records.keys[0];
+    revived.withdrawn = false;
+    CHECK(problemsOf(records, {makeEdit(EditOperation::Put, revived)})[0].field == "withdrawn");
+}
