Add: [Store] Test that threads sharing one client lose no increment

Cause: HttpStore promises use by several threads, which no test covered.

Change: four threads increment one value by compare-and-swap through one client; the sum must be exact.

--- a/tests/unit/standins_test.cpp
+++ b/tests/unit/standins_test.cpp
@@ -8,6 +8,7 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <future>
 #include <thread>
 
@@ -58,6 +59,30 @@
     CHECK_THROWS_AS(client.remove("head", second), store::StoreConflict);
 }
 
+TEST_CASE("no increment is lost when several threads share one client")
+{
+    standins::KvStore service({});
+    store::HttpStore client({.endpoints = {service.url()}});
+    client.put("count", "0", StoreVersion(0));
+    const auto increment = [&] {
+        for (int done = 0; done < 20;) {
+            const store::StoredValue seen = *client.get("count");
+            try {
+                client.put("count", std::to_string(std::stoi(seen.value) + 1), seen.version);
+                ++done;
+            } catch (const store::StoreConflict &) {
+                continue;
+            }
+        }
+    };
+    {
+        std::array<std::jthread, 4> writers;
+        for (std::jthread &writer : writers)
+            writer = std::jthread(increment);
+    }
+    CHECK(client.get("count")->value == "80");
+}
+
 TEST_CASE("values up to the limit pass unchanged and larger ones are refused")
 {
     standins::KvStore service({});
