--- a/Makefile
+++ b/Makefile
@@ -12,3 +12,6 @@
 
 check: packages
 	BUILD_DIR=$(BUILD_DIR) scripts/check.sh
+
+demo:
+	BUILD_DIR=$(BUILD_DIR) scripts/demo.sh
