Add: [Limit] Held shares: home buckets, loans, placement and LimitState

Cause: accounts need one rate and burst over all VMs, without the store on the request path. Change: HomeBucket, Borrower, Placement, AccountLimit and LimitState, all without threads, sockets or clocks. A home promises tokens up to 400 ms ahead, so requests wait in order without polling; a borrower reports finished loans with its next request, which frees the lender's burst early.

--- /dev/null
+++ b/src/limit/borrower.cpp
@@ -0,0 +1,82 @@
+/** @file borrower.cpp Tokens that a VM holds on loan for one account. */
+#include "limit/borrower_base.h"
+
+#include <algorithm>
+
+namespace teaselreach::limit {
+
+void Borrower::accept(int slot, LoanId loan, std::vector<core::MonoTime> usableAt,
+                      core::MonoTime expiry)
+{
+    HeldLoan held {.slot = slot, .id = loan, .usableAt = std::move(usableAt), .expiry = expiry};
+    const auto position =
+        std::upper_bound(loans_.begin(), loans_.end(), held,
+                         [](const HeldLoan &a, const HeldLoan &b) { return a.expiry < b.expiry; });
+    loans_.insert(position, std::move(held));
+}
+
+bool Borrower::tryUse(core::MonoTime now)
+{
+    dropExpired(now);
+    for (auto loan = loans_.begin(); loan != loans_.end(); ++loan) {
+        if (loan->usableAt.front() > now)
+            continue;
+        loan->usableAt.erase(loan->usableAt.begin());
+        if (!loan->usableAt.empty())
+            return true;
+        finished_.push_back({.slot = loan->slot, .finished = {.id = loan->id}});
+        loans_.erase(loan);
+        return true;
+    }
+    return false;
+}
+
+void Borrower::dropExpired(core::MonoTime now)
+{
+    endLoansBefore(now + core::Micros(1));
+}
+
+void Borrower::giveBack(core::MonoTime expiringBefore)
+{
+    endLoansBefore(expiringBefore);
+}
+
+std::vector<SlotFinishedLoan> Borrower::takeFinished()
+{
+    return std::exchange(finished_, {});
+}
+
+int Borrower::held() const
+{
+    int tokens = 0;
+    for (const HeldLoan &loan : loans_)
+        tokens += static_cast<int>(loan.usableAt.size());
+    return tokens;
+}
+
+std::optional<core::MonoTime> Borrower::nextUsable() const
+{
+    std::optional<core::MonoTime> next;
+    for (const HeldLoan &loan : loans_)
+        next = std::min(next.value_or(loan.usableAt.front()), loan.usableAt.front());
+    return next;
+}
+
+std::optional<core::MonoTime> Borrower::nextExpiry() const
+{
+    if (loans_.empty())
+        return std::nullopt;
+    return loans_.front().expiry;
+}
+
+void Borrower::endLoansBefore(core::MonoTime time)
+{
+    while (!loans_.empty() && loans_.front().expiry < time) {
+        const HeldLoan &loan = loans_.front();
+        const int unused = static_cast<int>(loan.usableAt.size());
+        finished_.push_back({.slot = loan.slot, .finished = {.id = loan.id, .unused = unused}});
+        loans_.erase(loans_.begin());
+    }
+}
+
+} // namespace teaselreach::limit
--- /dev/null
+++ b/src/limit/home_choice.cpp
@@ -0,0 +1,68 @@
+/** @file home_choice.cpp Number of homes of an account, loan lifetime, order of homes asked. */
+#include "limit/home_choice_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaselreach::limit {
+
+int homesForLimit(double ratePerSecond, double burst)
+{
+    (void)ratePerSecond;
+    // A share below this many tokens refuses requests that one bucket would admit.
+    constexpr double minShareBurst = 10;
+    return std::clamp(static_cast<int>(burst / minShareBurst), 1, slotsPerPartition);
+}
+
+Share shareOf(const record::Limit &limit)
+{
+    return {.ratePerSecond = limit.ratePerSecond / limit.homes, .burst = limit.burst / limit.homes};
+}
+
+core::Micros loanLifetime(const Share &share)
+{
+    constexpr double lentPartOfBurst = 0.5;
+    const std::chrono::duration<double> time(lentPartOfBurst * share.burst / share.ratePerSecond);
+    const std::chrono::duration<double> longest = maxLoanLifetime;
+    return std::max(std::chrono::duration_cast<core::Micros>(std::min(time, longest)),
+                    minLoanLifetime);
+}
+
+double HomeView::levelAt(core::MonoTime now) const
+{
+    const double elapsed = std::chrono::duration<double>(now - saidAt).count();
+    return std::min(level + share.ratePerSecond * elapsed, share.burst);
+}
+
+core::Micros HomeView::delayAt(core::MonoTime now) const
+{
+    const double missing = 1 - levelAt(now);
+    if (missing <= 0)
+        return core::Micros(0);
+    const std::chrono::duration<double> time(missing / share.ratePerSecond);
+    const std::chrono::duration<double> longest = std::chrono::hours(1);
+    return std::chrono::duration_cast<core::Micros>(std::min(time, longest));
+}
+
+int chooseHome(std::span<const HomeView> views, core::Micros maxDelay, core::MonoTime now)
+{
+    int best = noSlot;
+    core::Micros bestDelay {};
+    double bestLevel = 0;
+    for (int slot = 0; slot < static_cast<int>(views.size()); ++slot) {
+        const HomeView &view = views[static_cast<std::size_t>(slot)];
+        const core::Micros delay = view.delayAt(now);
+        const double level = view.levelAt(now);
+        if (!view.askable || delay > maxDelay)
+            continue;
+        const bool better = delay < bestDelay || (delay == bestDelay && level > bestLevel);
+        if (best != noSlot && !better)
+            continue;
+        best = slot;
+        bestDelay = delay;
+        bestLevel = level;
+    }
+    return best;
+}
+
+} // namespace teaselreach::limit
--- /dev/null
+++ b/src/limit/limit_state_config.cpp
@@ -0,0 +1,130 @@
+/** @file limit_state_config.cpp The limits of all accounts on one VM: configuration, placement, VM
+ * list. */
+#include "limit/limit_state_base.h"
+
+#include <algorithm>
+
+namespace teaselreach::limit {
+
+void LimitState::onConfig(core::MonoTime now, std::shared_ptr<const config::ConfigSnapshot> config)
+{
+    if (config_ != nullptr && config->revision() <= config_->revision())
+        return;
+    dropRemoved(*config);
+    const std::shared_ptr<const config::ConfigSnapshot> previous =
+        std::exchange(config_, std::move(config));
+    for (const record::Limit &limit : config_->records().limits) {
+        const record::Limit *before =
+            previous == nullptr ? nullptr : previous->findLimit(limit.account);
+        if (previous != nullptr && (before == nullptr || *before != limit))
+            applyLimit(now, before, limit);
+    }
+}
+
+void LimitState::applyLimit(core::MonoTime now, const record::Limit *previous,
+                            const record::Limit &limit)
+{
+    if (placement_ == nullptr)
+        return;
+    // A record that was deleted and created again, or whose homes changed, starts without tokens.
+    const auto found = accounts_.find(limit.account);
+    if (found != accounts_.end() && (previous == nullptr || previous->homes != limit.homes))
+        drop(found);
+    if (previous == nullptr || previous->homes != limit.homes) {
+        const auto partition = static_cast<std::size_t>(partitionOf(limit.account));
+        SlotTimes since;
+        since.fill(now);
+        AccountLimit created(context_, limit, placement_->partitions[partition], since);
+        accounts_.emplace(limit.account, Entry {.limit = std::move(created)});
+        return;
+    }
+    // Created with the old limit, since the new one must not count for the time before.
+    Entry &entry = found != accounts_.end() ? found->second : create(*previous);
+    entry.limit.onLimit(now, limit);
+    schedule(now, limit.account, entry);
+}
+
+void LimitState::dropRemoved(const config::ConfigSnapshot &next)
+{
+    for (auto entry = accounts_.begin(); entry != accounts_.end();) {
+        const auto current = entry++;
+        if (next.findLimit(current->first) == nullptr)
+            drop(current);
+    }
+}
+
+void LimitState::drop(Entries::iterator entry)
+{
+    noteLoans(entry->second.limit);
+    entry->second.limit.refuseAll(output_);
+    if (entry->second.due.has_value())
+        due_.erase({*entry->second.due, entry->first});
+    accounts_.erase(entry);
+}
+
+bool LimitState::onPlacement(core::MonoTime now, std::shared_ptr<const Placement> placement)
+{
+    if (placement_ != nullptr && placement->revision <= placement_->revision)
+        return placement->revision == placement_->revision;
+    const std::shared_ptr<const Placement> previous =
+        std::exchange(placement_, std::move(placement));
+    for (std::size_t partition = 0; partition < partitionCount; ++partition) {
+        for (std::size_t slot = 0; slot < slotsPerPartition; ++slot) {
+            const core::VmId &owner = placement_->partitions[partition][slot];
+            if (previous == nullptr || previous->partitions[partition][slot] != owner)
+                actingSince_[partition][slot] = now;
+        }
+    }
+    for (auto &[account, entry] : accounts_) {
+        entry.limit.onHomes(now, placement_->homesOf(account));
+        schedule(now, account, entry);
+    }
+    return true;
+}
+
+void LimitState::onVmList(core::MonoTime now, const core::VmList &list)
+{
+    history_.onVmList(now, list);
+    const bool acting = mayActAsHome(history_, context_.self);
+    if (acting == context_.acting)
+        return;
+    if (acting)
+        startActing(now);
+    else
+        stopActing(now);
+}
+
+void LimitState::startActing(core::MonoTime now)
+{
+    context_.acting = true;
+    for (SlotTimes &times : actingSince_)
+        times.fill(now);
+    for (auto &[account, entry] : accounts_)
+        entry.limit.startActing(now);
+}
+
+void LimitState::stopActing(core::MonoTime now)
+{
+    context_.acting = false;
+    loansExpireAt_ = std::max(loansExpireAt_, now);
+    for (auto &[account, entry] : accounts_) {
+        noteLoans(entry.limit);
+        entry.limit.stopActing();
+    }
+}
+
+void LimitState::noteLoans(const AccountLimit &limit)
+{
+    for (int slot = 0; slot < slotsPerPartition; ++slot) {
+        if (const HomeBucket *home = limit.bucket(slot))
+            loansExpireAt_ = std::max(loansExpireAt_, home->loansExpireAt());
+    }
+}
+
+const HomeBucket *LimitState::bucket(const core::ClientAccountId &account, int slot) const
+{
+    const auto found = accounts_.find(account);
+    return found == accounts_.end() ? nullptr : found->second.limit.bucket(slot);
+}
+
+} // namespace teaselreach::limit
--- /dev/null
+++ b/src/limit/placement.cpp
@@ -0,0 +1,184 @@
+/** @file placement.cpp Computes which VMs own the home slots. */
+#include "core/digest_func.h"
+#include "limit/placement_base.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace teaselreach::limit {
+
+namespace {
+
+/** Fills slots with the live VMs that own the fewest. */
+class SlotFiller
+{
+public:
+    SlotFiller(const Placement &placement, const VmHistory &history)
+        : vms_(history.liveVms())
+    {
+        for (const core::EntryVm &vm : vms_)
+            byId_.emplace(vm.id, &vm);
+        for (const PartitionHomes &homes : placement.partitions) {
+            for (const core::VmId &owner : homes)
+                ++slots_[owner];
+        }
+    }
+
+    /** @return The best owner for one slot of a partition, given the other slots' owners. */
+    const core::VmId &choose(const PartitionHomes &homes, int partition, int slot)
+    {
+        const core::EntryVm *best = &vms_.front();
+        Rank bestRank = rankOf(*best, homes, partition, slot);
+        for (const core::EntryVm &vm : vms_) {
+            const Rank rank = rankOf(vm, homes, partition, slot);
+            if (!(rank < bestRank))
+                continue;
+            best = &vm;
+            bestRank = rank;
+        }
+        ++slots_[best->id];
+        return best->id;
+    }
+
+private:
+    /** Same VM, same zone, same region as another slot; slots owned; tie break. */
+    using Rank = std::tuple<int, int, int, int, std::uint64_t>;
+
+    Rank rankOf(const core::EntryVm &vm, const PartitionHomes &homes, int partition, int slot)
+    {
+        int sameVm = 0;
+        int sameZone = 0;
+        int sameRegion = 0;
+        for (int other = 0; other < slotsPerPartition; ++other) {
+            const auto found = byId_.find(homes[static_cast<std::size_t>(other)]);
+            if (other == slot || found == byId_.end())
+                continue;
+            const core::Location &location = found->second->location;
+            sameVm += found->second->id == vm.id ? 1 : 0;
+            sameZone += location == vm.location ? 1 : 0;
+            sameRegion += location.region == vm.location.region ? 1 : 0;
+        }
+        return {sameVm, sameZone, sameRegion, slots_[vm.id],
+                core::rendezvousWeight(std::to_string(partition), vm.id.str())};
+    }
+
+    const std::vector<core::EntryVm> &vms_;
+    std::map<core::VmId, const core::EntryVm *> byId_;
+    std::map<core::VmId, int> slots_;
+};
+
+/** Gives every slot that has to change another owner. */
+template <typename MustChange>
+std::optional<Placement> refill(const Placement &current, const VmHistory &history,
+                                MustChange mustChange)
+{
+    if (history.liveVms().empty())
+        return std::nullopt;
+    Placement next = current;
+    std::vector<std::pair<int, int>> open;
+    for (int partition = 0; partition < partitionCount; ++partition) {
+        for (int slot = 0; slot < slotsPerPartition; ++slot) {
+            core::VmId &owner = next.partitions[partition][slot];
+            if (!mustChange(owner))
+                continue;
+            owner = core::VmId();
+            open.emplace_back(partition, slot);
+        }
+    }
+    if (open.empty())
+        return std::nullopt;
+    SlotFiller filler(next, history);
+    for (const auto &[partition, slot] : open) {
+        PartitionHomes &homes = next.partitions[partition];
+        homes[slot] = filler.choose(homes, partition, slot);
+    }
+    next.revision = core::Revision(current.revision.count() + 1);
+    return next;
+}
+
+} // namespace
+
+int partitionOf(const core::ClientAccountId &account)
+{
+    return static_cast<int>(core::stableHash(account.str()) % partitionCount);
+}
+
+const PartitionHomes &Placement::homesOf(const core::ClientAccountId &account) const
+{
+    return partitions[static_cast<std::size_t>(partitionOf(account))];
+}
+
+bool Placement::names(const core::VmId &vm) const
+{
+    return std::any_of(partitions.begin(), partitions.end(), [&](const PartitionHomes &homes) {
+        return std::find(homes.begin(), homes.end(), vm) != homes.end();
+    });
+}
+
+void VmHistory::onVmList(core::MonoTime now, const core::VmList &list)
+{
+    firstRead_ = firstRead_.value_or(now);
+    lastRead_ = now;
+    std::set<core::VmId> present;
+    for (const core::EntryVm &vm : list.entryVms) {
+        present.insert(vm.id);
+        if (vm.state == core::VmState::Leaving)
+            ended_.insert(vm.id);
+    }
+    for (const core::VmId &vm : seen_) {
+        if (!present.contains(vm))
+            ended_.insert(vm);
+    }
+    seen_.insert(present.begin(), present.end());
+    present_ = std::move(present);
+    liveVms_.clear();
+    for (const core::EntryVm &vm : list.entryVms) {
+        if (!ended_.contains(vm.id))
+            liveVms_.push_back(vm);
+    }
+    std::sort(liveVms_.begin(), liveVms_.end(),
+              [](const core::EntryVm &a, const core::EntryVm &b) { return a.id < b.id; });
+}
+
+bool VmHistory::gone(const core::VmId &vm) const
+{
+    if (!known() || present_.contains(vm))
+        return false;
+    return seen_.contains(vm) || lastRead_ - *firstRead_ >= maxListLag;
+}
+
+bool VmHistory::live(const core::VmId &vm) const
+{
+    return present_.contains(vm) && !ended_.contains(vm);
+}
+
+std::optional<Placement> nextPlacement(const Placement &current, const VmHistory &history)
+{
+    return refill(current, history,
+                  [&](const core::VmId &owner) { return owner.empty() || history.gone(owner); });
+}
+
+std::optional<Placement> handOver(const Placement &current, const VmHistory &history,
+                                  const core::VmId &self)
+{
+    return refill(current, history, [&](const core::VmId &owner) { return owner == self; });
+}
+
+bool mayActAsHome(const VmHistory &history, const core::VmId &self)
+{
+    return history.known() && history.live(self);
+}
+
+core::Micros placementWriteDelay(const VmHistory &history, const core::VmId &self)
+{
+    constexpr core::Micros step = core::Seconds(2);
+    const std::uint64_t own = core::rendezvousWeight(placementKey, self.str());
+    const auto before = std::count_if(
+        history.liveVms().begin(), history.liveVms().end(), [&](const core::EntryVm &vm) {
+            return core::rendezvousWeight(placementKey, vm.id.str()) > own;
+        });
+    return before * step;
+}
+
+} // namespace teaselreach::limit
--- /dev/null
+++ b/tests/unit/limit_test.cpp
@@ -0,0 +1,183 @@
+/** @file limit_test.cpp Tests of the home bucket, the placement and the wiring of LimitState. */
+#include "limit/limit_state_base.h"
+
+#include <doctest/doctest.h>
+
+using namespace teaselreach;
+using namespace teaselreach::limit;
+
+namespace {
+
+const core::MonoTime start = core::MonoTime(core::Seconds(100));
+const core::ClientAccountId account("bakery");
+
+LoanId loanId(std::uint64_t sequence)
+{
+    return {.incarnation = core::Incarnation(1), .sequence = sequence};
+}
+
+core::EntryVm entryVm(const std::string &id, const std::string &zone, const std::string &region)
+{
+    return {.id = core::VmId(id),
+            .address = "127.0.0.1",
+            .location = {core::AvailabilityZoneId(zone), core::RegionId(region)}};
+}
+
+core::VmList fourVms()
+{
+    return {.entryVms = {entryVm("a", "1", "east"), entryVm("b", "2", "east"),
+                         entryVm("c", "3", "west"), entryVm("d", "4", "west")}};
+}
+
+VmHistory historyOf(const core::VmList &list)
+{
+    VmHistory history;
+    history.onVmList(start, list);
+    return history;
+}
+
+std::shared_ptr<const config::ConfigSnapshot> configOf(std::uint64_t revision, double burst)
+{
+    record::RecordSet records;
+    records.limits = {{.account = account, .ratePerSecond = 10, .burst = burst, .homes = 1}};
+    return std::make_shared<const config::ConfigSnapshot>(core::Revision(revision), records);
+}
+
+} // namespace
+
+TEST_CASE("a restarted home gives nothing until the predecessor's loans have expired")
+{
+    HomeBucket home({.ratePerSecond = 100, .burst = 10}, start);
+    CHECK_FALSE(home.tryTake(start + restartHold));
+    CHECK_FALSE(home.tryTake(start + core::withDrift(restartHold)));
+    CHECK(home.tryTake(start + core::withDrift(restartHold) + core::Millis(10)));
+}
+
+TEST_CASE("tokens on loan count against the burst until they expire or are reported finished")
+{
+    HomeBucket home({.ratePerSecond = 10, .burst = 10}, start);
+    const core::MonoTime later = start + core::Seconds(10);
+    const Grant grant = home.lend(later, loanId(1), 10, core::Micros(0));
+    REQUIRE(grant.delays.size() == 10);
+    HomeBucket finished = home;
+    const core::MonoTime expiry = later + core::withDrift(grant.lifetime);
+    CHECK_FALSE(home.tryTake(expiry - core::Micros(1)));
+    finished.finish(later, {.id = loanId(1), .unused = 4});
+    finished.finish(later, {.id = loanId(1), .unused = 4});
+    CHECK(finished.level(later) == doctest::Approx(4));
+}
+
+TEST_CASE("a promised token is usable only once its refill has come, in the order asked")
+{
+    HomeBucket home({.ratePerSecond = 10, .burst = 2}, start);
+    const core::MonoTime later = start + core::Seconds(10);
+    const Grant grant = home.lend(later, loanId(1), 9, core::Millis(250));
+    CHECK(grant.delays == std::vector<core::Micros> {core::Micros(0), core::Micros(0)});
+    home.finish(later, {.id = loanId(1)});
+    const Grant next = home.lend(later, loanId(2), 9, core::Millis(250));
+    CHECK(next.delays == std::vector<core::Micros> {core::Millis(100), core::Millis(200)});
+    CHECK_FALSE(home.tryTake(later + core::Millis(200)));
+}
+
+TEST_CASE("a smaller burst takes effect on the level at once")
+{
+    HomeBucket home({.ratePerSecond = 10, .burst = 10}, start);
+    const core::MonoTime later = start + core::Seconds(10);
+    home.lend(later, loanId(1), 6, core::Micros(0));
+    home.change(later, {.ratePerSecond = 10, .burst = 5});
+    CHECK(home.level(later) < 0);
+}
+
+TEST_CASE("the placement keeps its content in the stored form and refuses unknown versions")
+{
+    const Placement first = *nextPlacement(Placement {}, historyOf(fourVms()));
+    CHECK(decodePlacement(encodePlacement(first)) == first);
+    CHECK_THROWS_AS(decodePlacement(R"({"schema_version":2})"), PlacementInvalid);
+    CHECK_THROWS_AS(decodePlacement("{"), PlacementInvalid);
+}
+
+TEST_CASE("homes of a partition are in different zones, and only slots of gone VMs move")
+{
+    VmHistory history = historyOf(fourVms());
+    const Placement first = *nextPlacement(Placement {}, history);
+    for (const PartitionHomes &homes : first.partitions)
+        CHECK(std::set<core::VmId>(homes.begin(), homes.end()).size() == slotsPerPartition);
+    CHECK_FALSE(nextPlacement(first, history).has_value());
+    core::VmList list = fourVms();
+    list.entryVms.erase(list.entryVms.begin());
+    list.entryVms[0].state = core::VmState::Leaving;
+    history.onVmList(start, list);
+    const Placement second = *nextPlacement(first, history);
+    CHECK_FALSE(second.names(core::VmId("a")));
+    for (std::size_t partition = 0; partition < partitionCount; ++partition) {
+        for (std::size_t slot = 0; slot < slotsPerPartition; ++slot) {
+            const core::VmId &before = first.partitions[partition][slot];
+            CHECK((before.str() == "a" || second.partitions[partition][slot] == before));
+        }
+    }
+    CHECK_FALSE(handOver(second, history, core::VmId("b"))->names(core::VmId("b")));
+}
+
+TEST_CASE("an owner that a lagging list does not show yet keeps its slots")
+{
+    const Placement first = *nextPlacement(Placement {}, historyOf(fourVms()));
+    core::VmList lagging = fourVms();
+    lagging.entryVms.pop_back();
+    VmHistory history = historyOf(lagging);
+    CHECK_FALSE(nextPlacement(first, history).has_value());
+    history.onVmList(start + maxListLag, lagging);
+    CHECK(nextPlacement(first, history).has_value());
+}
+
+TEST_CASE("a VM that was seen leaving never acts as home again")
+{
+    LimitState state(core::VmId("a"), core::Incarnation(1));
+    CHECK_FALSE(state.actsAsHome());
+    state.onVmList(start, fourVms());
+    CHECK(state.actsAsHome());
+    core::VmList list = fourVms();
+    list.entryVms[0].state = core::VmState::Leaving;
+    state.onVmList(start, list);
+    state.onVmList(start, fourVms());
+    CHECK_FALSE(state.actsAsHome());
+}
+
+TEST_CASE("a request on another VM waits for a loan, and a late answer admits nothing")
+{
+    LimitState home(core::VmId("a"), core::Incarnation(1));
+    LimitState other(core::VmId("b"), core::Incarnation(2));
+    Placement placement {.revision = core::Revision(1)};
+    placement.partitions.assign(partitionCount,
+                                {core::VmId("a"), core::VmId("a"), core::VmId("a")});
+    for (LimitState *state : {&home, &other}) {
+        state->onVmList(start, fourVms());
+        state->onPlacement(start, std::make_shared<const Placement>(placement));
+        state->onConfig(start, configOf(1, 20));
+    }
+    const core::MonoTime later = start + core::Seconds(10);
+    const Admission admission = other.tryAdmit(later, account, core::Millis(400));
+    REQUIRE(admission.decision == Decision::Waits);
+    const LimitOutput output = other.takeOutput();
+    REQUIRE(output.requests.size() == 1);
+    CHECK(output.requests[0].to == core::VmId("a"));
+    const BorrowAnswer answer = home.onBorrowRequest(later, output.requests[0].request);
+    SUBCASE("in time")
+    {
+        other.onBorrowAnswer(later + core::Millis(40), answer);
+        REQUIRE(other.takeOutput().resolved.size() == 1);
+    }
+    SUBCASE("late")
+    {
+        other.onBorrowAnswer(later + answer.lifetime, answer);
+        CHECK(other.takeOutput().resolved.empty());
+    }
+    SUBCASE("to another process with the same id")
+    {
+        LimitState restarted(core::VmId("b"), core::Incarnation(3));
+        restarted.onPlacement(later, std::make_shared<const Placement>(placement));
+        restarted.onConfig(later, configOf(1, 20));
+        restarted.tryAdmit(later, account, core::Millis(400));
+        restarted.onBorrowAnswer(later, answer);
+        CHECK(restarted.takeOutput().resolved.empty());
+    }
+}
