Feature: [Upstream] Outlier ejection, choice of an upstream, retry budget and drain

Cause: upstreams fail partially while their health endpoints report healthy, and one VM alone sees too little traffic to tell a failure from chance. Change: HealthTable judges real requests against the service's own spread, exchanges evidence digests, ejects fleet-wide only with evidence from two availability zones, keeps the floors and readmits by trial requests; Chooser, subset, RetryBudget, HedgePolicy; ServiceState combines them for the daemon. Detection times are not measured yet.

--- /dev/null
+++ b/src/upstream/chooser.cpp
@@ -0,0 +1,157 @@
+/** @file chooser.cpp The choice of an upstream for a request. */
+#include "upstream/chooser_base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaselreach::upstream {
+
+namespace {
+
+/** Time in which a load report's weight falls to 1/e. */
+constexpr core::Millis loadDecay {200};
+/** Weight of a new report in the mean of all reports. */
+constexpr double meanWeight = 0.05;
+/** Time over which a new or readmitted upstream's share of requests rises to the full one. */
+constexpr core::Millis slowStart {20000};
+constexpr double minSlowStartShare = 0.1;
+constexpr std::size_t tiers = 3;
+
+double uniform(Random &random)
+{
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+std::size_t below(std::size_t bound, Random &random)
+{
+    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random);
+}
+
+/** @return Whether an upstream in slow start takes part in a choice. */
+bool takesPart(core::MonoTime now, const UpstreamView &view, Random &random)
+{
+    if (view.usedSince == core::MonoTime {} || now - view.usedSince >= slowStart)
+        return true;
+    const double share = std::chrono::duration<double>(now - view.usedSince)
+        / std::chrono::duration<double>(slowStart);
+    return uniform(random) < std::max(minSlowStartShare, share);
+}
+
+} // namespace
+
+std::size_t RandomChoice::pick(std::span<const Candidate> candidates, Random &random)
+{
+    return below(candidates.size(), random);
+}
+
+std::size_t RoundRobinChoice::pick(std::span<const Candidate> candidates, Random &)
+{
+    return next++ % candidates.size();
+}
+
+std::size_t TwoChoices::pick(std::span<const Candidate> candidates, Random &random)
+{
+    if (candidates.size() == 1)
+        return 0;
+    const std::size_t first = below(candidates.size(), random);
+    std::size_t second = below(candidates.size() - 1, random);
+    second += second >= first ? 1 : 0;
+    return candidates[second].load < candidates[first].load ? second : first;
+}
+
+void LoadTable::reset(std::size_t size)
+{
+    entries_.assign(size, {});
+}
+
+void LoadTable::record(core::MonoTime now, std::size_t index, const LoadReport &load,
+                       int ownInFlight)
+{
+    const double others = std::max(0, load.busy - ownInFlight);
+    entries_[index] = {.others = others, .at = now};
+    meanOthers_ += (others - meanOthers_) * meanWeight;
+}
+
+double LoadTable::expected(core::MonoTime now, std::size_t index, int ownInFlight) const
+{
+    const Entry &entry = entries_[index];
+    const double age =
+        std::chrono::duration<double>(now - entry.at) / std::chrono::duration<double>(loadDecay);
+    const double weight = entry.at == core::MonoTime {} ? 0 : std::exp(-age);
+    return ownInFlight + weight * entry.others + (1 - weight) * meanOthers_;
+}
+
+void Chooser::listChanged(const SubsetRequest &request)
+{
+    plan_ = planConnections(request);
+    places_.clear();
+    for (const core::UpstreamVm &vm : request.upstreams) {
+        const bool zone = vm.location.availabilityZone == request.ownLocation.availabilityZone;
+        const bool region = vm.location.region == request.ownLocation.region;
+        places_.push_back(
+            {.tier = zone ? 0U : (region ? 1U : 2U), .member = plan_.members.contains(vm.id)});
+    }
+    std::array<std::size_t, 2> near {};
+    for (const core::EntryVm &vm : request.entryVms) {
+        near[0] += vm.location.availabilityZone == request.ownLocation.availabilityZone ? 1U : 0U;
+        near[1] += vm.location.region == request.ownLocation.region ? 1U : 0U;
+    }
+    const auto all = static_cast<double>(std::max<std::size_t>(1, request.entryVms.size()));
+    entryShare_ = {static_cast<double>(near[0]) / all, static_cast<double>(near[1]) / all};
+    loads_.reset(request.upstreams.size());
+}
+
+void Chooser::loadReported(core::MonoTime now, std::size_t index, const LoadReport &load,
+                           int ownInFlight)
+{
+    loads_.record(now, index, load, ownInFlight);
+}
+
+std::size_t Chooser::drawTier(std::span<const UpstreamView> views, Random &random) const
+{
+    std::array<double, tiers> usable {};
+    for (std::size_t i = 0; i < views.size(); ++i)
+        usable[places_[i].tier] += views[i].usable ? 1 : 0;
+    const double all = usable[0] + usable[1] + usable[2];
+    if (all == 0)
+        return 0;
+    // A zone with fewer upstreams than its share of the callers' requests passes on the excess,
+    // so that all upstreams are equally busy.
+    const double draw = uniform(random);
+    if (draw * entryShare_[0] < usable[0] / all)
+        return 0;
+    if (draw * entryShare_[1] < (usable[0] + usable[1]) / all)
+        return 1;
+    return 2;
+}
+
+std::vector<Candidate> Chooser::gather(core::MonoTime now, std::span<const UpstreamView> views,
+                                       Random &random) const
+{
+    const std::size_t first = drawTier(views, random);
+    for (const bool membersOnly : {true, false}) {
+        for (std::size_t i = 0; i < tiers; ++i) {
+            const std::size_t tier = (first + i) % tiers;
+            auto candidates = gatherTier(now, views, tier, membersOnly, random);
+            if (!candidates.empty())
+                return candidates;
+        }
+    }
+    return {};
+}
+
+std::vector<Candidate> Chooser::gatherTier(core::MonoTime now, std::span<const UpstreamView> views,
+                                           std::size_t tier, bool membersOnly, Random &random) const
+{
+    std::vector<Candidate> candidates;
+    std::vector<Candidate> resting;
+    for (std::size_t i = 0; i < views.size(); ++i) {
+        if (!views[i].usable || places_[i].tier != tier || (membersOnly && !places_[i].member))
+            continue;
+        const Candidate candidate {.index = i, .load = loads_.expected(now, i, views[i].inFlight)};
+        (takesPart(now, views[i], random) ? candidates : resting).push_back(candidate);
+    }
+    return candidates.empty() ? resting : candidates;
+}
+
+} // namespace teaselreach::upstream
--- /dev/null
+++ b/src/upstream/evidence.cpp
@@ -0,0 +1,157 @@
+/** @file evidence.cpp Observations of one upstream, and the service's median duration. */
+#include "upstream/evidence_base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaselreach::upstream {
+
+double decayFactor(core::Micros elapsed)
+{
+    if (elapsed <= core::Micros(0))
+        return 1;
+    return std::exp(-std::chrono::duration<double>(elapsed)
+                    / std::chrono::duration<double>(evidenceDecay));
+}
+
+EvidenceCounts DecayingCounts::at(core::MonoTime now) const
+{
+    if (counts_.total() == 0)
+        return {};
+    const double factor = decayFactor(now - at_);
+    return {.good = counts_.good * factor,
+            .failed = counts_.failed * factor,
+            .overdue = counts_.overdue * factor};
+}
+
+void DecayingCounts::set(core::MonoTime now, const EvidenceCounts &counts)
+{
+    counts_ = counts;
+    at_ = now;
+}
+
+void DecayingCounts::add(core::MonoTime now, const EvidenceCounts &counts)
+{
+    EvidenceCounts sum = at(now);
+    sum.good += counts.good;
+    sum.failed += counts.failed;
+    sum.overdue += counts.overdue;
+    set(now, sum);
+}
+
+void MedianDuration::add(core::Micros duration)
+{
+    ring_[count_ % window] = duration;
+    ++count_;
+    if (count_ < minSamples)
+        return;
+    auto sorted = ring_;
+    const std::size_t filled = std::min(count_, window);
+    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(filled / 2);
+    std::nth_element(sorted.begin(), middle, sorted.begin() + static_cast<std::ptrdiff_t>(filled));
+    median_ = *middle;
+}
+
+core::Micros MedianDuration::quantile95() const
+{
+    if (count_ < minSamples)
+        return core::Micros(0);
+    auto sorted = ring_;
+    const std::size_t filled = std::min(count_, window);
+    std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(filled));
+    return sorted[filled * 19 / 20];
+}
+
+core::Micros MedianDuration::overdueAfter() const
+{
+    if (median_ == core::Micros(0))
+        return unknownOverdue;
+    const auto limit = std::chrono::duration_cast<core::Micros>(median_ * overdueFactor);
+    return std::max<core::Micros>(minOverdue, limit);
+}
+
+void OwnEvidence::start(core::MonoTime now, std::uint64_t number, bool trial)
+{
+    inFlight_.push_back({.number = number, .start = now, .trial = trial});
+}
+
+OwnEvidence::Finished OwnEvidence::finish(core::MonoTime now, std::uint64_t number, Outcome outcome,
+                                          core::Micros overdueAfter)
+{
+    const auto found = std::find_if(inFlight_.begin(), inFlight_.end(),
+                                    [&](const InFlight &one) { return one.number == number; });
+    if (found == inFlight_.end())
+        return {};
+    const InFlight request = *found;
+    inFlight_.erase(found);
+    Finished result {.known = true, .trial = request.trial, .duration = now - request.start};
+    if (!request.stale)
+        judge(now, request, outcome, overdueAfter, result);
+    return result;
+}
+
+void OwnEvidence::judge(core::MonoTime now, const InFlight &request, Outcome outcome,
+                        core::Micros overdueAfter, Finished &result)
+{
+    if (request.counted)
+        return;
+    switch (outcome) {
+    case Outcome::Shed:
+    case Outcome::Cancelled:
+        return;
+    case Outcome::Superseded:
+        if (result.duration > overdueAfter / 2)
+            addBad(now, {.overdue = supersededWeight});
+        return;
+    case Outcome::Success:
+        if (result.duration <= overdueAfter) {
+            counts_.add(now, {.good = 1});
+            result.good = true;
+            return;
+        }
+        [[fallthrough]];
+    case Outcome::TimedOut:
+        addBad(now, {.overdue = 1});
+        break;
+    case Outcome::Failed:
+    case Outcome::Truncated:
+    case Outcome::ConnectFailed:
+        addBad(now, {.failed = 1});
+        break;
+    }
+    result.bad = true;
+}
+
+int OwnEvidence::countOverdue(core::MonoTime now, core::Micros overdueAfter)
+{
+    int trials = 0;
+    for (InFlight &request : inFlight_) {
+        if (request.counted || request.stale || now - request.start <= overdueAfter)
+            continue;
+        request.counted = true;
+        addBad(now, {.overdue = 1});
+        trials += request.trial ? 1 : 0;
+    }
+    return trials;
+}
+
+void OwnEvidence::clear(core::MonoTime now)
+{
+    counts_.set(now, {});
+    for (InFlight &request : inFlight_)
+        request.stale = true;
+}
+
+int OwnEvidence::trialsInFlight() const
+{
+    return static_cast<int>(std::count_if(inFlight_.begin(), inFlight_.end(),
+                                          [](const InFlight &one) { return one.trial; }));
+}
+
+void OwnEvidence::addBad(core::MonoTime now, const EvidenceCounts &counts)
+{
+    counts_.add(now, counts);
+    ++badEvents_;
+}
+
+} // namespace teaselreach::upstream
--- /dev/null
+++ b/src/upstream/health_table_digest.cpp
@@ -0,0 +1,202 @@
+/** @file health_table_digest.cpp Evidence that VMs exchange. */
+#include "upstream/health_table_base.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace teaselreach::upstream {
+
+namespace {
+
+/** Shortest time between two digests of a VM about one upstream. */
+constexpr core::Millis minDigestInterval {200};
+/** Interval at which a VM repeats a digest that is still of use to others. */
+constexpr core::Millis digestRepeat {1000};
+/** Bad evidence of one VM from which on its digest is pushed at once. */
+constexpr double urgentBad = 0.9;
+/** Evidence below this weight is not worth a digest. */
+constexpr double minReportedWeight = 0.3;
+
+} // namespace
+
+void HealthTable::digestReceived(core::MonoTime now, const EvidenceDigest &digest)
+{
+    if (!options_.exchangeEvidence || digest.reporter == options_.ownVm)
+        return;
+    const auto index = find(digest.upstream);
+    if (!index) {
+        if (digest.drain == DrainState::Leaving && digest.age < digestLifetime)
+            departed_[digest.upstream] = now;
+        return;
+    }
+    Record &record = records_[*index];
+    const Report *known = findReport(record, digest.reporter);
+    if (known != nullptr
+        && std::tie(known->incarnation, known->sequence)
+            >= std::tie(digest.incarnation, digest.sequence))
+        return;
+    if (digest.age >= digestLifetime)
+        return;
+    storeReport(now, record, digest);
+    if (digest.drain != DrainState::None) {
+        drain(now, record, digest.drain, false);
+        restoreFloor(now);
+    }
+}
+
+HealthTable::Report *HealthTable::findReport(Record &record, const core::VmId &reporter)
+{
+    const auto found = std::find_if(record.reports.begin(), record.reports.end(),
+                                    [&](const Report &one) { return one.reporter == reporter; });
+    return found == record.reports.end() ? nullptr : &*found;
+}
+
+void HealthTable::storeReport(core::MonoTime now, Record &record, const EvidenceDigest &digest)
+{
+    Report *report = findReport(record, digest.reporter);
+    if (report == nullptr) {
+        record.reports.push_back({.reporter = digest.reporter});
+        report = &record.reports.back();
+    }
+    pendingSends_ -= static_cast<std::size_t>(report->sendsLeft);
+    report->zone = digest.zone;
+    report->incarnation = digest.incarnation;
+    report->sequence = digest.sequence;
+    report->madeAt = now - digest.age;
+    report->counts.set(now, digest.counts);
+    report->trials.set(now, {.good = digest.trialsPassed, .failed = digest.trialsFailed});
+    report->badElsewhere = digest.badElsewhere;
+    report->drain = digest.drain;
+    report->urgent = digest.counts.bad() >= urgentBad || digest.drain != DrainState::None
+        || digest.trialsPassed + digest.trialsFailed > 0;
+    report->sendsLeft = report->urgent ? sendsUrgent : sendsMild;
+    pendingSends_ += static_cast<std::size_t>(report->sendsLeft);
+    urgent_ = urgent_ || report->urgent;
+}
+
+void HealthTable::expireReports(core::MonoTime now, Record &record)
+{
+    std::erase_if(record.reports, [&](const Report &one) {
+        if (now - one.madeAt < digestLifetime)
+            return false;
+        pendingSends_ -= static_cast<std::size_t>(one.sendsLeft);
+        return true;
+    });
+}
+
+bool HealthTable::digestDue(core::MonoTime now, const Record &record) const
+{
+    const bool never = record.digestMadeAt == core::MonoTime {};
+    const auto since = now - record.digestMadeAt;
+    if (!never && since < minDigestInterval)
+        return false;
+    if (record.trialsChanged || record.own.badEvents() != record.badEventsSent)
+        return true;
+    if (!never && since < digestRepeat)
+        return false;
+    if (record.drainFirstHand && now - record.drainSince < drainRepeat)
+        return true;
+    // VMs that suspect the upstream need to know where it works as well.
+    return !record.ejected && record.own.counts(now).good >= 0.5
+        && peersBad(now, record) >= corroborationBad;
+}
+
+void HealthTable::makeDigest(core::MonoTime now, Record &record)
+{
+    if (!options_.exchangeEvidence || !digestDue(now, record))
+        return;
+    record.badEventsSent = record.own.badEvents();
+    record.trialsChanged = false;
+    record.digestMadeAt = now;
+    const EvidenceCounts trials = record.ownTrials.at(now);
+    storeReport(now, record,
+                {.service = options_.service,
+                 .upstream = record.vm.id,
+                 .reporter = options_.ownVm,
+                 .zone = options_.ownLocation.availabilityZone,
+                 .incarnation = options_.incarnation,
+                 .sequence = nextSequence_++,
+                 .counts = record.own.counts(now),
+                 .badElsewhere = badElsewhere(now, record),
+                 .trialsPassed = trials.good,
+                 .trialsFailed = trials.failed,
+                 .drain = record.drainFirstHand ? record.drain : DrainState::None});
+}
+
+double HealthTable::badElsewhere(core::MonoTime now, const Record &record) const
+{
+    std::vector<double> shares;
+    for (const Record &other : records_) {
+        if (&other == &record || other.ejected)
+            continue;
+        const EvidenceCounts counts = other.own.counts(now);
+        if (counts.total() >= 1)
+            shares.push_back(counts.badShare());
+    }
+    return referenceShare(std::move(shares));
+}
+
+double HealthTable::peersBad(core::MonoTime now, const Record &record) const
+{
+    double bad = 0;
+    for (const Report &report : record.reports) {
+        if (report.reporter == options_.ownVm)
+            continue;
+        const double credible = std::max(0.0, 1 - 2 * report.badElsewhere);
+        bad += std::min(maxBadPerVm, report.counts.at(now).bad() * credible);
+    }
+    return bad;
+}
+
+EvidenceDigest HealthTable::toDigest(core::MonoTime now, const Record &record,
+                                     const Report &report) const
+{
+    const EvidenceCounts trials = report.trials.at(now);
+    return {.service = options_.service,
+            .upstream = record.vm.id,
+            .reporter = report.reporter,
+            .zone = report.zone,
+            .incarnation = report.incarnation,
+            .sequence = report.sequence,
+            .age = now - report.madeAt,
+            .counts = report.counts.at(now),
+            .badElsewhere = report.badElsewhere,
+            .trialsPassed = trials.good,
+            .trialsFailed = trials.failed,
+            .drain = report.drain};
+}
+
+std::vector<EvidenceDigest> HealthTable::digestsToSend(core::MonoTime now, std::size_t limit)
+{
+    struct Waiting
+    {
+        Record *record;
+        Report *report;
+    };
+    std::vector<Waiting> waiting;
+    urgent_ = false;
+    if (pendingSends_ == 0)
+        return {};
+    for (Record &record : records_) {
+        for (Report &report : record.reports) {
+            const bool worth = report.urgent || report.counts.at(now).total() >= minReportedWeight;
+            if (report.sendsLeft > 0 && worth)
+                waiting.push_back({.record = &record, .report = &report});
+        }
+    }
+    std::stable_sort(waiting.begin(), waiting.end(), [](const Waiting &a, const Waiting &b) {
+        return std::tuple(a.report->drain, a.report->sendsLeft)
+            > std::tuple(b.report->drain, b.report->sendsLeft);
+    });
+    std::vector<EvidenceDigest> digests;
+    for (const Waiting &one : waiting) {
+        if (digests.size() == limit)
+            break;
+        digests.push_back(toDigest(now, *one.record, *one.report));
+        --one.report->sendsLeft;
+        --pendingSends_;
+    }
+    return digests;
+}
+
+} // namespace teaselreach::upstream
--- /dev/null
+++ b/src/upstream/health_table_query.cpp
@@ -0,0 +1,104 @@
+/** @file health_table_query.cpp What a HealthTable knows. */
+#include "core/digest_func.h"
+#include "upstream/health_table_base.h"
+
+#include <algorithm>
+
+namespace teaselreach::upstream {
+
+namespace {
+
+/** Shortest time between two corroborating requests of a VM to an upstream. */
+constexpr core::Millis corroborationInterval {300};
+/** Own observations above this weight need no further request. */
+constexpr double ownObservationsEnough = 1;
+/** VMs of each zone that run the first trials. */
+constexpr std::size_t firstTrialVms = 1;
+/** Time after which twice as many VMs may run trials, as the first may be gone or idle. */
+constexpr core::Millis trialWidening {500};
+
+} // namespace
+
+std::optional<std::size_t> HealthTable::find(const core::UpstreamId &id) const
+{
+    const auto found = index_.find(id);
+    if (found == index_.end())
+        return std::nullopt;
+    return found->second;
+}
+
+UseState HealthTable::stateAt(std::size_t index) const
+{
+    const Record &record = records_[index];
+    if (record.drain != DrainState::None || record.vm.state == core::VmState::Leaving)
+        return UseState::Draining;
+    return record.ejected ? UseState::Ejected : UseState::InUse;
+}
+
+std::size_t HealthTable::rankOf(Record &record)
+{
+    if (record.rank)
+        return *record.rank;
+    const std::string &item = record.vm.id.str();
+    const auto own = core::rendezvousWeight(item, options_.ownVm.str());
+    const auto ahead = std::count_if(zoneVms_.begin(), zoneVms_.end(), [&](const core::VmId &vm) {
+        return vm != options_.ownVm && core::rendezvousWeight(item, vm.str()) > own;
+    });
+    record.rank = static_cast<std::size_t>(ahead);
+    return *record.rank;
+}
+
+bool HealthTable::wantsTrial(core::MonoTime now, std::size_t index)
+{
+    Record &record = records_[index];
+    if (stateAt(index) != UseState::Ejected || now < record.trialFrom)
+        return false;
+    if (record.trialsSent >= trialsPerVm || record.own.trialsInFlight() > 0)
+        return false;
+    if (record.scope == Scope::Vm)
+        return true;
+    const auto doublings = std::min<std::int64_t>((now - record.trialFrom) / trialWidening, 16);
+    return rankOf(record) < firstTrialVms << doublings;
+}
+
+bool HealthTable::wantsCorroboration(core::MonoTime now, std::size_t index)
+{
+    Record &record = records_[index];
+    if (stateAt(index) != UseState::InUse || record.reports.empty())
+        return false;
+    if (record.own.inFlight() > 0 || now - record.lookedAt < corroborationInterval)
+        return false;
+    if (record.own.counts(now).total() >= ownObservationsEnough)
+        return false;
+    return peersBad(now, record) >= corroborationBad && rankOf(record) < designatedPerZone;
+}
+
+std::optional<Explanation> HealthTable::explain(core::MonoTime now,
+                                                const core::UpstreamId &id) const
+{
+    const auto index = find(id);
+    if (!index)
+        return std::nullopt;
+    const Record &record = records_[*index];
+    return Explanation {.upstream = id,
+                        .state = stateAt(*index),
+                        .scope = record.scope,
+                        .ejectedAt = record.ejectedAt,
+                        .trialFrom = record.trialFrom,
+                        .relapses = record.relapses,
+                        .refusedByFloor = record.refusedByFloor,
+                        .own = record.own.counts(now),
+                        .basis = record.basis};
+}
+
+std::size_t HealthTable::memoryBytes() const
+{
+    std::size_t bytes = sizeof(*this) + zoneVms_.size() * sizeof(core::VmId);
+    for (const Record &record : records_) {
+        bytes += sizeof(Record) + record.reports.capacity() * sizeof(Report);
+        bytes += record.basis.capacity() * sizeof(EvidenceSource);
+    }
+    return bytes;
+}
+
+} // namespace teaselreach::upstream
--- /dev/null
+++ b/src/upstream/retry_base.h
@@ -0,0 +1,78 @@
+/** @file retry_base.h Retries and hedges, and the budget that bounds both. */
+#pragma once
+
+#include "table/refusal_table.h"
+#include "upstream/evidence_base.h"
+#include "upstream/upstream_type.h"
+
+#include <optional>
+
+namespace teaselreach::upstream {
+
+/** @return What is known of the execution of an attempt that ended in an outcome. */
+table::Execution executionOf(Outcome outcome);
+
+/** Bounds the additional load by retries and hedges: 10% of requests plus 1 per second. */
+class RetryBudget
+{
+public:
+    /** Records a first attempt. */
+    void requestStarted(core::MonoTime now);
+    /** @return Whether a further attempt is granted; takes it from the budget. */
+    bool take(core::MonoTime now);
+    /** @return Attempts available at a time. */
+    double available(core::MonoTime now) const;
+
+private:
+    void refill(core::MonoTime now);
+
+    double tokens_ = maxTokens;
+    core::MonoTime refilledAt_ {};
+
+    static constexpr double perRequest = 0.1;
+    static constexpr double perSecond = 1;
+    static constexpr double maxTokens = 10;
+};
+
+/** Whether a failed attempt is followed by another. */
+enum class RetryDecision : std::uint8_t {
+    Retry,
+    NotNeeded,    ///< The attempt succeeded or the caller is gone.
+    MayHaveRun,   ///< The request is not idempotent and may have been run.
+    TooManyTries, ///< maxAttempts reached.
+    NoTimeLeft,   ///< The deadline leaves no time for another attempt.
+    BudgetSpent,  ///< The service's retry budget is used up.
+};
+
+/** A failed attempt that may be retried. */
+struct RetryRequest
+{
+    Outcome outcome = Outcome::Failed;
+    bool idempotent = false;
+    bool mayHaveRunBefore = false; ///< An earlier attempt of the same request may have run.
+    int attempts = 1;              ///< Attempts made so far.
+    core::Micros timeLeft {0};     ///< Until the deadline.
+    core::Micros expected {0};     ///< Median duration of the service.
+};
+
+/** Most attempts for one request. */
+inline constexpr int maxAttempts = 3;
+
+/** Decides on a retry and takes it from the budget if granted. */
+RetryDecision decideRetry(core::MonoTime now, const RetryRequest &request, RetryBudget &budget);
+
+/** When a slow request gets a second copy. */
+class HedgePolicy
+{
+public:
+    /**
+     * @param durations Durations of the service.
+     * @param idempotent Whether the request may be sent twice.
+     * @param timeLeft Time until the deadline.
+     * @return The time after the start of the first copy; nothing if there must be no second one.
+     */
+    std::optional<core::Micros> delay(const MedianDuration &durations, bool idempotent,
+                                      core::Micros timeLeft) const;
+};
+
+} // namespace teaselreach::upstream
--- /dev/null
+++ b/src/upstream/service_state.cpp
@@ -0,0 +1,148 @@
+/** @file service_state.cpp All decisions about the upstreams of one service on one VM. */
+#include "upstream/service_state_base.h"
+
+#include <algorithm>
+
+namespace teaselreach::upstream {
+
+ServiceState::ServiceState(ServiceOptions options)
+    : options_(std::move(options))
+    , health_({.service = options_.service.id,
+               .ownVm = options_.ownVm,
+               .ownLocation = options_.ownLocation,
+               .incarnation = options_.incarnation,
+               .floor = options_.service.floor,
+               .exchangeEvidence = options_.exchangeEvidence})
+{ }
+
+void ServiceState::configure(core::MonoTime now, const record::Service &service)
+{
+    options_.service = service;
+    health_.setFloor(now, service.floor);
+    replan();
+}
+
+void ServiceState::listChanged(core::MonoTime now, const core::VmList &list)
+{
+    list_.entryVms = list.entryVms;
+    list_.upstreams.clear();
+    std::copy_if(list.upstreams.begin(), list.upstreams.end(), std::back_inserter(list_.upstreams),
+                 [&](const core::UpstreamVm &vm) { return vm.service == options_.service.id; });
+    health_.listChanged(now, list_.upstreams, list_.entryVms);
+    replan();
+}
+
+void ServiceState::replan()
+{
+    SubsetRequest request {.ownVm = options_.ownVm,
+                           .ownLocation = options_.ownLocation,
+                           .maxConnectionsPerUpstream = options_.service.maxConnectionsPerUpstream,
+                           .maxSize = options_.maxSubset};
+    for (const core::EntryVm &vm : list_.entryVms) {
+        if (vm.state == core::VmState::Live)
+            request.entryVms.push_back(vm);
+    }
+    for (std::size_t i = 0; i < health_.size(); ++i)
+        request.upstreams.push_back(health_.vmAt(i));
+    chooser_.listChanged(request);
+}
+
+std::optional<Choice> ServiceState::choose(core::MonoTime now, const ChoiceRequest &request,
+                                           Random &random)
+{
+    if (request.firstAttempt)
+        budget_.requestStarted(now);
+    const std::vector<UpstreamView> views = viewsFor(request);
+    if (request.idempotent && request.firstAttempt && health_.anySuspicion()) {
+        if (const auto index = suspect(now, views))
+            return makeChoice(*index);
+    }
+    const auto index = chooser_.choose(now, views, strategy_, random);
+    if (!index)
+        return std::nullopt;
+    return makeChoice(*index);
+}
+
+std::optional<std::size_t> ServiceState::suspect(core::MonoTime now,
+                                                 const std::vector<UpstreamView> &views)
+{
+    for (std::size_t i = 0; i < views.size(); ++i) {
+        if (health_.wantsTrial(now, i) || health_.wantsCorroboration(now, i))
+            return i;
+    }
+    return std::nullopt;
+}
+
+std::vector<UpstreamView> ServiceState::viewsFor(const ChoiceRequest &request) const
+{
+    std::vector<UpstreamView> views;
+    views.reserve(health_.size());
+    for (std::size_t i = 0; i < health_.size(); ++i) {
+        const bool tried =
+            std::find(request.exclude.begin(), request.exclude.end(), health_.vmAt(i).id)
+            != request.exclude.end();
+        views.push_back({.usable = health_.usable(i) && !tried,
+                         .inFlight = health_.inFlightAt(i),
+                         .usedSince = health_.usedSince(i)});
+    }
+    return views;
+}
+
+Choice ServiceState::makeChoice(std::size_t index) const
+{
+    const core::UpstreamVm &vm = health_.vmAt(index);
+    return {.upstream = vm.id,
+            .address = vm.address,
+            .port = vm.port,
+            .trial = health_.stateAt(index) == UseState::Ejected};
+}
+
+Ticket ServiceState::started(core::MonoTime now, const Choice &choice)
+{
+    const auto index = health_.find(choice.upstream);
+    if (!index)
+        return {.upstream = choice.upstream};
+    return health_.started(now, *index, choice.trial);
+}
+
+void ServiceState::finished(core::MonoTime now, const Ticket &ticket, const Completion &completion)
+{
+    health_.finished(now, ticket, completion);
+    const auto index = health_.find(ticket.upstream);
+    if (!index || !completion.hasLoad)
+        return;
+    LoadReport load = completion.load;
+    if (completion.outcome == Outcome::Shed)
+        load.busy = std::max(load.busy, load.slots);
+    chooser_.loadReported(now, *index, load, health_.inFlightAt(*index));
+}
+
+void ServiceState::loadReported(core::MonoTime now, const core::UpstreamId &id,
+                                const LoadReport &load)
+{
+    health_.loadReported(now, id, load);
+    const auto index = health_.find(id);
+    if (index)
+        chooser_.loadReported(now, *index, load, health_.inFlightAt(*index));
+}
+
+RetryDecision ServiceState::decideRetry(core::MonoTime now, RetryRequest request)
+{
+    request.expected = health_.durations().median();
+    return upstream::decideRetry(now, request, budget_);
+}
+
+std::optional<core::Micros> ServiceState::hedgeAfter(bool idempotent, core::Micros timeLeft) const
+{
+    return hedge_.delay(health_.durations(), idempotent, timeLeft);
+}
+
+std::vector<Explanation> ServiceState::explainAll(core::MonoTime now) const
+{
+    std::vector<Explanation> all;
+    for (std::size_t i = 0; i < health_.size(); ++i)
+        all.push_back(*health_.explain(now, health_.vmAt(i).id));
+    return all;
+}
+
+} // namespace teaselreach::upstream
--- /dev/null
+++ b/src/upstream/subset.cpp
@@ -0,0 +1,156 @@
+/** @file subset.cpp Which upstreams a VM keeps connections to, so that the limits hold. */
+#include "core/digest_func.h"
+#include "upstream/subset_func.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <string>
+
+namespace teaselreach::upstream {
+
+namespace {
+
+constexpr int minConnections = 2;
+/** The rest of the limit covers VMs that still hold different lists. */
+constexpr double usableShareOfLimit = 0.9;
+
+/** How far an upstream is from a zone. */
+enum Tier : std::size_t { OwnZone, OwnRegion, Elsewhere, TierCount };
+
+using TierSizes = std::array<std::size_t, TierCount>;
+
+struct ZoneCounts
+{
+    core::RegionId region;
+    std::size_t entryVms = 0;
+    std::size_t upstreams = 0;
+};
+
+using Zones = std::map<core::AvailabilityZoneId, ZoneCounts>;
+
+Tier tierOf(const core::Location &from, const core::Location &to)
+{
+    if (from.availabilityZone == to.availabilityZone)
+        return OwnZone;
+    return from.region == to.region ? OwnRegion : Elsewhere;
+}
+
+Zones countZones(const SubsetRequest &request)
+{
+    Zones zones;
+    for (const core::EntryVm &vm : request.entryVms) {
+        ZoneCounts &zone = zones[vm.location.availabilityZone];
+        zone.region = vm.location.region;
+        ++zone.entryVms;
+    }
+    for (const core::UpstreamVm &vm : request.upstreams) {
+        ZoneCounts &zone = zones[vm.location.availabilityZone];
+        zone.region = vm.location.region;
+        ++zone.upstreams;
+    }
+    return zones;
+}
+
+/** @return The number of upstreams in each tier as a zone sees them. */
+TierSizes itemsFrom(const Zones &zones, const core::Location &from)
+{
+    TierSizes items {};
+    for (const auto &[id, zone] : zones)
+        items[tierOf(from, {.availabilityZone = id, .region = zone.region})] += zone.upstreams;
+    return items;
+}
+
+/** @return How many upstreams of each tier a subset of a size takes, nearest first. */
+TierSizes takenFrom(const TierSizes &items, std::size_t size)
+{
+    TierSizes taken {};
+    for (std::size_t tier = 0; tier < TierCount; ++tier) {
+        taken[tier] = std::min(items[tier], size);
+        size -= taken[tier];
+    }
+    return taken;
+}
+
+/** @return Most VMs whose subset of a size holds one and the same upstream. */
+std::size_t mostUsers(const Zones &zones, std::size_t size)
+{
+    std::size_t most = 0;
+    for (const auto &[toId, to] : zones) {
+        std::size_t users = 0;
+        for (const auto &[fromId, from] : zones) {
+            const core::Location here {.availabilityZone = fromId, .region = from.region};
+            const Tier tier = tierOf(here, {.availabilityZone = toId, .region = to.region});
+            const TierSizes items = itemsFrom(zones, here);
+            const std::size_t taken = takenFrom(items, size)[tier];
+            if (taken == 0)
+                continue;
+            const std::size_t blocks = items[tier] / taken;
+            users += (from.entryVms + blocks - 1) / blocks;
+        }
+        if (to.upstreams > 0)
+            most = std::max(most, users);
+    }
+    return most;
+}
+
+/** @return The position of this VM among the VMs of its zone in the order of their ids. */
+std::size_t positionInZone(const SubsetRequest &request)
+{
+    const auto &zone = request.ownLocation.availabilityZone;
+    return static_cast<std::size_t>(std::count_if(
+        request.entryVms.begin(), request.entryVms.end(), [&](const core::EntryVm &vm) {
+            return vm.location.availabilityZone == zone && vm.id < request.ownVm;
+        }));
+}
+
+/**
+ * Deterministic subsetting: the VMs of a round divide the shuffled upstreams among them, and each
+ * round shuffles differently.
+ */
+void takeBlock(const SubsetRequest &request, Tier tier, std::size_t take,
+               std::set<core::UpstreamId> &members)
+{
+    std::vector<core::UpstreamId> items;
+    for (const core::UpstreamVm &vm : request.upstreams) {
+        if (tierOf(request.ownLocation, vm.location) == tier)
+            items.push_back(vm.id);
+    }
+    if (take == 0 || items.empty())
+        return;
+    const std::size_t position = positionInZone(request);
+    const std::size_t blocks = items.size() / take;
+    const std::string salt =
+        request.ownLocation.availabilityZone.str() + '/' + std::to_string(position / blocks);
+    std::map<std::pair<std::uint64_t, core::UpstreamId>, core::UpstreamId> shuffled;
+    for (const core::UpstreamId &id : items)
+        shuffled.emplace(std::pair(core::rendezvousWeight(salt, id.str()), id), id);
+    auto at = std::next(shuffled.begin(), static_cast<std::ptrdiff_t>(position % blocks * take));
+    for (std::size_t i = 0; i < take; ++i)
+        members.insert((at++)->second);
+}
+
+} // namespace
+
+ConnectionPlan planConnections(const SubsetRequest &request)
+{
+    ConnectionPlan plan;
+    const Zones zones = countZones(request);
+    const int limit = static_cast<int>(request.maxConnectionsPerUpstream * usableShareOfLimit);
+    std::size_t size = request.upstreams.size();
+    if (request.maxSize > 0)
+        size = std::min(size, request.maxSize);
+    for (; size > 0; --size) {
+        plan.mostUsers = mostUsers(zones, size);
+        const auto users = static_cast<int>(std::max<std::size_t>(1, plan.mostUsers));
+        plan.connectionsPerUpstream = std::max(1, limit / users);
+        if (plan.connectionsPerUpstream >= minConnections || size == 1)
+            break;
+    }
+    const TierSizes taken = takenFrom(itemsFrom(zones, request.ownLocation), size);
+    for (std::size_t tier = 0; tier < TierCount; ++tier)
+        takeBlock(request, static_cast<Tier>(tier), taken[tier], plan.members);
+    return plan;
+}
+
+} // namespace teaselreach::upstream
--- /dev/null
+++ b/tests/cmake/upstream.cmake
@@ -0,0 +1,1 @@
+teaselreach_test(upstream_unit_test SOURCES unit/upstream_unit_test.cpp LIBS tr_upstream)
