Add: [Daemon] Limit service: LimitState in shards for request threads, borrow messages as JSON

Cause: the limits are a pure class; request threads need locks, waiting and the messages to home VMs. Not built into the daemon yet.

--- /dev/null
+++ b/src/daemon/limit_service.cpp
@@ -0,0 +1,237 @@
+/** @file limit_service.cpp The distributed limits as request threads of one daemon use them. */
+#include "daemon/limit_service_base.h"
+
+#include "core/digest_func.h"
+#include "limit/borrow_json_func.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace teaselreach::daemon {
+
+namespace {
+
+/** Interval at which work without a waiting request, such as returning tokens, is looked for. */
+constexpr core::Millis dueWorkInterval {10};
+
+/** Threads for borrow requests: a home that does not answer holds one for answerTimeout. */
+constexpr int senderThreads = 8;
+
+/** @return The verdict that a final decision stands for. */
+AdmissionVerdict verdictOf(limit::Decision decision)
+{
+    switch (decision) {
+    case limit::Decision::Admitted:
+        return AdmissionVerdict::Admitted;
+    case limit::Decision::LimitUnavailable:
+        return AdmissionVerdict::LimitUnavailable;
+    case limit::Decision::RateLimited:
+    case limit::Decision::Waits:
+        return AdmissionVerdict::RateLimited;
+    }
+    return AdmissionVerdict::RateLimited;
+}
+
+} // namespace
+
+LimitService::LimitService(LimitServiceOptions options, const PeerDirectory &directory,
+                           rpc::HttpTransport &transport)
+    : options_(std::move(options))
+    , directory_(directory)
+    , transport_(transport)
+    , senders_({.threads = senderThreads})
+{
+    for (std::size_t i = 0; i < shardCount; ++i) {
+        // Loan and borrow ids must be unique over all shards of the process.
+        const core::Incarnation incarnation(options_.incarnation.count() * shardCount + i);
+        shards_[i].state = std::make_unique<limit::LimitState>(options_.self, incarnation);
+    }
+    timer_ = std::jthread([this](const std::stop_token &stop) { doDueWork(stop); });
+}
+
+LimitService::~LimitService() = default;
+
+AdmissionVerdict LimitService::admit(const record::ClientAccount &account,
+                                     const record::Limit *limit, core::MonoTime deadline)
+{
+    if (limit == nullptr)
+        return AdmissionVerdict::Admitted;
+    Shard &shard = shardOf(account.id);
+    std::unique_lock lock(shard.mutex);
+    const core::MonoTime now = core::MonoClock::now();
+    const core::Micros untilDeadline = std::max(core::Micros(0), deadline - now);
+    const core::Micros maxWait = std::min<core::Micros>(options_.maxWait, untilDeadline);
+    const limit::Admission admission = shard.state->tryAdmit(now, account.id, maxWait);
+    carryOut(shard);
+    if (admission.decision != limit::Decision::Waits)
+        return verdictOf(admission.decision);
+    return verdictOf(waitForDecision(shard, lock, admission.ticket, now + maxWait));
+}
+
+/** Waits for a ticket and does the shard's due work meanwhile, so that no token comes late. */
+limit::Decision LimitService::waitForDecision(Shard &shard, std::unique_lock<std::mutex> &lock,
+                                              limit::TicketId ticket, core::MonoTime latest)
+{
+    Waiter waiter;
+    shard.waiters.emplace(ticket, &waiter);
+    // The state resolves each ticket by `latest`; work done at that time includes this one.
+    shard.state->onTime(core::MonoClock::now());
+    carryOut(shard);
+    while (!waiter.decision) {
+        const core::MonoTime now = core::MonoClock::now();
+        const core::MonoTime due = std::min(shard.state->nextDue().value_or(latest), latest);
+        if (due <= now) {
+            shard.state->onTime(now);
+            carryOut(shard);
+            if (waiter.decision || now > latest)
+                break;
+        }
+        waiter.wake.wait_for(lock, std::max<core::Micros>(due - now, core::Micros(100)));
+    }
+    shard.waiters.erase(ticket);
+    return waiter.decision.value_or(limit::Decision::RateLimited);
+}
+
+/** Sends the requests and wakes the threads that the state's output names. The lock is held. */
+void LimitService::carryOut(Shard &shard)
+{
+    const limit::LimitOutput output = shard.state->takeOutput();
+    for (const limit::ResolvedTicket &resolved : output.resolved) {
+        const auto found = shard.waiters.find(resolved.ticket);
+        if (found == shard.waiters.end())
+            continue;
+        found->second->decision = resolved.decision;
+        found->second->wake.notify_one();
+    }
+    for (const limit::OutgoingBorrow &outgoing : output.requests)
+        send(shard, outgoing);
+}
+
+/** Hands a borrow request to a sender thread. The lock is held. */
+void LimitService::send(Shard &shard, const limit::OutgoingBorrow &outgoing)
+{
+    // Without room the request counts as unanswered once answerTimeout has passed.
+    senders_.add([this, &shard, outgoing] { borrow(shard, outgoing); });
+}
+
+/** Carries out one borrow request on a sender thread. */
+void LimitService::borrow(Shard &shard, const limit::OutgoingBorrow &outgoing)
+{
+    const limit::BorrowRequest &request = outgoing.request;
+    std::optional<limit::BorrowAnswer> answer;
+    if (const auto endpoint = directory_.endpointOf(outgoing.to)) {
+        try {
+            const auto timeout = std::chrono::duration_cast<core::Millis>(limit::answerTimeout);
+            answer = limit::borrowAnswerFromJson(transport_.call(
+                *endpoint, "limit.borrow", limit::borrowRequestToJson(request), timeout));
+        } catch (const core::Error &error) {
+            core::logEvent(core::LogLevel::Debug, "borrow_unanswered",
+                           {{"home", outgoing.to.str()}, {"reason", error.what()}});
+        } catch (const nlohmann::json::exception &error) {
+            core::logEvent(core::LogLevel::Warn, "borrow_answer_malformed",
+                           {{"home", outgoing.to.str()}, {"reason", error.what()}});
+        }
+    }
+    const std::lock_guard lock(shard.mutex);
+    const core::MonoTime now = core::MonoClock::now();
+    if (answer)
+        shard.state->onBorrowAnswer(now, *answer);
+    else
+        shard.state->onBorrowUnanswered(now, request.account, request.id);
+    carryOut(shard);
+}
+
+nlohmann::json LimitService::answerBorrow(const nlohmann::json &params)
+{
+    const limit::BorrowRequest request = limit::borrowRequestFromJson(params);
+    Shard &shard = shardOf(request.account);
+    const std::lock_guard lock(shard.mutex);
+    const limit::BorrowAnswer answer
+        = shard.state->onBorrowRequest(core::MonoClock::now(), request);
+    carryOut(shard);
+    return limit::borrowAnswerToJson(answer);
+}
+
+void LimitService::onConfig(const std::shared_ptr<const config::ConfigSnapshot> &snapshot)
+{
+    for (Shard &shard : shards_) {
+        const std::lock_guard lock(shard.mutex);
+        shard.state->onConfig(core::MonoClock::now(), snapshot);
+        carryOut(shard);
+    }
+}
+
+void LimitService::onVmList(const core::VmList &list)
+{
+    for (Shard &shard : shards_) {
+        const std::lock_guard lock(shard.mutex);
+        shard.state->onVmList(core::MonoClock::now(), list);
+        carryOut(shard);
+    }
+}
+
+bool LimitService::onPlacement(const std::shared_ptr<const limit::Placement> &placement)
+{
+    bool taken = true;
+    for (Shard &shard : shards_) {
+        const std::lock_guard lock(shard.mutex);
+        taken = shard.state->onPlacement(core::MonoClock::now(), placement) && taken;
+        carryOut(shard);
+    }
+    return taken;
+}
+
+std::shared_ptr<const limit::Placement> LimitService::placement() const
+{
+    const std::lock_guard lock(shards_.front().mutex);
+    return shards_.front().state->placement();
+}
+
+limit::VmHistory LimitService::vmHistory() const
+{
+    const std::lock_guard lock(shards_.front().mutex);
+    return shards_.front().state->vmHistory();
+}
+
+bool LimitService::actsAsHome() const
+{
+    const std::lock_guard lock(shards_.front().mutex);
+    return shards_.front().state->actsAsHome();
+}
+
+core::MonoTime LimitService::loansExpireAt() const
+{
+    core::MonoTime latest;
+    for (const Shard &shard : shards_) {
+        const std::lock_guard lock(shard.mutex);
+        latest = std::max(latest, shard.state->loansExpireAt());
+    }
+    return latest;
+}
+
+/** Does due work until the service is destroyed. */
+void LimitService::doDueWork(const std::stop_token &stop)
+{
+    std::mutex mutex;
+    std::condition_variable_any wake;
+    std::unique_lock idle(mutex);
+    while (!wake.wait_for(idle, stop, dueWorkInterval, [&stop] { return stop.stop_requested(); })) {
+        for (Shard &shard : shards_) {
+            const std::lock_guard lock(shard.mutex);
+            const core::MonoTime now = core::MonoClock::now();
+            const auto due = shard.state->nextDue();
+            if (!due || *due > now)
+                continue;
+            shard.state->onTime(now);
+            carryOut(shard);
+        }
+    }
+}
+
+LimitService::Shard &LimitService::shardOf(const core::ClientAccountId &account)
+{
+    return shards_[core::stableHash(account.str()) % shardCount];
+}
+
+} // namespace teaselreach::daemon
--- /dev/null
+++ b/src/daemon/limit_service_base.h
@@ -0,0 +1,104 @@
+/** @file limit_service_base.h The distributed limits as request threads of one daemon use them. */
+#pragma once
+
+#include "core/work_queue_base.h"
+#include "daemon/collaborator_type.h"
+#include "daemon/peer_directory_base.h"
+#include "limit/limit_state_base.h"
+#include "rpc/http_transport_base.h"
+
+#include <array>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+
+namespace teaselreach::daemon {
+
+/** Identity and bounds of a LimitService. */
+struct LimitServiceOptions
+{
+    core::VmId self;
+    core::Incarnation incarnation;
+    core::Millis maxWait {400}; ///< Longest wait for a token.
+};
+
+/**
+ * LimitState in shards by client account, each under its own lock, with the threads that carry
+ * borrow requests and do what is due. Models Admission.
+ */
+class LimitService
+{
+public:
+    /**
+     * @param options Identity and bounds.
+     * @param directory Endpoints of home VMs; must outlive the object.
+     * @param transport Carries borrow requests; must outlive the object.
+     */
+    LimitService(LimitServiceOptions options, const PeerDirectory &directory,
+                 rpc::HttpTransport &transport);
+    /** Stops the threads. No request may be waiting in admit(). */
+    ~LimitService();
+    LimitService(const LimitService &) = delete;
+    LimitService &operator=(const LimitService &) = delete;
+
+    /** Takes a token, or waits for one until `maxWait` or the deadline. */
+    AdmissionVerdict admit(const record::ClientAccount &account, const record::Limit *limit,
+                           core::MonoTime deadline);
+    /** Answers `limit.borrow`. @throws nlohmann::json::exception if params are malformed. */
+    nlohmann::json answerBorrow(const nlohmann::json &params);
+
+    /** Takes over a configuration. */
+    void onConfig(const std::shared_ptr<const config::ConfigSnapshot> &snapshot);
+    /** Takes over a VM list. */
+    void onVmList(const core::VmList &list);
+    /** Takes over a placement from the store or a peer. @return False if it was an older one. */
+    bool onPlacement(const std::shared_ptr<const limit::Placement> &placement);
+
+    /** @return The placement in force, or nullptr. */
+    std::shared_ptr<const limit::Placement> placement() const;
+    /** @return What has been seen of the VM list. */
+    limit::VmHistory vmHistory() const;
+    /** @return Whether this VM acts as home of its slots. */
+    bool actsAsHome() const;
+    /** @return When the last loan of this VM has expired. */
+    core::MonoTime loansExpireAt() const;
+
+private:
+    static constexpr std::size_t shardCount = 8;
+
+    /** A request thread that waits for the decision on its ticket. */
+    struct Waiter
+    {
+        std::condition_variable wake;
+        std::optional<limit::Decision> decision;
+    };
+
+    struct Shard
+    {
+        mutable std::mutex mutex;
+        std::unique_ptr<limit::LimitState> state;
+        std::unordered_map<limit::TicketId, Waiter *, core::StrongHash> waiters;
+    };
+
+    Shard &shardOf(const core::ClientAccountId &account);
+    limit::Decision waitForDecision(Shard &shard, std::unique_lock<std::mutex> &lock,
+                                    limit::TicketId ticket, core::MonoTime latest);
+    void carryOut(Shard &shard);
+    void send(Shard &shard, const limit::OutgoingBorrow &borrow);
+    void borrow(Shard &shard, const limit::OutgoingBorrow &borrow);
+    void doDueWork(const std::stop_token &stop);
+
+    LimitServiceOptions options_;
+    const PeerDirectory &directory_;
+    rpc::HttpTransport &transport_;
+    std::array<Shard, shardCount> shards_;
+    // Destroyed first: their threads use all of the above.
+    core::WorkQueue senders_;
+    std::jthread timer_;
+};
+
+static_assert(Admission<LimitService>);
+
+} // namespace teaselreach::daemon
