--- a/src/core/strong_type.h
+++ b/src/core/strong_type.h
@@ -29,7 +29,8 @@
     /** @return Whether no id has been set. */
     bool empty() const { return value_.empty(); }
 
-    auto operator<=>(const StringId &) const = default;
+    // clang-tidy 14 takes the literal 0 of a rewritten comparison for a null pointer.
+    auto operator<=>(const StringId &) const = default; // NOLINT(modernize-use-nullptr)
     bool operator==(const StringId &) const = default;
 
 private:
@@ -54,7 +55,8 @@
     /** @return The plain value. */
     constexpr Rep count() const { return value_; }
 
-    constexpr auto operator<=>(const StrongInt &) const = default;
+    // clang-tidy 14 takes the literal 0 of a rewritten comparison for a null pointer.
+    constexpr auto operator<=>(const StrongInt &) const = default; // NOLINT(modernize-use-nullptr)
     constexpr bool operator==(const StrongInt &) const = default;
 
 private:
--- a/src/record/any_record_type.h
+++ b/src/record/any_record_type.h
@@ -21,7 +21,8 @@
     RecordKind kind = RecordKind::ClientAccount;
     std::string id;
 
-    auto operator<=>(const RecordRef &) const = default;
+    // clang-tidy 14 takes the literal 0 of a rewritten comparison for a null pointer.
+    auto operator<=>(const RecordRef &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /** @return The id of a record as text. */
