Add: [Daemon] Services for configuration, placement, peers, upstreams and gates

Cause: the decision classes need threads, locks and messages in the daemon. Change: one service for each subsystem; Ticker for periodic work.

--- /dev/null
+++ b/src/daemon/config_service_base.h
@@ -0,0 +1,83 @@
+/** @file config_service_base.h Keeps a daemon's configuration up to date from the store and peers. */
+#pragma once
+
+#include "config/config_state_base.h"
+#include "core/ticker_base.h"
+#include "core/work_queue_base.h"
+#include "daemon/peer_directory_base.h"
+#include "daemon/shared_config_base.h"
+#include "rpc/http_transport_base.h"
+#include "store/http_store_base.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+
+namespace teaselreach::daemon {
+
+/** How a ConfigService waits for the store. */
+struct ConfigServiceOptions
+{
+    core::Millis watch {20000}; ///< Longest time that one watch stays pending.
+    core::Millis retryPause {500}; ///< After the store could not be reached.
+    core::Millis peerTimeout {2000}; ///< For an answer to `config.fetch`.
+};
+
+/** Watches `head` in the store and fetches higher revisions that peers report. */
+class ConfigService
+{
+public:
+    /** Called after a new revision is in force. */
+    using Listener
+        = std::function<void(const std::shared_ptr<const config::ConfigSnapshot> &snapshot)>;
+
+    /** What the service works with; all of it must outlive the object. */
+    struct Parts
+    {
+        SharedConfig &shared;
+        store::HttpStore &store;
+        const PeerDirectory &directory;
+        rpc::HttpTransport &transport;
+        Listener listener;
+    };
+
+    /** @param options Times. @param parts Collaborators. */
+    ConfigService(ConfigServiceOptions options, Parts parts);
+    ~ConfigService();
+    ConfigService(const ConfigService &) = delete;
+    ConfigService &operator=(const ConfigService &) = delete;
+
+    /** A peer has reported the revision it has in force; a higher one is fetched from it. */
+    void peerReported(const core::VmId &peer, core::Revision revision);
+    /** Answers `config.fetch`. @throws config::UnreadableConfig if params are malformed. */
+    nlohmann::json answerFetch(const nlohmann::json &params) const;
+
+    /** @return Revision and digest in force. */
+    config::HeadId inForce() const;
+    /** @return Whether the store last showed an older revision. */
+    bool storeBehind() const;
+    /** @return Number of records in force in an older form. */
+    std::size_t rejectedRecords() const;
+
+private:
+    void followStore();
+    void takeHead(const std::string &text);
+    config::GroupValues readGroups(const config::GroupDigests &needed);
+    void fetchFrom(const core::VmId &peer);
+    config::FetchAnswer ask(const rpc::Endpoint &endpoint, const config::FetchRequest &request);
+    bool apply(const std::string &head, const config::GroupValues &values,
+               config::GroupDigests *needed);
+
+    ConfigServiceOptions options_;
+    Parts parts_;
+    mutable std::mutex mutex_;
+    config::ConfigState state_;
+    std::mutex applyMutex_; ///< Held while listeners run, so that revisions reach them in order.
+    store::StoreVersion seenVersion_; ///< Only used by the store's thread.
+    bool fetching_ = false; ///< Whether a fetch from a peer is queued or running.
+    // Destroyed first: their threads use all of the above.
+    core::WorkQueue fetches_;
+    core::Ticker follower_;
+};
+
+} // namespace teaselreach::daemon
--- /dev/null
+++ b/src/daemon/gate_service.cpp
@@ -0,0 +1,50 @@
+/** @file gate_service.cpp One dispatch gate for each service. */
+#include "daemon/gate_service_base.h"
+
+namespace teaselreach::daemon {
+
+GateVerdict GateService::enter(const GateRequest &request)
+{
+    switch (gateOf(request.service)
+                .acquire({.account = request.account,
+                          .routeClass = request.routeClass,
+                          .weight = request.weight,
+                          .deadline = request.deadline})) {
+    case queue::GateResult::Granted:
+        return GateVerdict::Granted;
+    case queue::GateResult::QueueFull:
+        return GateVerdict::QueueFull;
+    case queue::GateResult::DeadlineExceeded:
+        return GateVerdict::DeadlineExceeded;
+    }
+    return GateVerdict::QueueFull;
+}
+
+void GateService::leave(const core::ServiceId &service, bool shed)
+{
+    gateOf(service).release(shed ? queue::GateOutcome::Shed : queue::GateOutcome::Answered);
+}
+
+void GateService::setSlots(const core::ServiceId &service, int slots)
+{
+    gateOf(service).setSlots(slots);
+}
+
+queue::DispatchGate &GateService::gateOf(const core::ServiceId &service)
+{
+    {
+        const std::shared_lock lock(mutex_);
+        const auto found = gates_.find(service);
+        if (found != gates_.end())
+            return *found->second;
+    }
+    const std::unique_lock lock(mutex_);
+    auto &gate = gates_[service];
+    if (!gate) {
+        gate = std::make_unique<queue::DispatchGate>(queue::FairQueueOptions {},
+                                                     queue::ConcurrencyLimitOptions {});
+    }
+    return *gate;
+}
+
+} // namespace teaselreach::daemon
--- a/src/daemon/limit_service.cpp
+++ b/src/daemon/limit_service.cpp
@@ -40,18 +40,22 @@
     : options_(std::move(options))
     , directory_(directory)
     , transport_(transport)
+    , shards_(options_)
     , senders_({.threads = senderThreads})
+    , timer_(dueWorkInterval, [this] { doDueWork(); })
+{ }
+
+LimitService::~LimitService() = default;
+
+LimitService::Shards::Shards(const LimitServiceOptions &options)
 {
     for (std::size_t i = 0; i < shardCount; ++i) {
         // Loan and borrow ids must be unique over all shards of the process.
-        const core::Incarnation incarnation(options_.incarnation.count() * shardCount + i);
-        shards_[i].state = std::make_unique<limit::LimitState>(options_.self, incarnation);
+        const core::Incarnation incarnation(options.incarnation.count() * shardCount + i);
+        (*this)[i].state = std::make_unique<limit::LimitState>(options.self, incarnation);
     }
-    timer_ = std::jthread([this](const std::stop_token &stop) { doDueWork(stop); });
 }
 
-LimitService::~LimitService() = default;
-
 AdmissionVerdict LimitService::admit(const record::ClientAccount &account,
                                      const record::Limit *limit, core::MonoTime deadline)
 {
@@ -210,22 +214,17 @@
     return latest;
 }
 
-/** Does due work until the service is destroyed. */
-void LimitService::doDueWork(const std::stop_token &stop)
+/** Does the work that is due in all shards. */
+void LimitService::doDueWork()
 {
-    std::mutex mutex;
-    std::condition_variable_any wake;
-    std::unique_lock idle(mutex);
-    while (!wake.wait_for(idle, stop, dueWorkInterval, [&stop] { return stop.stop_requested(); })) {
-        for (Shard &shard : shards_) {
-            const std::lock_guard lock(shard.mutex);
-            const core::MonoTime now = core::MonoClock::now();
-            const auto due = shard.state->nextDue();
-            if (!due || *due > now)
-                continue;
-            shard.state->onTime(now);
-            carryOut(shard);
-        }
+    for (Shard &shard : shards_) {
+        const std::lock_guard lock(shard.mutex);
+        const core::MonoTime now = core::MonoClock::now();
+        const auto due = shard.state->nextDue();
+        if (!due || *due > now)
+            continue;
+        shard.state->onTime(now);
+        carryOut(shard);
     }
 }
 
--- a/src/daemon/limit_service_base.h
+++ b/src/daemon/limit_service_base.h
@@ -1,6 +1,7 @@
 /** @file limit_service_base.h The distributed limits as request threads of one daemon use them. */
 #pragma once
 
+#include "core/ticker_base.h"
 #include "core/work_queue_base.h"
 #include "daemon/collaborator_type.h"
 #include "daemon/peer_directory_base.h"
@@ -11,7 +12,6 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
-#include <thread>
 #include <unordered_map>
 
 namespace teaselreach::daemon {
@@ -82,21 +82,27 @@
         std::unordered_map<limit::TicketId, Waiter *, core::StrongHash> waiters;
     };
 
+    /** The shards, each with its state. */
+    struct Shards : std::array<Shard, shardCount>
+    {
+        explicit Shards(const LimitServiceOptions &options);
+    };
+
     Shard &shardOf(const core::ClientAccountId &account);
     limit::Decision waitForDecision(Shard &shard, std::unique_lock<std::mutex> &lock,
                                     limit::TicketId ticket, core::MonoTime latest);
     void carryOut(Shard &shard);
     void send(Shard &shard, const limit::OutgoingBorrow &borrow);
     void borrow(Shard &shard, const limit::OutgoingBorrow &borrow);
-    void doDueWork(const std::stop_token &stop);
+    void doDueWork();
 
     LimitServiceOptions options_;
     const PeerDirectory &directory_;
     rpc::HttpTransport &transport_;
-    std::array<Shard, shardCount> shards_;
+    Shards shards_;
     // Destroyed first: their threads use all of the above.
     core::WorkQueue senders_;
-    std::jthread timer_;
+    core::Ticker timer_;
 };
 
 static_assert(Admission<LimitService>);
--- /dev/null
+++ b/src/daemon/placement_service.cpp
@@ -0,0 +1,98 @@
+/** @file placement_service.cpp Keeps the placement of limit homes up to date in the store. */
+#include "daemon/placement_service_base.h"
+
+#include "core/log_func.h"
+
+namespace teaselreach::daemon {
+
+namespace {
+
+/** Interval of reading the placement: 470 VMs make 235 reads a second. */
+constexpr core::Seconds refreshInterval {2};
+
+const std::string storeKey(limit::placementKey);
+
+} // namespace
+
+PlacementService::PlacementService(core::VmId self, LimitService &limits, store::HttpStore &store)
+    : self_(std::move(self))
+    , limits_(limits)
+    , store_(store)
+    , ticker_(refreshInterval, [this] { refresh(); })
+{ }
+
+/** Reads the placement and writes the next one if it has needed a change for long enough. */
+void PlacementService::refresh()
+{
+    const std::lock_guard lock(storeMutex_);
+    try {
+        readStore();
+        const limit::VmHistory history = limits_.vmHistory();
+        const auto next = limit::nextPlacement(stored_, history);
+        if (!next) {
+            changeNeededSince_.reset();
+            return;
+        }
+        const core::MonoTime now = core::MonoClock::now();
+        if (!changeNeededSince_)
+            changeNeededSince_ = now;
+        if (now - *changeNeededSince_ < limit::placementWriteDelay(history, self_))
+            return;
+        writeNext(*next);
+    } catch (const core::Error &error) {
+        core::logEvent(core::LogLevel::Warn, "placement_not_refreshed",
+                       {{"code", error.code()}, {"reason", error.what()}});
+    }
+}
+
+bool PlacementService::handOver()
+{
+    const std::lock_guard lock(storeMutex_);
+    if (limits_.actsAsHome() || core::MonoClock::now() < limits_.loansExpireAt())
+        return false;
+    try {
+        readStore();
+        const auto next = limit::handOver(stored_, limits_.vmHistory(), self_);
+        if (!next)
+            return true;
+        writeNext(*next);
+        return true;
+    } catch (const core::Error &error) {
+        core::logEvent(core::LogLevel::Warn, "placement_not_handed_over",
+                       {{"code", error.code()}, {"reason", error.what()}});
+        return false;
+    }
+}
+
+/** Reads the placement and puts it in force. */
+void PlacementService::readStore()
+{
+    const auto stored = store_.get(storeKey);
+    if (!stored) {
+        stored_ = limit::Placement();
+        version_ = store::StoreVersion();
+        return;
+    }
+    if (stored->version == version_)
+        return;
+    stored_ = limit::decodePlacement(stored->value);
+    version_ = stored->version;
+    if (!limits_.onPlacement(std::make_shared<const limit::Placement>(stored_))) {
+        core::logEvent(core::LogLevel::Error, "store_behind",
+                       {{"document", "placement"},
+                        {"revision", static_cast<std::int64_t>(stored_.revision.count())}});
+    }
+}
+
+/** Writes a placement by compare-and-swap. @throws store::StoreConflict if another VM wrote it. */
+void PlacementService::writeNext(const limit::Placement &next)
+{
+    version_ = store_.put(storeKey, limit::encodePlacement(next), version_);
+    stored_ = next;
+    changeNeededSince_.reset();
+    limits_.onPlacement(std::make_shared<const limit::Placement>(next));
+    core::logEvent(core::LogLevel::Info, "placement_written",
+                   {{"revision", static_cast<std::int64_t>(next.revision.count())}});
+}
+
+} // namespace teaselreach::daemon
--- /dev/null
+++ b/src/daemon/upstream_service.cpp
@@ -0,0 +1,255 @@
+/** @file upstream_service.cpp Choice and ejection of upstreams as request threads use them. */
+#include "daemon/upstream_service_base.h"
+
+#include "core/digest_func.h"
+#include "core/log_func.h"
+
+#include <algorithm>
+
+namespace teaselreach::daemon {
+
+namespace {
+
+/** @return The outcome as outlier ejection judges it. */
+upstream::Outcome outcomeFor(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Success:
+        return upstream::Outcome::Success;
+    case AttemptOutcome::ServerError:
+        return upstream::Outcome::Failed;
+    case AttemptOutcome::Shed:
+        return upstream::Outcome::Shed;
+    case AttemptOutcome::NotSent:
+        return upstream::Outcome::ConnectFailed;
+    case AttemptOutcome::Timeout:
+        return upstream::Outcome::TimedOut;
+    case AttemptOutcome::Cut:
+        return upstream::Outcome::Truncated;
+    }
+    return upstream::Outcome::Failed;
+}
+
+/** @return The name of a change as the log shows it. */
+std::string_view eventName(upstream::HealthEvent::Kind kind)
+{
+    switch (kind) {
+    case upstream::HealthEvent::Kind::Ejected:
+        return "upstream_ejected";
+    case upstream::HealthEvent::Kind::Readmitted:
+        return "upstream_readmitted";
+    case upstream::HealthEvent::Kind::Draining:
+        return "upstream_draining";
+    case upstream::HealthEvent::Kind::RefusedByFloor:
+        return "ejection_refused_by_floor";
+    case upstream::HealthEvent::Kind::FloorRestored:
+        return "floor_restored";
+    }
+    return "upstream_changed";
+}
+
+} // namespace
+
+UpstreamService::UpstreamService(UpstreamServiceOptions options)
+    : options_(std::move(options))
+    , ticker_(upstream::tickInterval, [this] { tickAll(); })
+{ }
+
+UpstreamService::~UpstreamService() = default;
+
+std::optional<ChosenUpstream> UpstreamService::choose(const UpstreamQuery &query,
+                                                      core::MonoTime now)
+{
+    const std::shared_ptr<Service> service = find(query.service);
+    if (!service)
+        return std::nullopt;
+    const std::lock_guard lock(service->mutex);
+    const auto choice = service->state.choose(now,
+                                              {.idempotent = query.idempotent,
+                                               .firstAttempt = query.tried.empty(),
+                                               .exclude = query.tried},
+                                              service->random);
+    if (!choice)
+        return std::nullopt;
+    const upstream::Ticket ticket = service->state.started(now, *choice);
+    return ChosenUpstream {.id = choice->upstream,
+                           .target = {.address = choice->address, .port = choice->port},
+                           .attempt = ticket.number};
+}
+
+void UpstreamService::report(const AttemptReport &attempt)
+{
+    const std::shared_ptr<Service> service = find(attempt.service);
+    if (!service)
+        return;
+    upstream::Completion completion {.outcome = outcomeFor(attempt.outcome)};
+    completion.hasLoad = attempt.draining || (attempt.loadBusy && attempt.loadSlots);
+    completion.load = {.busy = attempt.loadBusy.value_or(0),
+                       .slots = attempt.loadSlots.value_or(0),
+                       .draining = attempt.draining};
+    const std::lock_guard lock(service->mutex);
+    service->state.finished(attempt.endedAt,
+                            {.upstream = attempt.upstream, .number = attempt.attempt}, completion);
+    logEvents(attempt.service, *service);
+}
+
+bool UpstreamService::mayRetry(const RetryQuery &query, core::MonoTime now)
+{
+    const std::shared_ptr<Service> service = find(query.service);
+    if (!service)
+        return false;
+    const std::lock_guard lock(service->mutex);
+    return service->state.decideRetry(now,
+                                      {.outcome = outcomeFor(query.outcome),
+                                       .idempotent = query.idempotent,
+                                       .mayHaveRunBefore = query.mayHaveRunBefore,
+                                       .attempts = query.attempts,
+                                       .timeLeft = query.timeLeft})
+        == upstream::RetryDecision::Retry;
+}
+
+void UpstreamService::onConfig(const config::ConfigSnapshot &snapshot)
+{
+    const std::unique_lock lock(mutex_);
+    Services next;
+    for (const record::Service &record : snapshot.records().services) {
+        const auto found = services_.find(record.id);
+        const auto service = found == services_.end() ? makeService(record) : found->second;
+        {
+            const std::lock_guard serviceLock(service->mutex);
+            service->record = record;
+            service->state.configure(core::MonoClock::now(), record);
+        }
+        next.emplace(record.id, service);
+    }
+    services_ = std::move(next);
+}
+
+void UpstreamService::onVmList(const core::VmList &list)
+{
+    {
+        const std::unique_lock lock(mutex_);
+        list_ = list;
+    }
+    for (const auto &[id, service] : services()) {
+        const std::lock_guard lock(service->mutex);
+        service->state.listChanged(core::MonoClock::now(), list);
+        logEvents(id, *service);
+    }
+}
+
+std::vector<upstream::EvidenceDigest> UpstreamService::digestsToSend(std::size_t limit)
+{
+    std::vector<upstream::EvidenceDigest> digests;
+    for (const auto &[id, service] : services()) {
+        if (digests.size() >= limit)
+            break;
+        const std::lock_guard lock(service->mutex);
+        const auto more
+            = service->state.digestsToSend(core::MonoClock::now(), limit - digests.size());
+        digests.insert(digests.end(), more.begin(), more.end());
+    }
+    return digests;
+}
+
+bool UpstreamService::hasUrgentDigests() const
+{
+    const Services all = services();
+    return std::any_of(all.begin(), all.end(), [](const auto &entry) {
+        const std::lock_guard lock(entry.second->mutex);
+        return entry.second->state.hasUrgentDigests();
+    });
+}
+
+void UpstreamService::digestReceived(const upstream::EvidenceDigest &digest)
+{
+    const std::shared_ptr<Service> service = find(digest.service);
+    if (!service)
+        return;
+    const std::lock_guard lock(service->mutex);
+    service->state.digestReceived(core::MonoClock::now(), digest);
+    logEvents(digest.service, *service);
+}
+
+std::vector<std::pair<core::ServiceId, upstream::Explanation>>
+UpstreamService::explain(const std::optional<core::UpstreamId> &only) const
+{
+    std::vector<std::pair<core::ServiceId, upstream::Explanation>> all;
+    for (const auto &[id, service] : services()) {
+        const std::lock_guard lock(service->mutex);
+        for (upstream::Explanation &explanation :
+             service->state.explainAll(core::MonoClock::now())) {
+            if (only && explanation.upstream != *only)
+                continue;
+            all.emplace_back(id, std::move(explanation));
+        }
+    }
+    return all;
+}
+
+std::vector<ServiceSlots> UpstreamService::slotsInUse() const
+{
+    std::vector<ServiceSlots> all;
+    for (const auto &[id, service] : services()) {
+        const std::lock_guard lock(service->mutex);
+        ServiceSlots slots {.service = id};
+        for (const auto &explanation : service->state.explainAll(core::MonoClock::now())) {
+            if (explanation.state == upstream::UseState::InUse)
+                slots.slots += service->record.slotsPerUpstream;
+        }
+        all.push_back(slots);
+    }
+    return all;
+}
+
+std::shared_ptr<UpstreamService::Service> UpstreamService::find(const core::ServiceId &id) const
+{
+    const std::shared_lock lock(mutex_);
+    const auto found = services_.find(id);
+    return found == services_.end() ? nullptr : found->second;
+}
+
+/** @return The services at present; they stay valid while a new configuration arrives. */
+UpstreamService::Services UpstreamService::services() const
+{
+    const std::shared_lock lock(mutex_);
+    return services_;
+}
+
+/** @return The state of a new service, with the present list. The lock is held. */
+std::shared_ptr<UpstreamService::Service>
+UpstreamService::makeService(const record::Service &record) const
+{
+    upstream::ServiceOptions options {.service = record,
+                                      .ownVm = options_.self,
+                                      .ownLocation = options_.location,
+                                      .incarnation = options_.incarnation};
+    const std::uint64_t seed = core::stableHash(options_.self.str() + record.id.str())
+        ^ options_.incarnation.count();
+    auto service = std::make_shared<Service>(record, std::move(options), seed);
+    service->state.listChanged(core::MonoClock::now(), list_);
+    return service;
+}
+
+/** Calls tick() on all services. */
+void UpstreamService::tickAll()
+{
+    for (const auto &[id, service] : services()) {
+        const std::lock_guard lock(service->mutex);
+        service->state.tick(core::MonoClock::now());
+        logEvents(id, *service);
+    }
+}
+
+/** Logs the changes of a service's upstreams. The service's lock is held. */
+void UpstreamService::logEvents(const core::ServiceId &id, Service &service)
+{
+    for (const upstream::HealthEvent &event : service.state.takeEvents()) {
+        core::logEvent(core::LogLevel::Info, eventName(event.kind),
+                       {{"service", id.str()},
+                        {"upstream", event.upstream.str()},
+                        {"scope", upstream::scopeName(event.scope)}});
+    }
+}
+
+} // namespace teaselreach::daemon
