--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -89,7 +89,7 @@
 }
 
 # The calls of the command-line tool are only in the following four functions.
-run_tool() { "$tool" --store "http://$store" "$@"; }
+run_tool() { "$tool" --store "http://$store" --vm_list "http://$vm_list" "$@"; }
 # create KIND ID FIELD=VALUE...
 create() { run_tool "$1" create "${@:2}" >>"$work/tool.log"; }
 # create_key ID ACCOUNT: prints the key, which the tool shows only once.
@@ -184,6 +184,18 @@
 done
 vm_list_json | curl -sSf -m 5 -X PUT --data-binary @- "http://$vm_list/admin/vms"
 
+say "starting ${#entry_vms[@]} daemons"
+for line in "${entry_vms[@]}"; do
+    read -r id address zone region <<<"$line"
+    write_settings "$id" "$address" "$zone" "$region"
+    "$daemon" --settings "$work/$id.yaml" >"$work/$id.log" 2>&1 &
+    daemon_pids+=($!)
+done
+for line in "${entry_vms[@]}"; do
+    read -r id address _ <<<"$line"
+    wait_until 20 "$id starts" curl -sf -m 2 "http://$address:$control_port/health"
+done
+
 say "writing the configuration"
 create service slot-desk slots_per_upstream=2
 create service crew-desk slots_per_upstream=2
@@ -200,13 +212,6 @@
 clinic_key=$(create_key clinic-1 clinic)
 cat "$work/tool.log"
 
-say "starting ${#entry_vms[@]} daemons"
-for line in "${entry_vms[@]}"; do
-    read -r id address zone region <<<"$line"
-    write_settings "$id" "$address" "$zone" "$region"
-    "$daemon" --settings "$work/$id.yaml" >"$work/$id.log" 2>&1 &
-    daemon_pids+=($!)
-done
 for line in "${entry_vms[@]}"; do
     read -r id address _ <<<"$line"
     wait_until 20 "$id has the configuration" \
--- a/src/daemon/config_service.cpp
+++ b/src/daemon/config_service.cpp
@@ -1,8 +1,7 @@
 /** @file config_service.cpp Keeps a daemon's configuration up to date from the store and peers. */
-#include "daemon/config_service_base.h"
-
 #include "config/fetch_func.h"
 #include "core/log_func.h"
+#include "daemon/config_service_base.h"
 
 #include <nlohmann/json.hpp>
 
@@ -55,8 +54,7 @@
         if (verdict == config::HeadVerdict::Older || verdict == config::HeadVerdict::OtherForm) {
             core::logEvent(
                 core::LogLevel::Error, "store_behind",
-                {{"revision",
-                  static_cast<std::int64_t>(state_.inForce().revision.count())}});
+                {{"revision", static_cast<std::int64_t>(state_.inForce().revision.count())}});
         }
         if (verdict != config::HeadVerdict::Newer)
             return;
--- a/src/daemon/config_service_base.h
+++ b/src/daemon/config_service_base.h
@@ -1,7 +1,9 @@
-/** @file config_service_base.h Keeps a daemon's configuration up to date from the store and peers. */
+/** @file config_service_base.h Keeps a daemon's configuration up to date from the store and peers.
+ */
 #pragma once
 
 #include "config/config_state_base.h"
+#include "config/fetch_func.h"
 #include "core/ticker_base.h"
 #include "core/work_queue_base.h"
 #include "daemon/peer_directory_base.h"
@@ -18,8 +20,8 @@
 /** How a ConfigService waits for the store. */
 struct ConfigServiceOptions
 {
-    core::Millis watch {20000}; ///< Longest time that one watch stays pending.
-    core::Millis retryPause {500}; ///< After the store could not be reached.
+    core::Millis watch {20000};      ///< Longest time that one watch stays pending.
+    core::Millis retryPause {500};   ///< After the store could not be reached.
     core::Millis peerTimeout {2000}; ///< For an answer to `config.fetch`.
 };
 
@@ -28,8 +30,8 @@
 {
 public:
     /** Called after a new revision is in force. */
-    using Listener
-        = std::function<void(const std::shared_ptr<const config::ConfigSnapshot> &snapshot)>;
+    using Listener =
+        std::function<void(const std::shared_ptr<const config::ConfigSnapshot> &snapshot)>;
 
     /** What the service works with; all of it must outlive the object. */
     struct Parts
@@ -74,7 +76,7 @@
     config::ConfigState state_;
     std::mutex applyMutex_; ///< Held while listeners run, so that revisions reach them in order.
     store::StoreVersion seenVersion_; ///< Only used by the store's thread.
-    bool fetching_ = false; ///< Whether a fetch from a peer is queued or running.
+    bool fetching_ = false;           ///< Whether a fetch from a peer is queued or running.
     // Destroyed first: their threads use all of the above.
     core::WorkQueue fetches_;
     core::Ticker follower_;
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,227 @@
+/** @file daemon.cpp The daemon: both servers, the request pipeline and its collaborators. */
+#include "core/digest_func.h"
+#include "core/log_func.h"
+#include "daemon/daemon_base.h"
+#include "daemon/entry_answer_func.h"
+#include "daemon/feeds_base.h"
+
+#include <condition_variable>
+
+namespace teaselreach::daemon {
+
+namespace {
+
+/** Longest wait of a leaving daemon for handing over its limit shares. */
+constexpr core::Seconds maxHandOverWait {5};
+/** Interval at which a leaving daemon tries to hand over. */
+constexpr core::Millis handOverInterval {100};
+
+http::ClientOptions clientOptions(const settings::UpstreamSettings &upstream)
+{
+    return {.connectTimeout = upstream.connectTimeout,
+            .idleConnection = upstream.idleConnection,
+            .maxIdleConnections = static_cast<std::size_t>(upstream.maxIdleConnections)};
+}
+
+/** @return A number that no other process of this VM id has, without a clock or a disk. */
+core::Incarnation makeIncarnation()
+{
+    constexpr std::size_t bytes = 6; // Leaves room for multiplication by the number of shards.
+    return core::Incarnation(std::stoull(core::randomHex(bytes), nullptr, 16));
+}
+
+/** Waits for a time that nothing can shorten. */
+void waitFor(core::Micros time)
+{
+    std::mutex mutex;
+    std::unique_lock lock(mutex);
+    std::condition_variable never;
+    const core::MonoTime end = core::MonoClock::now() + time;
+    while (core::MonoClock::now() < end)
+        never.wait_for(lock, end - core::MonoClock::now());
+}
+
+} // namespace
+
+Daemon::Daemon(settings::Settings settings)
+    : settings_(std::move(settings))
+    , incarnation_(makeIncarnation())
+    , config_(settings_.keys)
+    , transport_({.connectTimeout = settings_.upstream.connectTimeout})
+    , limits_({.self = settings_.vm.id,
+               .incarnation = incarnation_,
+               .maxWait = settings_.limits.maxWait},
+              directory_, transport_)
+    , upstreams_(
+          {.self = settings_.vm.id, .location = settings_.vm.location, .incarnation = incarnation_})
+    , client_(clientOptions(settings_.upstream))
+    , vmList_(std::make_shared<const core::VmList>())
+    , pipeline_({.config = config_,
+                 .limits = limits_,
+                 .gate = gate_,
+                 .chooser = upstreams_,
+                 .client = client_,
+                 .lifecycle = lifecycle_,
+                 .observer = observer_})
+    , control_({.settings = settings_,
+                .lifecycle = lifecycle_,
+                .config = config_,
+                .observer = observer_,
+                .handlers = handlers_})
+    , controlServer_((addHandlers(), serverOptions(settings_.listen.controlPort)),
+                     controlHandlers())
+    , callerServer_(serverOptions(settings_.listen.callerPort), callerHandlers())
+{
+    core::logEvent(core::LogLevel::Info, "daemon_started",
+                   {{"vm", settings_.vm.id.str()}, {"address", settings_.vm.address}});
+}
+
+Daemon::~Daemon()
+{
+    // The feeds' threads call into the other parts, and server threads call the feeds.
+    callerServer_.stop();
+    controlServer_.stop();
+    startedFeeds_.store(nullptr);
+    feeds_.reset();
+}
+
+void Daemon::startFeeds()
+{
+    feeds_ = std::make_unique<Feeds>(
+        Feeds::Parts {.settings = settings_,
+                      .incarnation = incarnation_,
+                      .lifecycle = lifecycle_,
+                      .shared = config_,
+                      .limits = limits_,
+                      .upstreams = upstreams_,
+                      .directory = directory_,
+                      .transport = transport_,
+                      .onConfig = [this](const auto &snapshot) { applyConfig(snapshot); },
+                      .onVmList = [this](core::VmList vms) { applyVmList(std::move(vms)); }});
+    startedFeeds_.store(feeds_.get());
+}
+
+void Daemon::applyConfig(const std::shared_ptr<const config::ConfigSnapshot> &snapshot)
+{
+    if (!config_.apply(snapshot))
+        return;
+    limits_.onConfig(snapshot);
+    upstreams_.onConfig(*snapshot);
+    observer_.burn().setObjectives(snapshot->records().objectives);
+    observer_.registry().setGauge("teaselreach_config_revision", {},
+                                  static_cast<double>(snapshot->revision().count()));
+    updateSlots();
+}
+
+void Daemon::applyVmList(core::VmList vms)
+{
+    directory_.onVmList(vms);
+    limits_.onVmList(vms);
+    upstreams_.onVmList(vms);
+    updateSlots();
+    auto shared = std::make_shared<const core::VmList>(std::move(vms));
+    const std::lock_guard lock(vmListMutex_);
+    vmList_ = std::move(shared);
+}
+
+void Daemon::updateSlots()
+{
+    for (const ServiceSlots &slots : upstreams_.slotsInUse())
+        gate_.setSlots(slots.service, slots.slots);
+}
+
+void Daemon::shutDown()
+{
+    lifecycle_.enter(Phase::Leaving);
+    core::logEvent(core::LogLevel::Info, "daemon_leaving", {{"vm", settings_.vm.id.str()}});
+    waitFor(settings_.shutdown.entryHold);
+    lifecycle_.enter(Phase::Refusing);
+    callerServer_.waitUntilIdle();
+    callerServer_.stop();
+    handOverLimits();
+    controlServer_.stop();
+    core::logEvent(core::LogLevel::Info, "daemon_stopped", {{"vm", settings_.vm.id.str()}});
+}
+
+/**
+ * Hands this VM's limit shares over if the VM list shows it leaving. A daemon that is only
+ * restarted keeps its shares.
+ */
+void Daemon::handOverLimits()
+{
+    Feeds *feeds = startedFeeds_.load();
+    if (feeds == nullptr || limits_.actsAsHome() || !limits_.placement()
+        || !limits_.placement()->names(settings_.vm.id))
+        return;
+    const core::MonoTime end = core::MonoClock::now() + maxHandOverWait;
+    while (!feeds->placement().handOver() && core::MonoClock::now() < end)
+        waitFor(handOverInterval);
+}
+
+http::ServerHandlers Daemon::callerHandlers()
+{
+    return {.onRequest = [this](const auto &request) { return answerCaller(request); },
+            .onFault = [this](http::ServerFault fault) { return answerFault(fault); }};
+}
+
+http::ServerHandlers Daemon::controlHandlers()
+{
+    return {.onRequest = [this](const auto &request) { return control_.handle(request); },
+            .onFault = [this](http::ServerFault fault) { return answerFault(fault); }};
+}
+
+http::ServerOptions Daemon::serverOptions(std::uint16_t port) const
+{
+    return {.address = settings_.vm.address,
+            .port = port,
+            .maxBodyBytes = settings_.listen.maxBodyBytes,
+            .idleTimeout = settings_.listen.idleTimeout,
+            .requestTimeout = settings_.listen.headerTimeout};
+}
+
+http::ServerResponse Daemon::answerCaller(const http::ServerRequest &request)
+{
+    return request.path == entryPath ? answerEntryRequest(request) : pipeline_.handle(request);
+}
+
+http::ServerResponse Daemon::answerEntryRequest(const http::ServerRequest &request)
+{
+    const bool keysUsable = config_.keysUsable(core::MonoClock::now());
+    core::VmList vms = *vmList();
+    // The platform's list may not show yet that this VM is leaving.
+    for (core::EntryVm &vm : vms.entryVms) {
+        if (vm.id == settings_.vm.id && lifecycle_.phase() != Phase::Serving)
+            vm.state = core::VmState::Leaving;
+    }
+    try {
+        return answerEntry(request, config_.current().get(), keysUsable, vms);
+    } catch (const RequestRefused &refused) {
+        return refuse(refused.refusal(), refused.what());
+    }
+}
+
+http::ServerResponse Daemon::answerFault(http::ServerFault fault)
+{
+    const table::Refusal refusal = fault == http::ServerFault::BodyTooLarge
+        ? table::Refusal::BodyTooLarge
+        : table::Refusal::MalformedRequest;
+    return refuse(refusal, fault == http::ServerFault::BodyTooLarge ? "body" : "slow_sender");
+}
+
+/** Refuses a request that does not pass through the pipeline. */
+http::ServerResponse Daemon::refuse(table::Refusal refusal, const std::string &reason)
+{
+    const core::RequestId id = makeRequestId();
+    const table::RefusalRow &row = table::refusalRow(refusal);
+    observer_.finished(
+        {.id = id, .status = row.status, .outcome = std::string(row.code), .reason = reason});
+    return makeRefusal(refusal, id);
+}
+
+std::shared_ptr<const core::VmList> Daemon::vmList() const
+{
+    const std::lock_guard lock(vmListMutex_);
+    return vmList_;
+}
+
+} // namespace teaselreach::daemon
--- /dev/null
+++ b/src/daemon/daemon_base.h
@@ -0,0 +1,96 @@
+/** @file daemon_base.h The daemon: both servers, the request pipeline and its collaborators. */
+#pragma once
+
+#include "core/vm_type.h"
+#include "daemon/control_base.h"
+#include "daemon/gate_service_base.h"
+#include "daemon/limit_service_base.h"
+#include "daemon/peer_directory_base.h"
+#include "daemon/request_observer_base.h"
+#include "daemon/request_pipeline_base.h"
+#include "daemon/upstream_service_base.h"
+#include "http/server_base.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+
+namespace teaselreach::daemon {
+
+class Feeds;
+
+/** Everything that one daemon process runs, except the feeds from store, VM list and peers. */
+class Daemon
+{
+public:
+    /**
+     * Starts both servers.
+     * @param settings Checked settings.
+     * @throws http::ServerUnavailable if a port cannot be bound.
+     */
+    explicit Daemon(settings::Settings settings);
+    ~Daemon();
+    Daemon(const Daemon &) = delete;
+    Daemon &operator=(const Daemon &) = delete;
+
+    /** Starts the feeds from the store, the VM list and the peers. */
+    void startFeeds();
+
+    /** @return The configuration in force, for the feeds that update it. */
+    SharedConfig &config() { return config_; }
+    /** Puts a configuration in force in all parts if its revision is higher. */
+    void applyConfig(const std::shared_ptr<const config::ConfigSnapshot> &snapshot);
+    /** Puts a list of VMs in force. */
+    void applyVmList(core::VmList vms);
+    /** Adjusts the gates to the upstreams in use. */
+    void updateSlots();
+
+    /**
+     * Leaves the fleet: announces it, waits shutdown.entry_hold_s, refuses new requests, finishes
+     * the requests in flight, hands over limit shares and stops both servers.
+     */
+    void shutDown();
+
+private:
+    using Pipeline = RequestPipeline<SharedConfig, LimitService, GateService, UpstreamService>;
+
+    void addHandlers();
+    Feeds &feeds() const;
+    void handOverLimits();
+    http::ServerResponse refuse(table::Refusal refusal, const std::string &reason);
+    nlohmann::json answerStatus() const;
+    nlohmann::json answerMembers() const;
+    nlohmann::json answerExplain(const nlohmann::json &params) const;
+    nlohmann::json answerBurn() const;
+    http::ServerHandlers callerHandlers();
+    http::ServerHandlers controlHandlers();
+    http::ServerOptions serverOptions(std::uint16_t port) const;
+    http::ServerResponse answerCaller(const http::ServerRequest &request);
+    http::ServerResponse answerEntryRequest(const http::ServerRequest &request);
+    http::ServerResponse answerFault(http::ServerFault fault);
+    std::shared_ptr<const core::VmList> vmList() const;
+
+    settings::Settings settings_;
+    core::Incarnation incarnation_;
+    Lifecycle lifecycle_;
+    RequestObserver observer_;
+    SharedConfig config_;
+    PeerDirectory directory_;
+    rpc::HttpTransport transport_;
+    LimitService limits_;
+    GateService gate_;
+    UpstreamService upstreams_;
+    http::Client client_;
+    rpc::HandlerTable handlers_;
+    mutable std::mutex vmListMutex_;
+    std::shared_ptr<const core::VmList> vmList_;
+    Pipeline pipeline_;
+    Control control_;
+    std::unique_ptr<Feeds> feeds_;
+    std::atomic<Feeds *> startedFeeds_ {nullptr}; ///< For server threads; set once.
+    // Destroyed first: their threads use all of the above.
+    http::Server controlServer_;
+    http::Server callerServer_;
+};
+
+} // namespace teaselreach::daemon
--- /dev/null
+++ b/src/daemon/feeds_base.h
@@ -0,0 +1,63 @@
+/** @file feeds_base.h What keeps a daemon up to date: store, VM list and peers. */
+#pragma once
+
+#include "core/ticker_base.h"
+#include "daemon/config_service_base.h"
+#include "daemon/peer_service_base.h"
+#include "daemon/placement_service_base.h"
+#include "settings/settings_type.h"
+#include "store/http_store_base.h"
+#include "vmlist/http_vm_list_base.h"
+
+#include <atomic>
+#include <functional>
+
+namespace teaselreach::daemon {
+
+/** The services that read from outside, with the adapters they use. */
+class Feeds
+{
+public:
+    /** What the feeds work with; all of it must outlive the object. */
+    struct Parts
+    {
+        const settings::Settings &settings;
+        core::Incarnation incarnation;
+        const Lifecycle &lifecycle;
+        SharedConfig &shared;
+        LimitService &limits;
+        UpstreamService &upstreams;
+        const PeerDirectory &directory;
+        rpc::HttpTransport &transport;
+        ConfigService::Listener onConfig;
+        std::function<void(core::VmList)> onVmList;
+    };
+
+    /** @param parts Collaborators. */
+    explicit Feeds(Parts parts);
+    ~Feeds();
+    Feeds(const Feeds &) = delete;
+    Feeds &operator=(const Feeds &) = delete;
+
+    /** @return The configuration's feed. */
+    ConfigService &config() { return config_; }
+    /** @return The exchange with peers. */
+    PeerService &peers() { return peers_; }
+    /** @return The placement of limit homes. */
+    PlacementService &placement() { return placement_; }
+
+private:
+    void readVmList();
+
+    Parts parts_;
+    /** For the configuration's threads, which run before the exchange with peers exists. */
+    std::atomic<PeerService *> startedPeers_ {nullptr};
+    store::HttpStore store_;
+    vmlist::HttpVmList vmList_;
+    ConfigService config_;
+    PlacementService placement_;
+    PeerService peers_;
+    core::Ticker vmListReader_; // Destroyed first: it uses all of the above.
+};
+
+} // namespace teaselreach::daemon
--- a/src/daemon/limit_service.cpp
+++ b/src/daemon/limit_service.cpp
@@ -1,7 +1,7 @@
 /** @file limit_service.cpp The distributed limits as request threads of one daemon use them. */
-#include "daemon/limit_service_base.h"
-
 #include "core/digest_func.h"
+#include "core/log_func.h"
+#include "daemon/limit_service_base.h"
 #include "limit/borrow_json_func.h"
 
 #include <nlohmann/json.hpp>
@@ -151,8 +151,8 @@
     const limit::BorrowRequest request = limit::borrowRequestFromJson(params);
     Shard &shard = shardOf(request.account);
     const std::lock_guard lock(shard.mutex);
-    const limit::BorrowAnswer answer
-        = shard.state->onBorrowRequest(core::MonoClock::now(), request);
+    const limit::BorrowAnswer answer =
+        shard.state->onBorrowRequest(core::MonoClock::now(), request);
     carryOut(shard);
     return limit::borrowAnswerToJson(answer);
 }
--- a/src/daemon/peer_message.cpp
+++ b/src/daemon/peer_message.cpp
@@ -1,7 +1,6 @@
 /** @file peer_message.cpp The message of `peer.exchange`, in both directions. */
-#include "daemon/peer_message_func.h"
-
 #include "core/log_func.h"
+#include "daemon/peer_message_func.h"
 #include "upstream/digest_json_func.h"
 
 #include <nlohmann/json.hpp>
--- a/src/daemon/peer_service.cpp
+++ b/src/daemon/peer_service.cpp
@@ -1,8 +1,7 @@
 /** @file peer_service.cpp Exchange of revisions and evidence with other daemons. */
-#include "daemon/peer_service_base.h"
-
 #include "core/digest_func.h"
 #include "core/log_func.h"
+#include "daemon/peer_service_base.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/daemon/peer_service_base.h
+++ b/src/daemon/peer_service_base.h
@@ -28,7 +28,7 @@
 /** When a peer was last heard, in each direction. */
 struct PeerContact
 {
-    core::MonoTime heardAt; ///< A message or answer of the peer arrived.
+    core::MonoTime heardAt;    ///< A message or answer of the peer arrived.
     core::MonoTime answeredAt; ///< The peer answered a call, so it hears this VM.
     core::Incarnation incarnation;
     core::Revision configRevision;
--- a/src/daemon/placement_service.cpp
+++ b/src/daemon/placement_service.cpp
@@ -1,7 +1,6 @@
 /** @file placement_service.cpp Keeps the placement of limit homes up to date in the store. */
-#include "daemon/placement_service_base.h"
-
 #include "core/log_func.h"
+#include "daemon/placement_service_base.h"
 
 namespace teaselreach::daemon {
 
--- /dev/null
+++ b/src/daemon/request_observer.cpp
@@ -0,0 +1,100 @@
+/** @file request_observer.cpp What becomes known of finished requests: log, metrics, burn. */
+#include "core/digest_func.h"
+#include "core/log_func.h"
+#include "daemon/request_observer_base.h"
+
+#include <algorithm>
+
+namespace teaselreach::daemon {
+
+namespace {
+
+constexpr int firstServerErrorStatus = 500;
+
+/** Refusals that the caller brought about; they do not count against an objective. */
+constexpr std::string_view callerRefusals[] = {
+    "no_key",         "unknown_key",       "route_not_allowed", "unknown_route",
+    "body_too_large", "malformed_request", "rate_limited"};
+
+bool causedByCaller(const RequestSummary &request)
+{
+    return std::find(std::begin(callerRefusals), std::end(callerRefusals), request.outcome)
+        != std::end(callerRefusals);
+}
+
+} // namespace
+
+void RequestObserver::finished(const RequestSummary &request)
+{
+    const core::MonoTime now = core::MonoClock::now();
+    core::logEvent(core::LogLevel::Info, "request_done",
+                   {{"request_id", request.id.str()},
+                    {"account", request.account.str()},
+                    {"route", request.route.str()},
+                    {"upstream", request.upstream.str()},
+                    {"attempts", std::int64_t {request.attempts}},
+                    {"status", std::int64_t {request.status}},
+                    {"outcome", request.outcome},
+                    {"reason", request.reason},
+                    {"duration_us", std::int64_t {request.duration.count()}}});
+    registry_.countRequest(
+        {.service = request.service, .account = request.account, .outcome = request.outcome},
+        request.duration, now);
+    countBurn(request, now);
+
+    Shard &shard = shardOf(request.id);
+    const std::lock_guard lock(shard.mutex);
+    shard.recent.push_front(request);
+    if (shard.recent.size() > rememberedPerShard)
+        shard.recent.pop_back();
+}
+
+void RequestObserver::countBurn(const RequestSummary &request, core::MonoTime now)
+{
+    if (request.service.empty() || causedByCaller(request))
+        return;
+    const bool answered =
+        request.outcome == answeredOutcome && request.status < firstServerErrorStatus;
+    burn_.countRequest({.service = request.service,
+                        .account = request.account,
+                        .answered = answered,
+                        .duration = request.duration},
+                       now);
+}
+
+std::optional<RequestSummary> RequestObserver::find(const core::RequestId &id) const
+{
+    const Shard &shard = shardOf(id);
+    const std::lock_guard lock(shard.mutex);
+    for (const RequestSummary &request : shard.recent) {
+        if (request.id == id)
+            return request;
+    }
+    return std::nullopt;
+}
+
+std::vector<RequestSummary> RequestObserver::refusalsOf(const core::ClientAccountId &account) const
+{
+    std::vector<RequestSummary> refusals;
+    for (const Shard &shard : shards_) {
+        const std::lock_guard lock(shard.mutex);
+        for (const RequestSummary &request : shard.recent) {
+            if (request.account != account || request.outcome == answeredOutcome)
+                continue;
+            refusals.push_back(request);
+        }
+    }
+    return refusals;
+}
+
+RequestObserver::Shard &RequestObserver::shardOf(const core::RequestId &id)
+{
+    return shards_[core::stableHash(id.str()) % shardCount];
+}
+
+const RequestObserver::Shard &RequestObserver::shardOf(const core::RequestId &id) const
+{
+    return shards_[core::stableHash(id.str()) % shardCount];
+}
+
+} // namespace teaselreach::daemon
--- a/src/daemon/upstream_service.cpp
+++ b/src/daemon/upstream_service.cpp
@@ -1,8 +1,7 @@
 /** @file upstream_service.cpp Choice and ejection of upstreams as request threads use them. */
-#include "daemon/upstream_service_base.h"
-
 #include "core/digest_func.h"
 #include "core/log_func.h"
+#include "daemon/upstream_service_base.h"
 
 #include <algorithm>
 
@@ -145,8 +144,8 @@
         if (digests.size() >= limit)
             break;
         const std::lock_guard lock(service->mutex);
-        const auto more
-            = service->state.digestsToSend(core::MonoClock::now(), limit - digests.size());
+        const auto more =
+            service->state.digestsToSend(core::MonoClock::now(), limit - digests.size());
         digests.insert(digests.end(), more.begin(), more.end());
     }
     return digests;
@@ -224,8 +223,8 @@
                                       .ownVm = options_.self,
                                       .ownLocation = options_.location,
                                       .incarnation = options_.incarnation};
-    const std::uint64_t seed = core::stableHash(options_.self.str() + record.id.str())
-        ^ options_.incarnation.count();
+    const std::uint64_t seed =
+        core::stableHash(options_.self.str() + record.id.str()) ^ options_.incarnation.count();
     auto service = std::make_shared<Service>(record, std::move(options), seed);
     service->state.listChanged(core::MonoClock::now(), list_);
     return service;
