Feature: [Tool] Command-line tool for records, status, reports and restore

Cause: operators had no way to write records or to see what is in force.

Change: `teaselreach` with the record commands, apply and validate of a file, status, explain, report burn, restore and wait, over concepts for store, VM list and transport. It asks the daemons for their revision before it writes and refuses while the store is behind. A new key is printed once; if the outcome of its creation is unknown it is printed with the failure, and a repetition with the same change id prints no other key.

--- /dev/null
+++ b/src/tool/tool.cpp
@@ -0,0 +1,56 @@
+/** @file tool.cpp Commands of the tool that need no store. */
+#include "tool/tool_base.h"
+
+namespace teaselreach::tool {
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        throw UsageError("file '" + path + "' cannot be read");
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+std::vector<record::AnyRecord> recordsOfKind(const record::RecordSet &records,
+                                             record::RecordKind kind)
+{
+    std::vector<record::AnyRecord> result;
+    record::forEachRecord(records, [&](const auto &r) {
+        record::AnyRecord any = r;
+        if (record::kindOf(any) == kind)
+            result.push_back(std::move(any));
+    });
+    return result;
+}
+
+ExitCode completeness(const std::vector<FleetAnswer> &answers)
+{
+    const bool complete = std::all_of(answers.begin(), answers.end(),
+                                      [](const FleetAnswer &a) { return a.result.has_value(); });
+    return complete ? ExitCode::Done : ExitCode::Partial;
+}
+
+ExitCode printBurn(std::ostream &out, OutputForm form, const std::vector<FleetAnswer> &answers)
+{
+    burn::BurnReport report;
+    std::vector<burn::BurnSample> samples;
+    for (const FleetAnswer &answer : answers) {
+        try {
+            if (!answer.result)
+                throw burn::BurnSampleMalformed("no answer");
+            for (burn::BurnSample &sample : burn::samplesFromJson(*answer.result))
+                samples.push_back(std::move(sample));
+            report.answered.push_back(answer.vm.id);
+        } catch (const burn::BurnSampleMalformed &) {
+            report.unreachable.push_back(answer.vm.id);
+        }
+    }
+    report.rows = burn::mergeSamples(samples);
+    if (form == OutputForm::Json)
+        out << burn::reportAsJson(report).dump(2) << "\n";
+    else
+        out << (form == OutputForm::Svg ? burn::reportAsSvg(report) : burn::reportAsTable(report));
+    return report.unreachable.empty() ? ExitCode::Done : ExitCode::Partial;
+}
+
+} // namespace teaselreach::tool
--- /dev/null
+++ b/src/tool/tool_base.h
@@ -0,0 +1,238 @@
+/** @file tool_base.h Commands of the tool, over any store, VM list and transport. */
+#pragma once
+
+#include "burn/burn_report_func.h"
+#include "config/accept_func.h"
+#include "tool/edit_func.h"
+#include "tool/output_func.h"
+
+#include <fstream>
+#include <iterator>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace teaselreach::tool {
+
+/** @return The content of a file. @throws UsageError if it cannot be read. */
+std::string readFile(const std::string &path);
+/** @return All records of a kind. */
+std::vector<record::AnyRecord> recordsOfKind(const record::RecordSet &records,
+                                             record::RecordKind kind);
+/** Prints the fleet's burn. @return Partial if a daemon did not answer. */
+ExitCode printBurn(std::ostream &out, OutputForm form, const std::vector<FleetAnswer> &answers);
+/** @return Partial if an answer is missing, else Done. */
+ExitCode completeness(const std::vector<FleetAnswer> &answers);
+
+/** Runs commands. */
+template <store::KeyValueStore Store, vmlist::VmListSource Source, rpc::Transport Transport>
+class Tool
+{
+public:
+    /** All arguments must outlive the tool. */
+    Tool(Store &store, Source &source, Transport &transport, const ToolOptions &options,
+         std::ostream &out)
+        : store_(store)
+        , source_(source)
+        , transport_(transport)
+        , options_(options)
+        , out_(out)
+    { }
+
+    /**
+     * Runs one command.
+     * @param words The command with its arguments.
+     * @return The exit code.
+     * @throws core::Error; exitCodeFor() gives the exit code.
+     */
+    ExitCode run(const std::vector<std::string> &words)
+    {
+        const std::string command = words.empty() ? "help" : words.front();
+        const std::vector<std::string> rest(words.begin() + (words.empty() ? 0 : 1), words.end());
+        if (const auto kind = commandKind(command))
+            return runRecord(*kind, rest);
+        if (command == "apply" || command == "validate")
+            return runFile(command == "validate", only(rest, "a file"));
+        if (command == "status")
+            return runStatus();
+        if (command == "explain")
+            return runExplain(rest);
+        if (command == "report")
+            return runReport(rest);
+        if (command == "restore")
+            return runRestore();
+        if (command == "wait")
+            return runWait(only(rest, "a revision"));
+        printHelp(out_, command == "help" ? (rest.empty() ? "" : rest.front()) : command);
+        return ExitCode::Done;
+    }
+
+private:
+    static std::optional<record::RecordKind> commandKind(const std::string &command)
+    {
+        for (std::size_t i = 0; i < table::recordKindTable.size(); ++i) {
+            if (table::recordKindTable[i].command == command)
+                return static_cast<record::RecordKind>(i);
+        }
+        return std::nullopt;
+    }
+
+    static const std::string &only(const std::vector<std::string> &words, const std::string &what)
+    {
+        if (words.size() != 1)
+            throw UsageError("expected " + what + ", found " + std::to_string(words.size())
+                             + " arguments");
+        return words.front();
+    }
+
+    record::RecordSet readRecords()
+    {
+        return config::unpackAll(config::readGroups(store_, config::readHead(store_).head));
+    }
+
+    ExitCode runRecord(record::RecordKind kind, const std::vector<std::string> &words)
+    {
+        const std::string verb = words.empty() ? "" : words.front();
+        const std::span<const std::string> arguments =
+            std::span(words).subspan(words.empty() ? 0 : 1);
+        const record::RecordSet current = readRecords();
+        if (verb == "list") {
+            printRecords(out_, options_.output, recordsOfKind(current, kind));
+            return ExitCode::Done;
+        }
+        if (verb == "show")
+            return showRecord(current, {kind, arguments.empty() ? "" : arguments.front()});
+        if (verb != "create" && verb != "change" && verb != "withdraw")
+            throw UsageError("'" + verb + "' is not create, show, list, change or withdraw");
+        return accept(planEdit(kind, verb, arguments, current), current);
+    }
+
+    ExitCode showRecord(const record::RecordSet &current, const record::RecordRef &ref)
+    {
+        const auto found = record::findRecord(current, ref);
+        if (!found)
+            throw record::InvalidRecords(
+                {{ref, "id", "'" + ref.id + "'", "the id of a record that exists"}});
+        printRecords(out_, options_.output, {*found});
+        return ExitCode::Done;
+    }
+
+    ExitCode runFile(bool checkOnly, const std::string &path)
+    {
+        const record::RecordSet current = readRecords();
+        const PlannedEdits planned = planFile(readFile(path), current);
+        if (!checkOnly)
+            return accept(planned, current);
+        record::RecordSet checked = current;
+        record::editRecords(checked, planned.edits, record::CommandMode::Check);
+        out_ << "valid: " << planned.edits.size() << " records\n";
+        return ExitCode::Done;
+    }
+
+    ExitCode accept(const PlannedEdits &planned, const record::RecordSet &base)
+    {
+        config::AcceptOptions accept;
+        accept.id =
+            core::ChangeId(options_.changeId.empty() ? core::randomHex(8) : options_.changeId);
+        accept.base = &base;
+        accept.wait = options_.pause;
+        if (options_.fleetCheck)
+            accept.fleet = askFleetHead(source_, transport_, options_.callTimeout);
+        ChangeReport report {.id = accept.id, .newKey = planned.newKey};
+        report.acceptance = acceptShowingKey(planned, accept);
+        // The key of the earlier run is the one that was accepted.
+        if (report.acceptance.repeated)
+            report.newKey.clear();
+        report.waited = options_.wait;
+        if (options_.wait)
+            report.unconfirmed =
+                waitInForce(source_, transport_, report.acceptance.revision, options_);
+        printChange(out_, options_.output, report);
+        return report.unconfirmed.empty() ? ExitCode::Done : ExitCode::NotConfirmed;
+    }
+
+    /** A key whose creation may have been accepted is shown, since it cannot be shown later. */
+    config::Acceptance acceptShowingKey(const PlannedEdits &planned,
+                                        const config::AcceptOptions &accept)
+    {
+        try {
+            return config::acceptChange(store_, planned.edits, accept);
+        } catch (const config::ChangeOutcomeUnknown &) {
+            if (!planned.newKey.empty())
+                out_ << "key, valid if the change was accepted: " << planned.newKey << "\n";
+            throw;
+        }
+    }
+
+    ExitCode runWait(const std::string &text)
+    {
+        if (text.empty() || text.size() > 18
+            || text.find_first_not_of("0123456789") != std::string::npos)
+            throw UsageError("'" + text + "' is not a revision");
+        const core::Revision revision(std::stoull(text));
+        const auto missing = waitInForce(source_, transport_, revision, options_);
+        for (const core::VmId &id : missing)
+            out_ << "not confirmed by: " << id.str() << "\n";
+        return missing.empty() ? ExitCode::Done : ExitCode::NotConfirmed;
+    }
+
+    ExitCode runStatus()
+    {
+        const auto answers = askFleet(transport_, source_.read().entryVms, "fleet.status",
+                                      nlohmann::json::object(), options_.callTimeout);
+        config::HeadId head;
+        try {
+            head = config::readHead(store_).id();
+        } catch (const store::StoreUnavailable &error) {
+            out_ << "store not read: " << error.what() << "\n";
+        }
+        printStatus(out_, options_.output, head, statusesOf(answers));
+        return completeness(answers);
+    }
+
+    ExitCode runExplain(const std::vector<std::string> &words)
+    {
+        const bool valid = words.size() == 2
+            && (words[0] == "upstream" || words[0] == "account" || words[0] == "request");
+        if (!valid)
+            throw UsageError("expected explain upstream|account|request ID");
+        const auto answers =
+            askFleet(transport_, source_.read().entryVms, "fleet.explain",
+                     {{"subject", words[0]}, {"id", words[1]}}, options_.callTimeout);
+        printAnswers(out_, options_.output, answers);
+        return completeness(answers);
+    }
+
+    ExitCode runReport(const std::vector<std::string> &words)
+    {
+        if (words != std::vector<std::string> {"burn"})
+            throw UsageError("expected report burn");
+        return printBurn(out_, options_.output,
+                         askFleet(transport_, source_.read().entryVms, "fleet.burn",
+                                  nlohmann::json::object(), options_.callTimeout));
+    }
+
+    ExitCode runRestore()
+    {
+        const auto statuses = askStatus(source_, transport_, options_.callTimeout);
+        const config::HeadId highest = highestOf(statuses);
+        for (const VmStatus &each : statuses) {
+            if (!each.status || each.status->inForce != highest || highest.revision.count() == 0)
+                continue;
+            const auto all = fetchAll(transport_, endpointOf(each.vm), options_.callTimeout);
+            const bool written = config::restoreStore(store_, all.headText, all.values);
+            out_ << (written ? "store restored to revision " : "store is not behind revision ")
+                 << highest.revision.count() << "\n";
+            return ExitCode::Done;
+        }
+        throw FleetUnreachable(statuses.size());
+    }
+
+    Store &store_;
+    Source &source_;
+    Transport &transport_;
+    const ToolOptions &options_;
+    std::ostream &out_;
+};
+
+} // namespace teaselreach::tool
