--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -96,7 +96,7 @@
 create_key() {
     local key
     key=$(run_tool key create "$1" "account=$2" \
-        | sed -nE 's/.*\bkey[=: ]+"?([A-Za-z0-9_-]{16,}).*/\1/p' | tail -n 1)
+        | sed -n 's/^key, shown only now: //p')
     [ -n "$key" ] || fail "the tool printed no key for $1"
     printf '%s' "$key"
 }
--- a/src/daemon/feeds.cpp
+++ b/src/daemon/feeds.cpp
@@ -62,6 +62,7 @@
 Feeds::~Feeds()
 {
     startedPeers_.store(nullptr);
+    store_.cancelCalls();
 }
 
 /** Reads the VM list once and hands it on; the last one stays in force while it cannot be read. */
--- a/src/store/http_pool.cpp
+++ b/src/store/http_pool.cpp
@@ -71,6 +71,12 @@
     return connectTime > 0 || requestBytes > 0;
 }
 
+/** libcurl calls this about once a second; a result other than 0 ends the call. */
+int stopIfCancelled(void *cancelled, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+{
+    return static_cast<const std::atomic<bool> *>(cancelled)->load() ? 1 : 0;
+}
+
 } // namespace
 
 void HttpPool::CloseHandle::operator()(void *handle) const
@@ -94,6 +100,9 @@
     const Headers headers = makeHeaders();
     HttpAnswer answer;
     prepare(handle.get(), call, headers.get(), answer.body);
+    curl_easy_setopt(handle.get(), CURLOPT_NOPROGRESS, 0L);
+    curl_easy_setopt(handle.get(), CURLOPT_XFERINFOFUNCTION, stopIfCancelled);
+    curl_easy_setopt(handle.get(), CURLOPT_XFERINFODATA, &cancelled_);
     const CURLcode result = curl_easy_perform(handle.get());
     if (result != CURLE_OK) {
         const bool sent = mayHaveSent(handle.get(), result);
--- a/src/store/http_pool_base.h
+++ b/src/store/http_pool_base.h
@@ -74,6 +74,9 @@
      */
     HttpAnswer perform(const HttpCall &call);
 
+    /** Ends pending calls within about a second and refuses further ones; for shutting down. */
+    void cancel() { cancelled_.store(true); }
+
 private:
     struct CloseHandle
     {
@@ -84,6 +87,7 @@
     Handle take();
     void giveBack(Handle handle);
 
+    std::atomic<bool> cancelled_ {false};
     std::size_t maxIdle_;
     std::mutex mutex_;
     std::vector<Handle> idle_;
--- a/src/store/http_store_base.h
+++ b/src/store/http_store_base.h
@@ -47,6 +47,9 @@
      */
     std::optional<StoredValue> get(const std::string &key);
 
+    /** Ends pending calls with StoreUnavailable and refuses further ones; for shutting down. */
+    void cancelCalls() { pool_.cancel(); }
+
     /**
      * Writes by compare-and-swap.
      * @param key Characters `[a-z0-9/_.-]`.
