Add: [Settings] YAML settings of the daemon, every value checked

Cause: a daemon started with a misspelt key, a wrong unit or a contradiction must not run with a value that nobody chose. Durations carry their unit in the key name.

--- /dev/null
+++ b/tests/unit/settings_test.cpp
@@ -0,0 +1,70 @@
+/** @file settings_test.cpp Tests of the settings checks. */
+#include "settings/settings_func.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace teaselreach;
+
+namespace {
+
+const std::string valid = "vm:\n  id: e1\n  address: 127.0.1.1\n  availability_zone: a\n"
+                          "  region: r\nlisten:\n  caller_port: 8080\n  control_port: 8081\n"
+                          "store:\n  endpoints: [\"127.0.9.1:7100\"]\n"
+                          "vm_list:\n  endpoint: 127.0.9.2:7200\n";
+
+struct Fault
+{
+    std::string from;
+    std::string to;
+    int line;
+    std::string expected;
+};
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("the example is valid, so that a user can start from it")
+{
+    const auto settings = settings::loadSettings(EXAMPLES_DIR "/teaselreachd.yaml");
+    CHECK(settings.vm.id == core::VmId("entry-1"));
+    CHECK(settings.store.endpoints.front().port == 7100);
+    CHECK(settings.keys.maxStaleness == core::Seconds(300));
+}
+
+TEST_CASE("a wrong setting is reported with its line and what would be right, never ignored")
+{
+    const Fault faults[] = {
+        {"vm:\n", "vn:\n", 1, "did you mean 'vm'?"},
+        {"  region: r\n", "  region: r\n  zone_id: a\n", 6, "unknown key 'vm.zone_id'"},
+        {"control_port: 8081", "control_port: 8080", 8, "must differ from listen.caller_port"},
+        {"control_port: 8081", "control_port: 8081\n  idle_timeout_ms: 5", 9, "'idle_timeout_s'"},
+        {"control_port: 8081", "control_port: 8081\n  idle_timeout_s: 5s", 9, "without a unit"},
+        {"caller_port: 8080", "caller_port: 70000", 7, "from 1 to 65535"},
+        {"caller_port: 8080", "caler_port: 8080", 7, "did you mean 'caller_port'?"},
+        {"127.0.9.2:7200", "vms.example:7200", 12, "127.0.0.1:7100"},
+        {"address: 127.0.1.1", "address: 127.0.1", 3, "not an IPv4 address"},
+        {"store:\n", "keys:\n  max_staleness_s: 3\nstore:\n", 10, "at least 11"},
+        {"  id: e1\n", "", 2, "'vm.id': is missing"},
+        {"store:\n", "store: [\n", 11, "not valid YAML"},
+    };
+    REQUIRE_NOTHROW(settings::parseSettings(valid, "s.yaml"));
+    for (const Fault &fault : faults) {
+        CAPTURE(fault.to);
+        try {
+            settings::parseSettings(replaced(valid, fault.from, fault.to), "s.yaml");
+            FAIL_CHECK("accepted");
+        } catch (const settings::SettingsError &error) {
+            CHECK(std::string(error.what()).find(fault.expected) != std::string::npos);
+            CHECK(std::string(error.what()).starts_with("s.yaml:"));
+            CHECK(error.line() == fault.line);
+        }
+    }
+}
