--- /dev/null
+++ b/src/http/connection_table_internal.h
@@ -0,0 +1,63 @@
+/** @file connection_table_internal.h The open connections of one server. */
+#pragma once
+
+#include "core/clock_type.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace teaselreach::http::detail {
+
+/** Peer address and port of a connection; unique among the open connections of a server. */
+using ConnectionKey = std::uint64_t;
+
+/** Open connections, the requests in flight on them, and the requests that arrive too slowly. */
+class ConnectionTable
+{
+public:
+    /** Records a new connection. @param key Its peer. @param fd Its socket. */
+    void opened(ConnectionKey key, int fd);
+    /** Forgets a connection before its socket is closed. */
+    void closed(ConnectionKey key);
+    /** A whole request has arrived and is about to be answered. */
+    void answering(ConnectionKey key);
+    /** The answer was sent or given up. */
+    void completed(ConnectionKey key);
+
+    /**
+     * Answers and closes each connection whose request has been arriving for too long.
+     * @param now The present time.
+     * @param longest Longest time from the first byte of a request to its last.
+     * @param makeAnswer Makes the bytes sent before the connection is closed.
+     */
+    void closeSlow(core::MonoTime now, core::Millis longest,
+                   const std::function<std::string()> &makeAnswer);
+
+    /** Waits until no request is in flight. */
+    void waitUntilIdle();
+    /** @return Number of requests in flight. */
+    int inFlight() const;
+
+private:
+    struct Connection
+    {
+        int fd = -1;
+        bool answering = false;
+        std::uint64_t bytesBefore = 0; ///< Received when the last request was completed.
+        std::optional<core::MonoTime> receivingSince;
+    };
+
+    static std::uint64_t bytesReceived(int fd);
+
+    mutable std::mutex mutex_;
+    std::condition_variable idle_;
+    std::unordered_map<ConnectionKey, Connection> connections_;
+    int inFlight_ = 0;
+};
+
+} // namespace teaselreach::http::detail
--- /dev/null
+++ b/src/http/easy_handle_internal.h
@@ -0,0 +1,59 @@
+/** @file easy_handle_internal.h One libcurl handle with its kept connection. */
+#pragma once
+
+#include "http/http_type.h"
+
+#include <curl/curl.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace teaselreach::http::detail {
+
+/** What the callbacks of one exchange have seen. */
+struct Exchange
+{
+    std::size_t maxResponseBytes = 0;
+    bool sent = false;          ///< A connection was handed to the request.
+    bool resendBlocked = false; ///< libcurl was about to send the request again.
+    bool headersDone = false;
+    bool tooLarge = false;
+    bool chunked = false;
+    bool hasLength = false;
+    int status = 0;
+    Headers headers;
+    std::string body;
+};
+
+/** One libcurl easy handle; one exchange at a time. */
+class EasyHandle
+{
+public:
+    /** @throws ClientUnavailable if libcurl has no memory. */
+    EasyHandle();
+
+    /** Carries out one exchange; see Client::send(). */
+    Result perform(const std::string &server, const Request &request, const ClientOptions &options,
+                   core::Millis timeout);
+
+private:
+    struct HandleDeleter
+    {
+        void operator()(CURL *handle) const { curl_easy_cleanup(handle); }
+    };
+    struct ListDeleter
+    {
+        void operator()(curl_slist *list) const { curl_slist_free_all(list); }
+    };
+    using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
+
+    static HeaderList makeHeaderList(const Headers &headers);
+    void setMethod(const Request &request);
+    void setLimits(const ClientOptions &options, core::Millis timeout);
+    void setCallbacks(Exchange &exchange);
+
+    std::unique_ptr<CURL, HandleDeleter> handle_;
+};
+
+} // namespace teaselreach::http::detail
--- /dev/null
+++ b/src/http/http_type.h
@@ -0,0 +1,72 @@
+/** @file http_type.h Requests to upstreams and what is known of their execution. */
+#pragma once
+
+#include "core/clock_type.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace teaselreach::http {
+
+/** One header field. */
+struct Header
+{
+    std::string name;
+    std::string value;
+
+    bool operator==(const Header &) const = default;
+};
+
+using Headers = std::vector<Header>;
+
+/** Address and port of an HTTP/1.1 server. */
+struct Target
+{
+    std::string address; ///< IPv4 number.
+    std::uint16_t port = 0;
+
+    auto operator<=>(const Target &) const = default;
+};
+
+/** A request to one server. */
+struct Request
+{
+    std::string method = "GET";
+    std::string target = "/"; ///< Path and query as sent, not normalised.
+    Headers headers;
+    std::string body;
+};
+
+/** How far an exchange got. */
+enum class Progress : std::uint8_t {
+    NotSent,  ///< No byte of the request left this process.
+    SentOnly, ///< The request may have been run; no whole answer arrived.
+    Answered, ///< The whole answer arrived.
+};
+
+/** Why an exchange did not end with a whole answer. */
+enum class Cause : std::uint8_t { None, Connect, Timeout, Cut, TooLarge };
+
+/** The end of one exchange; status, headers and body are only set if it was answered. */
+struct Result
+{
+    Progress progress = Progress::NotSent;
+    Cause cause = Cause::None;
+    int status = 0;
+    Headers headers;
+    std::string body;
+    std::string detail; ///< For logs: what the library reported.
+};
+
+/** Options of the client. */
+struct ClientOptions
+{
+    core::Millis connectTimeout {500};
+    core::Seconds idleConnection {30};         ///< Older idle connections are not used again.
+    std::size_t maxIdleConnections = 8;        ///< Kept for each target.
+    std::size_t maxResponseBytes = 67'108'864; ///< A longer answer is given up.
+};
+
+} // namespace teaselreach::http
