Add: [Daemon] teaselreachd: request pipeline, servers, graceful shutdown

Cause: the whole path of a request is needed before its decisions are refined. Change: the pipeline finds the route, checks the key on arrival and again at each dispatch, asks admission, queue and upstream choice behind concepts, and answers or refuses with a row of the refusal table. Entry addresses, /rpc, /metrics, /health. SIGTERM: announce, hold, refuse, finish, exit 0. Limits, queue and ejection are plain stand-ins; no loop reads the store or the VM list yet.

--- /dev/null
+++ b/src/daemon/attempt.cpp
@@ -0,0 +1,97 @@
+/** @file attempt.cpp One request to one upstream: what is sent and what its end means. */
+#include "daemon/attempt_func.h"
+#include "http/headers_func.h"
+
+#include <charconv>
+
+namespace teaselreach::daemon {
+
+namespace {
+
+constexpr int firstServerError = 500;
+constexpr int serviceUnavailable = 503;
+
+bool isSet(const http::Headers &headers, std::string_view name)
+{
+    const std::string *value = http::findHeader(headers, name);
+    return value != nullptr && *value == "1";
+}
+
+std::optional<int> readNumber(const http::Headers &headers, std::string_view name)
+{
+    const std::string *value = http::findHeader(headers, name);
+    if (value == nullptr)
+        return std::nullopt;
+    int number = 0;
+    const char *end = value->data() + value->size();
+    const auto [stop, error] = std::from_chars(value->data(), end, number);
+    if (error != std::errc() || stop != end || number < 0)
+        return std::nullopt;
+    return number;
+}
+
+} // namespace
+
+http::Request makeUpstreamRequest(const http::ServerRequest &request, const AddedFields &added)
+{
+    http::Request forwarded {.method = request.method,
+                             .target = request.target,
+                             .headers = http::forwardableHeaders(request.headers),
+                             .body = request.body};
+    forwarded.headers.push_back({"X-Teaselreach-Request-Id", added.requestId.str()});
+    if (!added.account.empty())
+        forwarded.headers.push_back({"X-Teaselreach-Account", added.account.str()});
+    forwarded.headers.push_back({"X-Deadline-Ms", std::to_string(added.remaining.count())});
+    return forwarded;
+}
+
+AttemptOutcome outcomeOf(const http::Result &result)
+{
+    if (result.progress == http::Progress::NotSent)
+        return AttemptOutcome::NotSent;
+    if (result.progress == http::Progress::SentOnly)
+        return result.cause == http::Cause::Timeout ? AttemptOutcome::Timeout : AttemptOutcome::Cut;
+    if (result.status == serviceUnavailable && isSet(result.headers, "X-Not-Run"))
+        return AttemptOutcome::Shed;
+    return result.status >= firstServerError ? AttemptOutcome::ServerError
+                                             : AttemptOutcome::Success;
+}
+
+void readLoadReport(const http::Headers &headers, AttemptReport &report)
+{
+    report.loadBusy = readNumber(headers, "X-Load-Busy");
+    report.loadSlots = readNumber(headers, "X-Load-Slots");
+    report.draining = isSet(headers, "X-Draining");
+}
+
+bool surelyNotRun(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Shed;
+}
+
+table::Refusal refusalOf(AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case AttemptOutcome::Timeout:
+        return table::Refusal::UpstreamTimeout;
+    case AttemptOutcome::Shed:
+    case AttemptOutcome::NotSent:
+        return table::Refusal::UpstreamRefused;
+    case AttemptOutcome::Success:
+    case AttemptOutcome::ServerError:
+    case AttemptOutcome::Cut:
+        break;
+    }
+    return table::Refusal::UpstreamCut;
+}
+
+http::ServerResponse makeCallerResponse(http::Result result, const core::RequestId &requestId)
+{
+    http::ServerResponse response {.status = result.status,
+                                   .headers = http::returnableHeaders(result.headers),
+                                   .body = std::move(result.body)};
+    response.headers.push_back({"X-Teaselreach-Request-Id", requestId.str()});
+    return response;
+}
+
+} // namespace teaselreach::daemon
--- /dev/null
+++ b/src/daemon/shared_config.cpp
@@ -0,0 +1,56 @@
+/** @file shared_config.cpp The configuration in force, shared by all threads. */
+#include "daemon/shared_config_base.h"
+
+#include <algorithm>
+
+namespace teaselreach::daemon {
+
+namespace {
+
+bool isWithin(core::Seconds bound, core::MonoTime last, core::MonoTime now)
+{
+    return bound.count() == 0 || now - last <= bound;
+}
+
+} // namespace
+
+SharedConfig::SharedConfig(settings::KeysSettings keys)
+    : keys_(keys)
+{ }
+
+std::shared_ptr<const config::ConfigSnapshot> SharedConfig::current() const
+{
+    const std::lock_guard lock(mutex_);
+    return snapshot_;
+}
+
+bool SharedConfig::keysUsable(core::MonoTime now) const
+{
+    const std::lock_guard lock(mutex_);
+    return isWithin(keys_.maxStaleness, lastUpdate_, now)
+        && isWithin(keys_.maxStoreSilence, lastStoreContact_, now);
+}
+
+bool SharedConfig::apply(std::shared_ptr<const config::ConfigSnapshot> snapshot)
+{
+    const std::lock_guard lock(mutex_);
+    if (snapshot_ && snapshot->revision() <= snapshot_->revision())
+        return false;
+    snapshot_ = std::move(snapshot);
+    return true;
+}
+
+void SharedConfig::noteUpdate(core::MonoTime now)
+{
+    const std::lock_guard lock(mutex_);
+    lastUpdate_ = std::max(lastUpdate_, now);
+}
+
+void SharedConfig::noteStoreContact(core::MonoTime now)
+{
+    const std::lock_guard lock(mutex_);
+    lastStoreContact_ = std::max(lastStoreContact_, now);
+    lastUpdate_ = std::max(lastUpdate_, now);
+}
+
+} // namespace teaselreach::daemon
--- /dev/null
+++ b/tests/daemon/bad_input_test.cpp
@@ -0,0 +1,121 @@
+/** @file bad_input_test.cpp Invalid input gets a typed refusal and leaves the daemon serving. */
+#include "daemon/fixture.h"
+
+using namespace teaselreach;
+using namespace teaselreach::tests;
+using standins::okReply;
+using standins::RawReply;
+using standins::RawRequest;
+using table::Refusal;
+
+namespace {
+
+const std::string lineAndHost = "GET /slots HTTP/1.1\r\nHost: h\r\n";
+
+http::Request withKey(const std::string &key, const std::string &target = "/slots")
+{
+    return {.target = target, .headers = {{"Authorization", key}}};
+}
+
+} // namespace
+
+TEST_CASE("requests that may not run are refused with their own code and reach no upstream")
+{
+    Fixture fixture({answerOk});
+    checkRefusal(fixture.call({.target = "/slots"}), Refusal::NoKey);
+    checkRefusal(fixture.call(withKey("Basic key-1")), Refusal::NoKey);
+    checkRefusal(fixture.call(withKey("Bearer key-9")), Refusal::UnknownKey);
+    checkRefusal(fixture.call(withKey("Bearer key-2")), Refusal::RouteNotAllowed);
+    checkRefusal(fixture.call(withKey("Bearer key-1", "/none")), Refusal::UnknownRoute);
+    checkRefusal(fixture.call(withKey("Bearer key-1", "/open/../slots")),
+                 Refusal::MalformedRequest);
+    checkRefusal(fixture.call(withKey("Bearer key-1", "/open/%2E%2e%2Fslots")),
+                 Refusal::MalformedRequest);
+    CHECK(fixture.upstreams[0]->requests() == 0);
+    fixture.checkStillServing();
+}
+
+TEST_CASE("a daemon without a configuration refuses instead of guessing")
+{
+    const settings::Settings settings = makeSettings();
+    daemon::Daemon daemon(settings);
+    http::Client client({});
+    checkRefusal(client.send({daemonAddress, settings.listen.callerPort}, withKey("Bearer key-1"),
+                             callTimeout),
+                 Refusal::NoConfiguration);
+}
+
+TEST_CASE("a body at the limit passes, one byte more is refused, and so is a very long one")
+{
+    Fixture fixture({answerOk});
+    const std::size_t limit = fixture.settings.listen.maxBodyBytes;
+    CHECK(fixture.call(Fixture::keyed("POST", std::string(limit, 'x'))).status == 200);
+    checkRefusal(fixture.call(Fixture::keyed("POST", std::string(limit + 1, 'x'))),
+                 Refusal::BodyTooLarge);
+    checkRefusal(fixture.call(Fixture::keyed("POST", std::string(limit * 1000, 'x'))),
+                 Refusal::BodyTooLarge);
+    CHECK(fixture.upstreams[0]->requests() == 1);
+    fixture.checkStillServing();
+}
+
+TEST_CASE("malformed header fields are refused and the connection is closed")
+{
+    Fixture fixture({answerOk});
+    const std::string key = "Authorization: Bearer key-1\r\n";
+    for (const std::string &fields :
+         {key + "Bad Name: x\r\n", key + "X-A: a\x01z\r\n", key + "X-Deadline-Ms: soon\r\n",
+          key + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
+          key + "X-Teaselreach(: 1\r\n"}) {
+        const std::string answer = fixture.sendRaw(lineAndHost + fields + "\r\n0\r\n\r\n");
+        CAPTURE(fields);
+        CAPTURE(answer);
+        CHECK(answer.starts_with("HTTP/1.1 400 "));
+        CHECK(answer.find("X-Teaselreach-Error: malformed_request") != std::string::npos);
+    }
+    CHECK(fixture.upstreams[0]->requests() == 0);
+    fixture.checkStillServing();
+}
+
+TEST_CASE("half a request is never run, and a slow sender is refused after the header timeout")
+{
+    Fixture fixture({answerOk});
+    const std::string whole = lineAndHost + "Authorization: Bearer key-1\r\n\r\n";
+    const int gone = standins::connectTo(daemonAddress, fixture.settings.listen.callerPort);
+    standins::sendAll(gone, whole.substr(0, whole.size() - 2));
+    ::close(gone);
+    for (const std::string &part :
+         {std::string("GE"), whole.substr(0, whole.size() - 2),
+          std::string("POST /slots HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf")}) {
+        const std::string answer = fixture.sendRaw(part);
+        CAPTURE(part);
+        CAPTURE(answer);
+        CHECK(answer.starts_with("HTTP/1.1 400 "));
+        CHECK(answer.find("X-Teaselreach-Error: malformed_request") != std::string::npos);
+        CHECK(answer.find("X-Teaselreach-Execution: not_run") != std::string::npos);
+    }
+    CHECK(fixture.upstreams[0]->requests() == 0);
+    fixture.checkStillServing();
+}
+
+TEST_CASE("an idle connection is not taken for a slow sender")
+{
+    Fixture fixture({answerOk});
+    const int fd = standins::connectTo(daemonAddress, fixture.settings.listen.callerPort);
+    // The slow connection is closed after the timeout; the idle one, opened before it, is not.
+    fixture.sendRaw("GE");
+    standins::sendAll(fd, lineAndHost + "Connection: close\r\nAuthorization: Bearer key-1\r\n\r\n");
+    CHECK(standins::readAll(fd).starts_with("HTTP/1.1 200 "));
+    ::close(fd);
+}
+
+TEST_CASE("an answer cut by the upstream cannot be taken for a whole one")
+{
+    const std::string whole = okReply("abcdefgh");
+    for (const std::size_t length : {std::size_t {1}, whole.size() / 2, whole.size() - 1}) {
+        Fixture fixture({[cut = whole.substr(0, length)](const RawRequest &request) {
+            return request.number == 1 ? RawReply {cut, true} : answerOk(request);
+        }});
+        checkRefusal(fixture.call(Fixture::keyed("POST")), Refusal::UpstreamCut);
+        fixture.checkStillServing();
+    }
+}
--- /dev/null
+++ b/tests/daemon/request_test.cpp
@@ -0,0 +1,160 @@
+/** @file request_test.cpp Tests of the path of a request through a running daemon. */
+#include "daemon/fixture.h"
+
+using namespace teaselreach;
+using namespace teaselreach::tests;
+using standins::okReply;
+using standins::RawReply;
+using standins::RawRequest;
+using table::Refusal;
+
+TEST_CASE("a request arrives unchanged, without the key and with the daemon's fields")
+{
+    RawRequest seen;
+    Fixture fixture({[&seen](const RawRequest &request) {
+        seen = request;
+        return RawReply {okReply("booked", "X-Load-Busy: 1\r\nEtag: e\r\n", "201 Created")};
+    }});
+    http::Request request = Fixture::keyed("POST", std::string("a\0\xff", 3));
+    request.headers.push_back({"X-Teaselreach-Account", "forged"});
+    request.headers.push_back({"Content-Type", "application/x-www-form-urlencoded"});
+    const http::Result result = fixture.call(request);
+    CHECK(result.status == 201);
+    CHECK(result.body == "booked");
+    CHECK(*http::findHeader(result.headers, "Etag") == "e");
+    CHECK(http::findHeader(result.headers, "X-Load-Busy") == nullptr);
+    CHECK(seen.head.starts_with("POST /slots/1?x=%20y HTTP/1.1\r\n"));
+    CHECK(seen.head.find("key-1") == std::string::npos);
+    CHECK(seen.head.find("forged") == std::string::npos);
+    CHECK(seen.head.find("X-Teaselreach-Account: bakery\r\n") != std::string::npos);
+    CHECK(seen.head.find("X-Deadline-Ms: ") != std::string::npos);
+    CHECK(seen.body == request.body);
+}
+
+TEST_CASE("a request that may not be repeated is sent once, whatever the upstream does")
+{
+    for (const RawReply &bad : {RawReply {"", true}, RawReply {"HTTP/1.1 200 OK\r\n", true}}) {
+        const auto handler = [bad](const RawRequest &) { return bad; };
+        Fixture fixture({handler, handler, handler});
+        checkRefusal(fixture.call(Fixture::keyed("POST")), Refusal::UpstreamCut);
+        int sent = 0;
+        for (const auto &upstream : fixture.upstreams)
+            sent += upstream->requests();
+        CHECK(sent == 1);
+    }
+}
+
+TEST_CASE("a request that was certainly not run, or that is idempotent, reaches another upstream")
+{
+    const auto shed = [](const RawRequest &) {
+        return RawReply {okReply("", "X-Not-Run: 1\r\n", "503 Busy")};
+    };
+    const auto cut = [](const RawRequest &) { return RawReply {"", true}; };
+    Fixture afterShed({shed, answerOk});
+    CHECK(afterShed.call(Fixture::keyed("POST")).status == 200);
+    Fixture afterCut({cut, answerOk});
+    CHECK(afterCut.call(Fixture::keyed("GET", "")).status == 200);
+}
+
+TEST_CASE("\"not run\" is reported only if no upstream may have run the request")
+{
+    const auto shed = [](const RawRequest &) {
+        return RawReply {okReply("", "X-Not-Run: 1\r\n", "503 Busy")};
+    };
+    Fixture allShed({shed});
+    checkRefusal(allShed.call(Fixture::keyed("POST")), Refusal::UpstreamRefused);
+    Fixture cutThenShed({[](const RawRequest &) { return RawReply {"", true}; }, shed});
+    checkRefusal(cutThenShed.call(Fixture::keyed("GET", "")), Refusal::UpstreamCut);
+    Fixture none({});
+    checkRefusal(none.call(Fixture::keyed("POST")), Refusal::NoUpstream);
+}
+
+TEST_CASE("deadlines of route and caller hold, and a silent upstream leaves the outcome unknown")
+{
+    Fixture fixture({[](const RawRequest &) { return RawReply {}; }});
+    checkRefusal(fixture.call({.target = "/open"}), Refusal::UpstreamTimeout);
+    http::Request request = Fixture::keyed("POST");
+    request.headers.push_back({"X-Deadline-Ms", "50"});
+    checkRefusal(fixture.call(request), Refusal::UpstreamTimeout);
+    request.headers.back().value = "0";
+    checkRefusal(fixture.call(request), Refusal::DeadlineExceeded);
+}
+
+TEST_CASE("a key withdrawn while a request waits stops it, also on an open connection")
+{
+    Fixture *running = nullptr;
+    // The first upstream sheds after the withdrawal, so the request comes to dispatch again.
+    Fixture fixture({[&running](const RawRequest &) {
+                         running->daemon.config().apply(makeSnapshot(2, true));
+                         return RawReply {okReply("", "X-Not-Run: 1\r\n", "503 Busy")};
+                     },
+                     answerOk});
+    running = &fixture;
+    checkRefusal(fixture.call(Fixture::keyed("POST")), Refusal::UnknownKey);
+    CHECK(fixture.upstreams[1]->requests() == 0);
+    checkRefusal(fixture.call(Fixture::keyed("POST")), Refusal::UnknownKey);
+    CHECK_FALSE(fixture.daemon.config().apply(makeSnapshot(1)));
+}
+
+TEST_CASE("keys without a recent update are refused, routes open to all are not")
+{
+    settings::Settings settings = makeSettings();
+    settings.keys.maxStoreSilence = core::Seconds(1);
+    Fixture fixture({answerOk}, settings);
+    fixture.checkStillServing();
+    daemon::SharedConfig config({.maxStoreSilence = core::Seconds(60)});
+    const core::MonoTime start = core::MonoClock::now();
+    config.noteStoreContact(start);
+    CHECK(config.keysUsable(start + core::Seconds(60)));
+    config.noteUpdate(start + core::Seconds(61));
+    CHECK_FALSE(config.keysUsable(start + core::Seconds(61)));
+    config.noteStoreContact(start + core::Seconds(62));
+    CHECK(config.keysUsable(start + core::Seconds(62)));
+}
+
+TEST_CASE("many callers at a time each get the answer to their own request")
+{
+    const auto echo = [](const RawRequest &request) { return RawReply {okReply(request.body)}; };
+    Fixture fixture({echo, echo, echo});
+    std::atomic<int> wrong {0};
+    constexpr int callerCount = 8;
+    std::vector<std::thread> callers;
+    callers.reserve(callerCount);
+    for (int caller = 0; caller < callerCount; ++caller) {
+        callers.emplace_back([&fixture, &wrong, caller] {
+            for (int i = 0; i < 50; ++i) {
+                const std::string body = std::to_string(caller) + "/" + std::to_string(i);
+                if (fixture.call(Fixture::keyed("POST", body)).body != body)
+                    ++wrong;
+            }
+        });
+    }
+    for (std::thread &caller : callers)
+        caller.join();
+    CHECK(wrong == 0);
+}
+
+TEST_CASE("entry addresses are in different zones, the caller's first, and never a leaving VM")
+{
+    Fixture fixture({answerOk});
+    http::Request request {.target = "/.teaselreach/entry?zone=b",
+                           .headers = {{"Authorization", "Bearer key-2"}}};
+    const auto answer = nlohmann::json::parse(fixture.call(request).body);
+    CHECK(answer["valid_for_s"] == 30);
+    CHECK(answer["addresses"].size() == 3);
+    CHECK(answer["addresses"][0]["vm"] == "e3");
+    CHECK(answer["addresses"][1]["availability_zone"] == "a");
+    request.headers.clear();
+    checkRefusal(fixture.call(request), Refusal::NoKey);
+}
+
+TEST_CASE("the control server answers health and metrics")
+{
+    Fixture fixture({answerOk});
+    fixture.checkStillServing();
+    const http::Target control {daemonAddress, fixture.settings.listen.controlPort};
+    const auto health = fixture.client.send(control, {.target = "/health"}, callTimeout);
+    CHECK(nlohmann::json::parse(health.body)["revision"] == 1);
+    const auto metrics = fixture.client.send(control, {.target = "/metrics"}, callTimeout);
+    CHECK(metrics.body.find("teaselreach_requests_answered_total 1\n") != std::string::npos);
+}
