Fix: [Daemon] Put a configuration in force in all parts

Every limited request was refused with limit_unavailable (seen in the demo). Change: only the listener puts a revision in force.

--- a/src/daemon/config_service.cpp
+++ b/src/daemon/config_service.cpp
@@ -149,7 +149,6 @@
     if (result.verdict == config::ApplyVerdict::Applied) {
         core::logEvent(core::LogLevel::Info, "config_applied",
                        {{"revision", static_cast<std::int64_t>(snapshot->revision().count())}});
-        parts_.shared.apply(snapshot);
         parts_.listener(snapshot);
         return true;
     }
--- a/src/daemon/config_service_base.h
+++ b/src/daemon/config_service_base.h
@@ -29,7 +29,7 @@
 class ConfigService
 {
 public:
-    /** Called after a new revision is in force. */
+    /** Puts a new revision in force in the daemon; called with rising revisions. */
     using Listener =
         std::function<void(const std::shared_ptr<const config::ConfigSnapshot> &snapshot)>;
 
