--- a/src/config/config_state_cmd.cpp
+++ b/src/config/config_state_cmd.cpp
@@ -29,15 +29,16 @@
     } catch (const UnreadableConfig &) {
         return HeadVerdict::Unreadable;
     }
-    const bool behind = id.revision < inForce_.revision
-        || (id.revision == inForce_.revision && id.digest != inForce_.digest);
+    const bool otherForm = inForce_.revision.count() > 0 && id.revision == inForce_.revision
+        && id.digest != inForce_.digest;
+    const bool behind = id.revision < inForce_.revision || otherForm;
     if (source == UpdateSource::Store)
         storeBehind_ = behind;
     if (id.revision > inForce_.revision)
         return HeadVerdict::Newer;
     if (id.revision < inForce_.revision)
         return HeadVerdict::Older;
-    return behind ? HeadVerdict::OtherForm : HeadVerdict::InForce;
+    return otherForm ? HeadVerdict::OtherForm : HeadVerdict::InForce;
 }
 
 void ConfigState::keepMatching(const Head &head, const GroupValues &values)
--- /dev/null
+++ b/src/config/spread_policy.cpp
@@ -0,0 +1,122 @@
+/** @file spread_policy.cpp Who watches the store, whom a daemon tells and asks, when it polls. */
+#include "config/spread_policy_base.h"
+#include "core/digest_func.h"
+
+#include <algorithm>
+
+namespace teaselreach::config {
+
+namespace {
+
+constexpr std::string_view watcherItem = "head-watcher";
+
+/** Draws one peer that a predicate accepts and that is not drawn yet. */
+template <typename Accept>
+void draw(const std::vector<core::EntryVm> &peers, const Accept &accept,
+          SpreadPolicy::Random &random, std::vector<core::VmId> &drawn)
+{
+    std::vector<const core::EntryVm *> candidates;
+    for (const core::EntryVm &peer : peers) {
+        const bool isNew = std::find(drawn.begin(), drawn.end(), peer.id) == drawn.end();
+        if (isNew && accept(peer))
+            candidates.push_back(&peer);
+    }
+    if (candidates.empty())
+        return;
+    std::uniform_int_distribution<std::size_t> index(0, candidates.size() - 1);
+    drawn.push_back(candidates[index(random)]->id);
+}
+
+} // namespace
+
+SpreadPolicy::SpreadPolicy(core::VmId self, core::Location location, SpreadOptions options,
+                           core::MonoTime now)
+    : self_(std::move(self))
+    , location_(std::move(location))
+    , options_(options)
+    , nextPoll_(now)
+    , silence_(options.pollAfter)
+{ }
+
+void SpreadPolicy::setVmList(const std::vector<core::EntryVm> &vms)
+{
+    peers_.clear();
+    std::size_t heavier = 0;
+    bool listed = false;
+    const std::uint64_t own = core::rendezvousWeight(watcherItem, self_.str());
+    for (const core::EntryVm &vm : vms) {
+        if (vm.state != core::VmState::Live)
+            continue;
+        listed = listed || vm.id == self_;
+        if (vm.id == self_)
+            continue;
+        peers_.push_back(vm);
+        const bool sameZone = vm.location == location_;
+        if (sameZone && core::rendezvousWeight(watcherItem, vm.id.str()) > own)
+            ++heavier;
+    }
+    watcher_ = listed && heavier < options_.watchersPerZone;
+}
+
+std::vector<core::VmId> SpreadPolicy::pushTargets(Random &random) const
+{
+    std::vector<core::VmId> targets;
+    for (std::size_t i = 0; i < options_.pushPeers; ++i)
+        draw(
+            peers_, [](const core::EntryVm &) { return true; }, random, targets);
+    return targets;
+}
+
+std::vector<core::VmId> SpreadPolicy::exchangeTargets(Random &random) const
+{
+    std::vector<core::VmId> targets;
+    draw(
+        peers_, [this](const core::EntryVm &vm) { return vm.location == location_; }, random,
+        targets);
+    draw(
+        peers_, [this](const core::EntryVm &vm) { return vm.location.region == location_.region; },
+        random, targets);
+    draw(
+        peers_, [](const core::EntryVm &) { return true; }, random, targets);
+    return targets;
+}
+
+core::Millis SpreadPolicy::storeReadInterval() const
+{
+    return watcher_ ? options_.watcherReadInterval : options_.readInterval;
+}
+
+void SpreadPolicy::noteStoreContact(core::MonoTime at)
+{
+    if (storeContact_ && *storeContact_ >= at)
+        return;
+    storeContact_ = at;
+    nextPoll_ = std::max(nextPoll_, at + silence_);
+}
+
+void SpreadPolicy::notePeerContact(core::MonoTime at, core::Revision peer, core::Revision own)
+{
+    if (peer <= own)
+        noteStoreContact(at);
+}
+
+std::optional<core::Micros> SpreadPolicy::storeAge(core::MonoTime now) const
+{
+    if (!storeContact_)
+        return std::nullopt;
+    return now - *storeContact_;
+}
+
+void SpreadPolicy::notePoll(core::MonoTime now, Random &random)
+{
+    silence_ = options_.pollAfter + jitter(random);
+    nextPoll_ = now + silence_;
+}
+
+core::Millis SpreadPolicy::jitter(Random &random) const
+{
+    std::uniform_int_distribution<core::Millis::rep> range(0, options_.pollJitter.count());
+    return core::Millis(range(random));
+}
+
+} // namespace teaselreach::config
--- a/tests/standins/fake_store.h
+++ b/tests/standins/fake_store.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace teaselreach::standins {
 
@@ -14,10 +16,12 @@
 class FakeStore
 {
 public:
-    bool outage = false;             ///< Every call throws StoreUnavailable.
-    int loseAnswers = 0;             ///< So many writes are applied without an answer.
-    int loseWrites = 0;              ///< So many writes are neither applied nor answered.
-    bool outageAfterLoss = false;    ///< A lost answer is followed by an outage.
+    bool outage = false;          ///< Every call throws StoreUnavailable.
+    int loseAnswers = 0;          ///< So many writes are applied without an answer.
+    int loseWrites = 0;           ///< So many writes are neither applied nor answered.
+    int delayWrites = 0;          ///< So many head writes wait for deliverDelayed(), unanswered.
+    bool outageAfterLoss = false; ///< A lost answer is followed by an outage.
+    std::function<void(const std::string &)> onHead; ///< Gets each value of the head.
     std::function<void()> beforePut; ///< Runs once before the next write of the head.
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
@@ -41,6 +45,10 @@
         if (key == "head" && beforePut)
             std::exchange(beforePut, nullptr)();
         requireUp("put", key);
+        if (key == "head" && delayWrites > 0 && delayWrites-- > 0) {
+            delayed_.push_back({key, value, expected});
+            throw store::StoreOutcomeUnknown("put " + key + ": no answer");
+        }
         if (loseWrites > 0 && loseWrites-- > 0)
             throw store::StoreOutcomeUnknown("put " + key + ": no answer");
         const store::StoreVersion version = compareAndSwap(key, value, expected);
@@ -51,6 +59,16 @@
         return version;
     }
 
+    /** Delayed writes arrive; those whose expected version is gone have no effect. */
+    void deliverDelayed()
+    {
+        for (const Write &write : std::exchange(delayed_, {})) {
+            try {
+                compareAndSwap(write.key, write.value, write.expected);
+            } catch (const store::StoreConflict &) { }
+        }
+    }
+
     void remove(const std::string &key, store::StoreVersion expected)
     {
         requireUp("remove", key);
@@ -68,6 +86,13 @@
     std::map<std::string, store::StoredValue> values; ///< Copied to restore an older state.
 
 private:
+    struct Write
+    {
+        std::string key;
+        std::string value;
+        store::StoreVersion expected;
+    };
+
     void requireUp(const std::string &operation, const std::string &key) const
     {
         if (outage)
@@ -88,9 +113,12 @@
         requireVersion(key, expected);
         const store::StoreVersion version(++lastVersion_);
         values[key] = {value, version};
+        if (key == "head" && onHead)
+            onHead(value);
         return version;
     }
 
+    std::vector<Write> delayed_;
     std::uint64_t lastVersion_ = 0;
 };
 
