--- /dev/null
+++ b/bench/config_bench.cpp
@@ -0,0 +1,450 @@
+/** @file config_bench.cpp Propagation of a change, a restart of the fleet, and cost by size. */
+#include "config/accept_func.h"
+#include "config/config_state_base.h"
+#include "config/spread_policy_base.h"
+#include "member/member_table_base.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <ctime>
+#include <fstream>
+#include <functional>
+#include <queue>
+#include <unistd.h>
+
+using namespace teaselreach;
+using namespace teaselreach::config;
+
+namespace {
+
+constexpr core::MonoTime start {};
+constexpr core::Millis storeTime {3}; ///< One call of a healthy store.
+constexpr std::size_t changesMeasured = 40;
+
+/** Ways to learn of a change (design, section 4.2). */
+enum class Way { WatchEach, Watchers, Polling };
+
+/** A fleet size with its configuration's sizes. */
+struct Scale
+{
+    const char *name;
+    int vms;
+    int regions;
+    int zones;
+    int accounts;
+    int routes;
+    core::Millis bound; ///< Until a change is in force everywhere.
+};
+
+constexpr std::array<Scale, 2> scales {
+    {{"today", 40, 3, 6, 8, 40, core::Millis(3'000)},
+     {"target", 470, 2, 4, 14'000, 1'900, core::Millis(11'000)}}};
+
+record::RecordSet makeRecords(int accounts, int routes)
+{
+    record::RecordSet records;
+    records.services = {{.id = core::ServiceId("s")}};
+    for (int i = 0; i < routes; ++i)
+        records.routes.push_back({.id = core::RouteId("route-" + std::to_string(i)),
+                                  .pathPrefix = "/path/" + std::to_string(i),
+                                  .service = core::ServiceId("s")});
+    for (int i = 0; i < accounts; ++i) {
+        const core::ClientAccountId id("account-" + std::to_string(i));
+        record::ClientAccount account {.id = id, .displayName = "Account " + id.str()};
+        for (int r = 0; r < std::min(routes, 4); ++r)
+            account.routes.push_back(records.routes[static_cast<std::size_t>(r)].id);
+        records.accounts.push_back(account);
+        records.keys.push_back({.id = core::KeyId("key-" + std::to_string(i)),
+                                .account = id,
+                                .digest = core::sha256Hex(id.str())});
+        records.limits.push_back({.account = id, .ratePerSecond = 5, .burst = 50, .homes = 2});
+    }
+    return records;
+}
+
+/** A revision as a daemon receives it. */
+struct Update
+{
+    std::string head;
+    GroupValues values;
+};
+
+Update makeUpdate(std::uint64_t revision, GroupValues values)
+{
+    Head head {.revision = core::Revision(revision)};
+    for (const auto &[name, value] : values)
+        head.groups[name] = core::sha256Hex(value);
+    for (std::size_t i = 0; i < maxHeadChanges; ++i)
+        head.changes.push_back({core::ChangeId(core::randomHex(8)), head.revision});
+    return {headToText(head), std::move(values)};
+}
+
+std::vector<core::EntryVm> makeVms(const Scale &scale)
+{
+    std::vector<core::EntryVm> vms;
+    for (int i = 0; i < scale.vms; ++i) {
+        const int zone = i % scale.zones;
+        vms.push_back({.id = core::VmId("vm-" + std::to_string(i)),
+                       .location = {core::AvailabilityZoneId("z" + std::to_string(zone)),
+                                    core::RegionId("r" + std::to_string(zone % scale.regions))}});
+    }
+    return vms;
+}
+
+/** Events in virtual time. */
+class Simulation
+{
+public:
+    core::MonoTime now = start;
+
+    void at(core::MonoTime time, std::function<void()> action)
+    {
+        queue_.push({time, order_++, std::move(action)});
+    }
+    void after(core::Micros delay, std::function<void()> action)
+    {
+        at(now + delay, std::move(action));
+    }
+    void runUntil(core::MonoTime end)
+    {
+        while (!queue_.empty() && queue_.top().time <= end) {
+            const Event event = queue_.top();
+            queue_.pop();
+            now = event.time;
+            event.action();
+        }
+        now = end;
+    }
+
+private:
+    struct Event
+    {
+        core::MonoTime time;
+        std::uint64_t order;
+        std::function<void()> action;
+        bool operator<(const Event &other) const
+        {
+            return std::tie(time, order) > std::tie(other.time, other.order);
+        }
+    };
+    std::priority_queue<Event> queue_;
+    std::uint64_t order_ = 0;
+};
+
+/** Revisions only, with the real policy; group contents are their sizes. */
+class Fleet
+{
+public:
+    Fleet(const Scale &scale, Way way, std::size_t headBytes, std::size_t groupBytes)
+        : scale_(scale)
+        , way_(way)
+        , headBytes_(headBytes)
+        , groupBytes_(groupBytes)
+        , vms_(makeVms(scale))
+        , revisions_(vms_.size(), 0)
+    {
+        for (std::size_t i = 0; i < vms_.size(); ++i) {
+            policies_.emplace_back(vms_[i].id, vms_[i].location, SpreadOptions {}, start);
+            policies_.back().setVmList(vms_);
+            index_[vms_[i].id] = i;
+            sim_.at(start + phase(1'000), [this, i] { round(i); });
+            if (way_ != Way::Polling && (way_ == Way::WatchEach || policies_[i].isWatcher()))
+                watchers_.push_back(i);
+        }
+        for (const std::size_t i : watchers_)
+            sim_.at(start + phase(2'000), [this, i] { renewWatch(i); });
+    }
+
+    /** @return Delay until each change was in force everywhere, sorted. */
+    std::vector<core::Millis> measure()
+    {
+        sim_.runUntil(start + core::Seconds(60));
+        storeCalls_ = storeBytes_ = 0;
+        std::vector<core::Millis> delays;
+        for (std::size_t i = 0; i < changesMeasured; ++i)
+            delays.push_back(oneChange());
+        std::sort(delays.begin(), delays.end());
+        return delays;
+    }
+
+    double storeCallsPerDaemonSecond() const { return perDaemonSecond(storeCalls_); }
+    double storeBytesPerDaemonSecond() const { return perDaemonSecond(storeBytes_); }
+
+private:
+    core::Millis phase(int below)
+    {
+        return core::Millis(std::uniform_int_distribution<int>(0, below - 1)(random_));
+    }
+
+    double perDaemonSecond(std::uint64_t total) const
+    {
+        const double seconds = std::chrono::duration<double>(sim_.now - start).count() - 60;
+        return static_cast<double>(total) / seconds / static_cast<double>(vms_.size());
+    }
+
+    /** One way, between two VMs or to the store, which is in region r0. */
+    core::Micros latency(std::size_t from, const core::RegionId &to) const
+    {
+        return vms_[from].location.region == to ? core::Millis(1) : core::Millis(20);
+    }
+    core::Micros storeCall(std::size_t i) const
+    {
+        return 2 * latency(i, core::RegionId("r0")) + storeTime;
+    }
+
+    core::Millis oneChange()
+    {
+        sim_.runUntil(sim_.now + core::Seconds(30) + phase(1'000));
+        const core::MonoTime accepted = sim_.now;
+        ++accepted_;
+        for (const std::size_t i : watchers_)
+            sim_.after(latency(i, core::RegionId("r0")), [this, i] { readGroup(i); });
+        while (!std::all_of(revisions_.begin(), revisions_.end(),
+                            [this](std::uint64_t r) { return r == accepted_; }))
+            sim_.runUntil(sim_.now + core::Millis(5));
+        return std::chrono::duration_cast<core::Millis>(sim_.now - accepted);
+    }
+
+    /** The head has arrived from the store; the changed group follows. */
+    void readGroup(std::size_t i)
+    {
+        storeCalls_ += 2;
+        storeBytes_ += headBytes_ + groupBytes_;
+        policies_[i].noteStoreContact(sim_.now);
+        sim_.after(storeCall(i), [this, i, revision = accepted_] { putInForce(i, revision); });
+    }
+
+    void renewWatch(std::size_t i)
+    {
+        ++storeCalls_;
+        policies_[i].noteStoreContact(sim_.now);
+        sim_.after(core::Seconds(2), [this, i] { renewWatch(i); });
+    }
+
+    void putInForce(std::size_t i, std::uint64_t revision)
+    {
+        if (revision <= revisions_[i])
+            return;
+        revisions_[i] = revision;
+        if (way_ != Way::Watchers)
+            return;
+        for (const core::VmId &peer : policies_[i].pushTargets(random_))
+            meet(i, index_.at(peer));
+    }
+
+    /** A message arrives; the side with the lower revision fetches head and group. */
+    void meet(std::size_t from, std::size_t to)
+    {
+        sim_.after(latency(from, vms_[to].location.region), [this, from, to] {
+            shareStoreAge(from, to);
+            fetch(from, to);
+            fetch(to, from);
+        });
+    }
+
+    void shareStoreAge(std::size_t from, std::size_t to)
+    {
+        if (const auto age = policies_[from].storeAge(sim_.now))
+            policies_[to].noteStoreContact(sim_.now - *age);
+        if (const auto age = policies_[to].storeAge(sim_.now))
+            policies_[from].noteStoreContact(sim_.now - *age);
+    }
+
+    void fetch(std::size_t from, std::size_t to)
+    {
+        const std::uint64_t revision = revisions_[from];
+        if (revision > revisions_[to])
+            sim_.after(4 * latency(to, vms_[from].location.region),
+                       [this, to, revision] { putInForce(to, revision); });
+    }
+
+    void round(std::size_t i)
+    {
+        if (way_ == Way::Watchers) {
+            for (const core::VmId &peer : policies_[i].exchangeTargets(random_))
+                meet(i, index_.at(peer));
+        }
+        if (way_ != Way::WatchEach && policies_[i].pollDue(sim_.now))
+            poll(i);
+        sim_.after(core::Seconds(1), [this, i] { round(i); });
+    }
+
+    void poll(std::size_t i)
+    {
+        policies_[i].notePoll(sim_.now, random_);
+        ++storeCalls_;
+        storeBytes_ += headBytes_;
+        if (revisions_[i] < accepted_)
+            readGroup(i);
+        else
+            policies_[i].noteStoreContact(sim_.now);
+    }
+
+    const Scale &scale_;
+    Way way_;
+    std::size_t headBytes_;
+    std::size_t groupBytes_;
+    std::vector<core::EntryVm> vms_;
+    std::vector<SpreadPolicy> policies_;
+    std::map<core::VmId, std::size_t> index_;
+    std::vector<std::size_t> watchers_;
+    std::vector<std::uint64_t> revisions_;
+    std::uint64_t accepted_ = 0;
+    std::uint64_t storeCalls_ = 0;
+    std::uint64_t storeBytes_ = 0;
+    std::mt19937_64 random_ {11};
+    Simulation sim_;
+};
+
+bool verdict(bool met, const char *bound)
+{
+    if (!met)
+        std::printf("MISSED: %s\n", bound);
+    return met;
+}
+
+bool benchPropagation(const Scale &scale)
+{
+    const GroupValues values = packGroups(makeRecords(scale.accounts, scale.routes));
+    const std::size_t head = makeUpdate(1, values).head.size();
+    const std::size_t group = std::prev(values.end(), 2)->second.size();
+    std::printf("%s: %d VMs, head %zu B\n", scale.name, scale.vms, head);
+    std::printf("  %-11s %10s %10s %18s %18s\n", "way", "median ms", "max ms", "store calls/s/VM",
+                "store bytes/s/VM");
+    bool met = true;
+    for (const auto &[way, name] : {std::pair(Way::WatchEach, "watch each"),
+                                    {Way::Watchers, "watchers"},
+                                    {Way::Polling, "polling"}}) {
+        Fleet fleet(scale, way, head, group);
+        const auto delays = fleet.measure();
+        std::printf("  %-11s %10lld %10lld %18.3f %18.1f\n", name,
+                    static_cast<long long>(delays[delays.size() / 2].count()),
+                    static_cast<long long>(delays.back().count()),
+                    fleet.storeCallsPerDaemonSecond(), fleet.storeBytesPerDaemonSecond());
+        if (way == Way::Watchers)
+            met = verdict(delays.back() <= scale.bound, "time until in force everywhere");
+    }
+    return met;
+}
+
+/** 470 daemons lose their memory within a time; a store read takes 200 ms. */
+bool benchRestart(core::Seconds within)
+{
+    constexpr core::Millis slowRead {200};
+    constexpr int groups = 274;
+    constexpr int fetchCalls = 17; ///< 8 MB in parts of 512 KiB, after the head.
+    const std::vector<core::EntryVm> vms = makeVms(scales[1]);
+    std::mt19937_64 random(5);
+    Simulation sim;
+    std::vector<SpreadPolicy> policies;
+    std::map<core::VmId, std::size_t> index;
+    std::vector<bool> up(vms.size(), true);
+    std::vector<bool> configured(vms.size(), true);
+    std::map<std::int64_t, int> readsBySecond;
+    std::function<void(std::size_t, int)> readStore = [&](std::size_t i, int left) {
+        if (configured[i])
+            return;
+        ++readsBySecond[std::chrono::duration_cast<core::Seconds>(sim.now - start).count()];
+        if (left == 0) {
+            configured[i] = true;
+            return;
+        }
+        const core::Millis gap = std::max(slowRead, policies[i].storeReadInterval());
+        sim.after(gap, [&, i, left] { readStore(i, left - 1); });
+    };
+    std::function<void(std::size_t)> round = [&](std::size_t i) {
+        if (configured[i])
+            return;
+        for (const core::VmId &peer : policies[i].exchangeTargets(random)) {
+            const std::size_t p = index.at(peer);
+            if (up[p] && configured[p]) {
+                sim.after(core::Millis(40) * fetchCalls, [&, i] { configured[i] = true; });
+                return;
+            }
+        }
+        sim.after(core::Seconds(1), [&, i] { round(i); });
+    };
+    for (std::size_t i = 0; i < vms.size(); ++i) {
+        policies.emplace_back(vms[i].id, vms[i].location, SpreadOptions {}, start);
+        policies.back().setVmList(vms);
+        index[vms[i].id] = i;
+        const core::Millis at(
+            std::uniform_int_distribution<std::int64_t>(0, core::Millis(within).count())(random));
+        sim.at(start + at, [&, i] { up[i] = configured[i] = false; });
+        sim.at(start + at + core::Millis(500), [&, i] {
+            up[i] = true;
+            round(i);
+            readStore(i, groups);
+        });
+    }
+    sim.runUntil(start + within + core::Seconds(1));
+    while (!std::all_of(configured.begin(), configured.end(), [](bool c) { return c; }))
+        sim.runUntil(sim.now + core::Millis(100));
+    int peak = 0;
+    for (const auto &[second, reads] : readsBySecond)
+        peak = std::max(peak, reads);
+    std::printf("restart of 470 daemons within %lld s, store read 200 ms: peak %d reads/s, all "
+                "have the configuration %.1f s after the last restart\n",
+                static_cast<long long>(within.count()), peak,
+                std::chrono::duration<double>(sim.now - start - within).count());
+    return verdict(peak <= 2'000, "store reads at most 2000/s");
+}
+
+double residentMb()
+{
+    long pages = 0;
+    long resident = 0;
+    std::ifstream("/proc/self/statm") >> pages >> resident;
+    return static_cast<double>(resident) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
+double cpuMs(const std::function<void()> &work)
+{
+    const std::clock_t before = std::clock();
+    work();
+    return 1e3 * static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+}
+
+/** Memory, CPU and bytes of one change; at most 128 MB. */
+bool benchSize(int accounts, int routes)
+{
+    const double before = residentMb();
+    record::RecordSet records = makeRecords(accounts, routes);
+    GroupValues values = packGroups(records);
+    records.limits[0].ratePerSecond = 6;
+    const std::string changed = groupNameOf(records.limits[0]);
+    Update first = makeUpdate(1, values);
+    values[changed] = packGroups(records, {changed})[changed];
+    const Update second = makeUpdate(2, values);
+    records = {};
+    ConfigState state;
+    const double cold = cpuMs([&] { state.apply(first.head, first.values); });
+    const double warm = cpuMs([&] {
+        state.apply(second.head, {{changed, second.values.at(changed)}});
+    });
+    first.values.clear();
+    const double mb = residentMb() - before;
+    std::printf("%9d %7d %10.1f %12.1f %14.2f %18zu\n", accounts, routes, mb, cold, warm,
+                second.head.size() + second.values.at(changed).size());
+    return verdict(mb <= 128, "memory at most 128 MB");
+}
+
+} // namespace
+
+int main()
+{
+    bool met = true;
+    std::printf("accounts  routes  memory MB  CPU ms cold  CPU ms change  bytes of a change\n");
+    for (const int divisor : {8, 4, 2, 1})
+        met = benchSize(14'000 / divisor, 1'900 / divisor) && met;
+    std::printf("memory includes the bench's own copy of the values\n\n");
+    for (const Scale &scale : scales)
+        met = benchPropagation(scale) && met;
+    std::printf("\n");
+    met = benchRestart(core::Seconds(60)) && met;
+    met = benchRestart(core::Seconds(1)) && met;
+    return met ? 0 : 1;
+}
