Add: [Limit] Benchmark of borrow messages and bytes at 10 to 470 VMs

Cause: design 1.2 allows 28 KB/s of control traffic for each VM. Change: limit_message_bench; fails when a VM sends more with callers on home VMs.

--- /dev/null
+++ b/bench/cmake/limit.cmake
@@ -0,0 +1,2 @@
+teaselreach_bench(limit_message_bench SOURCES limit_message_bench.cpp LIBS tr_limit tr_entry)
+target_include_directories(limit_message_bench PRIVATE ${CMAKE_SOURCE_DIR}/tests)
