--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -194,7 +194,8 @@
             vm.state = core::VmState::Leaving;
     }
     try {
-        return answerEntry(request, config_.current().get(), keysUsable, vms);
+        return answerEntry(request, config_.current().get(), keysUsable, vms,
+                           [this](const auto &account) { return limits_.homesOf(account); });
     } catch (const RequestRefused &refused) {
         return refuse(refused.refusal(), refused.what());
     }
--- a/src/daemon/entry_answer.cpp
+++ b/src/daemon/entry_answer.cpp
@@ -2,7 +2,7 @@
 #include "daemon/entry_answer_func.h"
 #include "daemon/refusal_func.h"
 #include "daemon/request_check_func.h"
-#include "entry/entry_func.h"
+#include "entry/entry_address_func.h"
 
 #include <nlohmann/json.hpp>
 
@@ -36,7 +36,7 @@
 
 http::ServerResponse answerEntry(const http::ServerRequest &request,
                                  const config::ConfigSnapshot *snapshot, bool keysUsable,
-                                 const core::VmList &vms)
+                                 const core::VmList &vms, const HomesOfAccount &homesOf)
 {
     if (request.method != "GET")
         throw RequestRefused(table::Refusal::UnknownRoute);
@@ -46,9 +46,12 @@
     if (key && !keysUsable)
         throw RequestRefused(table::Refusal::KeysStale);
     const record::ClientAccount &account = findAccountOfKey(*snapshot, key);
-    const core::AvailabilityZoneId zone(queryField(request.target, "zone"));
+    entry::EntryQuery query {.account = account.id, .homes = homesOf(account.id), .load = {}};
+    const std::string zone = queryField(request.target, "zone");
+    if (!zone.empty())
+        query.callerZone = core::AvailabilityZoneId(zone);
     nlohmann::json addresses = nlohmann::json::array();
-    for (const core::EntryVm &vm : entry::chooseEntryAddresses(vms, account.id, zone))
+    for (const core::EntryVm &vm : entry::chooseEntryAddresses(vms.entryVms, query))
         addresses.push_back(addressOf(vm));
     const nlohmann::json body = {{"addresses", addresses}, {"valid_for_s", entryValidForSeconds}};
     return {.headers = {{"Content-Type", "application/json"}}, .body = body.dump()};
--- a/src/daemon/entry_answer_func.h
+++ b/src/daemon/entry_answer_func.h
@@ -5,7 +5,9 @@
 #include "core/vm_type.h"
 #include "http/server_base.h"
 
+#include <functional>
 #include <string_view>
+#include <vector>
 
 namespace teaselreach::daemon {
 
@@ -15,16 +17,20 @@
 /** How long callers may use the addresses of one answer. */
 inline constexpr int entryValidForSeconds = 30;
 
+/** Tells the home VMs of an account, in the order of their slots; empty if they are not known. */
+using HomesOfAccount = std::function<std::vector<core::VmId>(const core::ClientAccountId &account)>;
+
 /**
  * @param request A request for entryPath; the query field "zone" names the caller's zone.
  * @param snapshot The configuration in force, or nullptr.
  * @param keysUsable Whether the configuration's keys are recent enough.
  * @param vms The list of VMs, in which a leaving VM is marked as such.
+ * @param homesOf Tells the homes of the key's account.
  * @return The addresses for the key's account.
  * @throws RequestRefused if the request has no valid key.
  */
 http::ServerResponse answerEntry(const http::ServerRequest &request,
                                  const config::ConfigSnapshot *snapshot, bool keysUsable,
-                                 const core::VmList &vms);
+                                 const core::VmList &vms, const HomesOfAccount &homesOf);
 
 } // namespace teaselreach::daemon
--- a/src/daemon/limit_service.cpp
+++ b/src/daemon/limit_service.cpp
@@ -159,6 +159,7 @@
 
 void LimitService::onConfig(const std::shared_ptr<const config::ConfigSnapshot> &snapshot)
 {
+    config_.store(snapshot);
     for (Shard &shard : shards_) {
         const std::lock_guard lock(shard.mutex);
         shard.state->onConfig(core::MonoClock::now(), snapshot);
@@ -192,6 +193,21 @@
     return shards_.front().state->placement();
 }
 
+std::vector<core::VmId> LimitService::homesOf(const core::ClientAccountId &account) const
+{
+    const auto current = placement();
+    const auto snapshot = config_.load();
+    const record::Limit *limit = snapshot ? snapshot->findLimit(account) : nullptr;
+    if (!current || limit == nullptr)
+        return {};
+    std::vector<core::VmId> homes;
+    for (const core::VmId &home : current->homesOf(account)) {
+        if (!home.empty() && homes.size() < static_cast<std::size_t>(limit->homes))
+            homes.push_back(home);
+    }
+    return homes;
+}
+
 limit::VmHistory LimitService::vmHistory() const
 {
     const std::lock_guard lock(shards_.front().mutex);
--- a/src/daemon/limit_service_base.h
+++ b/src/daemon/limit_service_base.h
@@ -9,6 +9,7 @@
 #include "rpc/http_transport_base.h"
 
 #include <array>
+#include <atomic>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
@@ -58,6 +59,8 @@
 
     /** @return The placement in force, or nullptr. */
     std::shared_ptr<const limit::Placement> placement() const;
+    /** @return The home VMs of an account that has a limit; empty if they are not known. */
+    std::vector<core::VmId> homesOf(const core::ClientAccountId &account) const;
     /** @return What has been seen of the VM list. */
     limit::VmHistory vmHistory() const;
     /** @return Whether this VM acts as home of its slots. */
@@ -100,6 +103,7 @@
     const PeerDirectory &directory_;
     rpc::HttpTransport &transport_;
     Shards shards_;
+    std::atomic<std::shared_ptr<const config::ConfigSnapshot>> config_;
     // Destroyed first: their threads use all of the above.
     core::WorkQueue senders_;
     core::Ticker timer_;
--- a/tests/daemon/fixture.h
+++ b/tests/daemon/fixture.h
@@ -42,7 +42,8 @@
                         .pathPrefix = "/open",
                         .service = core::ServiceId("slots"),
                         .openToAll = true,
-                        .timeout = core::Millis(200)}}};
+                        .timeout = core::Millis(200)}},
+            .services = {{.id = core::ServiceId("slots"), .slotsPerUpstream = 32}}};
 }
 
 inline std::shared_ptr<const config::ConfigSnapshot> makeSnapshot(std::uint64_t revision,
@@ -80,7 +81,7 @@
                 std::make_unique<standins::RawServer>("127.0.6." + number, handler));
         }
         daemon.applyVmList(vmList());
-        daemon.config().apply(makeSnapshot(1));
+        daemon.applyConfig(makeSnapshot(1));
         daemon.config().noteStoreContact(core::MonoClock::now());
     }
 
--- a/tests/daemon/request_test.cpp
+++ b/tests/daemon/request_test.cpp
@@ -85,7 +85,7 @@
     Fixture *running = nullptr;
     // The first upstream sheds after the withdrawal, so the request comes to dispatch again.
     Fixture fixture({[&running](const RawRequest &) {
-                         running->daemon.config().apply(makeSnapshot(2, true));
+                         running->daemon.applyConfig(makeSnapshot(2, true));
                          return RawReply {okReply("", "X-Not-Run: 1\r\n", "503 Busy")};
                      },
                      answerOk});
