--- /dev/null
+++ b/bench/cmake/upstream.cmake
@@ -0,0 +1,1 @@
+teaselreach_bench(upstream_bench SOURCES upstream_bench.cpp LIBS tr_upstream_fleet)
--- /dev/null
+++ b/bench/upstream_bench.cpp
@@ -0,0 +1,288 @@
+/** @file upstream_bench.cpp Detection, waiting and cost of upstream decisions in virtual time.
+ * Usage: upstream_bench [today|hour|waiting|target]...; all parts without arguments. Exits with 1
+ * if a bound of the design page, section 1.2, is missed. */
+#include "upstream_detection.h"
+
+#include <cstdio>
+#include <ctime>
+#include <functional>
+#include <set>
+#include <string>
+
+using namespace teaselreach;
+using namespace teaselreach::bench;
+using standins::Fault;
+using standins::FleetOptions;
+using standins::UpstreamFleet;
+
+namespace {
+
+constexpr double stallBound = 2;
+constexpr double otherBound = 5;
+constexpr double p99Bound = 1.5;
+constexpr double probingBound = 0.01;
+
+bool missed = false;
+
+/** Prints the verdict on a bound and remembers a miss. */
+void checkBound(const std::string &what, double value, double bound)
+{
+    const bool ok = value <= bound;
+    missed = missed || !ok;
+    std::printf("%s %s: %.3f, bound %.3f\n", ok ? "met   " : "MISSED", what.c_str(), value, bound);
+}
+
+struct NamedFault
+{
+    Fault fault;
+    const char *name;
+    double bound;
+};
+
+constexpr NamedFault faults[] = {
+    {Fault::Stall, "stall", stallBound},
+    {Fault::TenfoldSlow, "tenfold slowness", otherBound},
+    {Fault::HalfAnswers, "half answers", otherBound},
+    {Fault::ErrorsOneInThree, "errors 1 in 3", otherBound},
+    {Fault::Flapping, "flapping", otherBound},
+    {Fault::OneWayCut, "one-way cut", otherBound},
+};
+
+struct NamedWay
+{
+    standins::Detection way;
+    const char *name;
+};
+
+constexpr NamedWay ways[] = {{standins::Detection::Shared, "shared"},
+                             {standins::Detection::LocalOnly, "local only"},
+                             {standins::Detection::HealthEndpointOnly, "health only"}};
+
+void printRow(const char *fault, const char *way, const Worst &result)
+{
+    std::printf("%-17s %-12s %7.2f %7.2f %8.3f %8.4f %8.2f %6zu\n", fault, way, result.meanSeconds,
+                result.worst.seconds, result.worst.shareLater, result.worst.trialShare,
+                result.worst.p99Ratio, result.worst.falseEjections);
+    std::fflush(stdout);
+}
+
+void detectionTable(const std::string &title, const FleetOptions &base, int seeds, bool boundTrials)
+{
+    std::printf("\n%s, %d seeds; times in s, 60 = traffic did not end\n", title.c_str(), seeds);
+    std::printf("%-17s %-12s %7s %7s %8s %8s %8s %6s\n", "fault", "detection", "mean", "worst",
+                "later", "trials", "p99", "false");
+    std::vector<std::function<void()>> verdicts;
+    for (const NamedFault &fault : faults) {
+        for (const NamedWay &way : ways) {
+            FleetOptions options = base;
+            options.detection = way.way;
+            const Worst result = detectOverSeeds(options, fault.fault, seeds);
+            printRow(fault.name, way.name, result);
+            if (way.way != standins::Detection::Shared)
+                continue;
+            verdicts.emplace_back([=] {
+                checkBound(title + ", " + fault.name + ", worst time", result.worst.seconds,
+                           fault.bound);
+                checkBound(title + ", " + fault.name + ", 99th percentile ratio",
+                           result.worst.p99Ratio, p99Bound);
+                checkBound(title + ", " + fault.name + ", false ejections",
+                           static_cast<double>(result.worst.falseEjections), 0);
+                if (boundTrials)
+                    checkBound(title + ", " + fault.name + ", trials", result.worst.trialShare,
+                               probingBound);
+            });
+        }
+    }
+    for (const auto &verdict : verdicts)
+        verdict();
+}
+
+void today()
+{
+    detectionTable("40 VMs, 20 upstreams of 2 slots", {}, 5, true);
+    detectionTable("40 VMs, 17 upstreams of 3 slots", {.upstreams = 17, .slots = 3}, 5, true);
+}
+
+/** Ejections in an hour, without those of VM 0 for itself. */
+std::size_t falseEjections(const UpstreamFleet &fleet)
+{
+    std::size_t count = 0;
+    for (const standins::EventSeen &seen : fleet.events()) {
+        const bool ownLink = seen.vm == 0 && seen.event.scope == upstream::Scope::Vm;
+        if (seen.event.kind == upstream::HealthEvent::Kind::Ejected && !ownLink)
+            ++count;
+    }
+    return count;
+}
+
+std::size_t hourOf(const FleetOptions &options,
+                   const std::function<void(UpstreamFleet &, int)> &act)
+{
+    UpstreamFleet fleet(options);
+    for (int minute = 0; minute < 60; ++minute) {
+        act(fleet, minute);
+        fleet.runUntil(core::Seconds(60 * (minute + 1)));
+    }
+    return falseEjections(fleet);
+}
+
+void hour()
+{
+    std::printf("\nfalse ejections in an hour of virtual time, 40 VMs, 20 upstreams of 2 slots\n");
+    struct Case
+    {
+        const char *name;
+        std::function<void(UpstreamFleet &, int)> act;
+        std::future<std::size_t> result {};
+    };
+    Case cases[] = {
+        {"calm", [](UpstreamFleet &, int) {}},
+        {"overload to 90-180% of capacity for a minute in three",
+         [](UpstreamFleet &fleet, int minute) {
+             fleet.setLoadFactor(minute % 3 == 1 ? 1.5 + minute * 0.025 : 0.6);
+         }},
+        {"cold start of an upstream every 5 min",
+         [](UpstreamFleet &fleet, int minute) {
+             if (minute % 5 == 0)
+                 fleet.addColdUpstream(core::Seconds(10));
+         }},
+        {"5-64% loss at one VM",
+         [](UpstreamFleet &fleet, int minute) { fleet.setLoss(0, 0.05 + 0.01 * minute); }},
+    };
+    for (Case &one : cases)
+        one.result =
+            std::async(std::launch::async, [&one] { return hourOf({.seed = 9}, one.act); });
+    for (Case &one : cases)
+        checkBound(one.name, static_cast<double>(one.result.get()), 0);
+}
+
+void waitingRow(const char *name, FleetOptions options)
+{
+    options.hedging = false;
+    std::printf("%-34s", name);
+    for (const double busy : {0.6, 0.8}) {
+        options.requestsPerSecond =
+            busy * static_cast<double>(options.upstreams) * options.slots * 40;
+        UpstreamFleet fleet(options);
+        fleet.runUntil(core::Seconds(120));
+        auto &waits = fleet.counts().waits;
+        double sum = 0;
+        for (const core::Micros wait : waits)
+            sum += static_cast<double>(wait.count()) / 1000;
+        std::printf(" %8.2f %8.2f", sum / static_cast<double>(waits.size()),
+                    quantileMs(waits, 0.99));
+    }
+    std::printf("\n");
+    std::fflush(stdout);
+}
+
+void waiting()
+{
+    for (const auto &[upstreams, slots] : {std::pair(20, 2), std::pair(17, 3)}) {
+        const FleetOptions base {.upstreams = static_cast<std::size_t>(upstreams), .slots = slots};
+        std::printf("\nwait at the upstream in ms, %d upstreams of %d slots: mean and 99th "
+                    "percentile at 60%%, at 80%% busy\n",
+                    upstreams, slots);
+        FleetOptions random = base;
+        random.pick = standins::Pick::Random;
+        FleetOptions roundRobin = base;
+        roundRobin.pick = standins::Pick::RoundRobin;
+        waitingRow("random", random);
+        waitingRow("round robin on each VM", roundRobin);
+        waitingRow("two choices, all upstreams", base);
+        for (const std::size_t size : {3U, 6U, 10U}) {
+            FleetOptions subset = base;
+            subset.maxSubset = size;
+            waitingRow(("two choices, subset of " + std::to_string(size)).c_str(), subset);
+        }
+    }
+}
+
+double cpuSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+/** CPU time of ticks and memory of one VM that serves several services, calm. */
+void costRow(std::size_t services)
+{
+    FleetOptions options {.vms = 1, .upstreams = 21, .zones = 8, .requestsPerSecond = 0.8};
+    std::vector<std::unique_ptr<UpstreamFleet>> fleets;
+    for (std::size_t i = 0; i < services; ++i) {
+        options.seed = i + 1;
+        fleets.push_back(std::make_unique<UpstreamFleet>(options));
+        fleets.back()->runUntil(core::Seconds(60));
+    }
+    const double before = cpuSeconds();
+    constexpr int seconds = 20;
+    for (int tick = 1; tick <= seconds * 10; ++tick) {
+        for (auto &fleet : fleets)
+            fleet->stateOf(0).tick(UpstreamFleet::start + core::Seconds(60)
+                                   + upstream::tickInterval * tick);
+    }
+    const double cpu = (cpuSeconds() - before) / seconds;
+    std::size_t bytes = 0;
+    for (auto &fleet : fleets)
+        bytes += fleet->stateOf(0).health().memoryBytes();
+    std::printf("%8zu %12.4f %14.2f\n", services, cpu * 100,
+                static_cast<double>(bytes) / (1 << 20));
+}
+
+void digestRow(std::size_t vms, Fault fault)
+{
+    FleetOptions options {.vms = vms,
+                          .upstreams = 21,
+                          .zones = 8,
+                          .zonesPerRegion = 4,
+                          .requestsPerSecond = 361,
+                          .errorRate = 0.001};
+    UpstreamFleet fleet(options);
+    fleet.runUntil(core::Seconds(60));
+    const auto before = fleet.counts().digests;
+    fleet.setFault(failing, fault);
+    fleet.runUntil(core::Seconds(120));
+    constexpr double digestBytes = 70;
+    const double perVm = static_cast<double>(fleet.counts().digests - before) * digestBytes / 60
+        / static_cast<double>(vms);
+    std::printf("%8zu %-8s %16.1f %16.0f\n", vms, fault == Fault::None ? "calm" : "stall", perVm,
+                perVm * 260);
+    std::fflush(stdout);
+}
+
+void target()
+{
+    const FleetOptions thin {.vms = 470,
+                             .upstreams = 21,
+                             .zones = 8,
+                             .zonesPerRegion = 4,
+                             .requestsPerSecond = 361,
+                             .errorRate = 0.001};
+    detectionTable("470 VMs, 21 upstreams, 361 requests/s", thin, 2, false);
+    std::printf("\ndigest bytes/s sent by a VM: one service, and 260 such services\n");
+    for (const std::size_t vms : {40U, 120U, 470U}) {
+        digestRow(vms, Fault::None);
+        digestRow(vms, Fault::Stall);
+    }
+    std::printf("\none VM, calm, 21 upstreams for each service\n%8s %12s %14s\n", "services",
+                "tick % core", "state MB");
+    for (const std::size_t services : {26U, 130U, 260U})
+        costRow(services);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::set<std::string> parts(argv + 1, argv + argc);
+    if (parts.empty())
+        parts = {"today", "hour", "waiting", "target"};
+    if (parts.contains("today"))
+        today();
+    if (parts.contains("hour"))
+        hour();
+    if (parts.contains("waiting"))
+        waiting();
+    if (parts.contains("target"))
+        target();
+    return missed ? 1 : 0;
+}
--- /dev/null
+++ b/bench/upstream_detection.h
@@ -0,0 +1,121 @@
+/** @file upstream_detection.h Time until a failing upstream gets no more traffic. */
+#pragma once
+
+#include "standins/upstream_fleet.h"
+
+#include <algorithm>
+#include <future>
+#include <vector>
+
+namespace teaselreach::bench {
+
+inline constexpr core::Seconds warmUp {20};
+inline constexpr core::Seconds observed {60};
+/** From here to the end of the observation the failing upstream counts as detected. */
+inline constexpr core::Seconds detectedAfter {5};
+inline constexpr std::size_t failing = 7;
+
+/** What one run showed. */
+struct Detection
+{
+    double seconds = 0;    ///< Until the ordinary traffic ended; observed if it did not.
+    double shareLater = 0; ///< Of its usual traffic, after detectedAfter.
+    double trialShare = 0; ///< Of its capacity, at 25 ms for each trial, over the observation.
+    double p99Ratio = 0;   ///< 99th percentile of lookups after detectedAfter / before.
+    std::size_t falseEjections = 0;
+};
+
+/** @return The value in milliseconds that the given share of samples stay under. */
+inline double quantileMs(std::vector<core::Micros> &samples, double share)
+{
+    if (samples.empty())
+        return 0;
+    const auto rank = static_cast<std::ptrdiff_t>(static_cast<double>(samples.size() - 1) * share);
+    std::nth_element(samples.begin(), samples.begin() + rank, samples.end());
+    return static_cast<double>(samples[static_cast<std::size_t>(rank)].count()) / 1000;
+}
+
+/**
+ * The end of the ordinary traffic: the last attempt before a gap in which the upstream would
+ * usually have had 20 attempts, at least 0.5 s.
+ */
+inline double trafficEnd(const std::vector<core::MonoTime> &sent, core::MonoTime onset,
+                         double usualPerSecond)
+{
+    const auto gap = std::max(core::Micros(500'000),
+                              core::Micros(static_cast<std::int64_t>(20e6 / usualPerSecond)));
+    core::MonoTime last = onset;
+    for (const core::MonoTime at : sent) {
+        if (at < onset)
+            continue;
+        if (at - last > gap)
+            break;
+        last = at;
+    }
+    return std::chrono::duration<double>(last - onset).count();
+}
+
+/** Runs a fleet in which one upstream starts to fail after the warm-up. */
+inline Detection detect(const standins::FleetOptions &options, standins::Fault fault)
+{
+    standins::UpstreamFleet fleet(options);
+    fleet.runUntil(warmUp);
+    const double usual = static_cast<double>(fleet.sentTo(failing).size())
+        / std::chrono::duration<double>(warmUp).count();
+    const double calm = quantileMs(fleet.counts().lookupLatency, 0.99);
+    fleet.setFault(failing, fault);
+    fleet.runUntil(warmUp + detectedAfter);
+    fleet.counts().lookupLatency.clear();
+    fleet.runUntil(warmUp + observed);
+    const core::MonoTime onset = standins::UpstreamFleet::start + warmUp;
+    const auto &sent = fleet.sentTo(failing);
+    const auto later = std::count_if(sent.begin(), sent.end(),
+                                     [&](core::MonoTime at) { return at > onset + detectedAfter; });
+    const double laterSeconds = std::chrono::duration<double>(observed - detectedAfter).count();
+    const double seconds = std::chrono::duration<double>(observed).count();
+    constexpr double trialSeconds = 0.025;
+    Detection result;
+    result.seconds = trafficEnd(sent, onset, usual);
+    result.shareLater = static_cast<double>(later) / laterSeconds / usual;
+    result.trialShare =
+        static_cast<double>(fleet.trialsTo(failing)) * trialSeconds / seconds / options.slots;
+    result.p99Ratio = quantileMs(fleet.counts().lookupLatency, 0.99) / calm;
+    result.falseEjections = static_cast<std::size_t>(std::count_if(
+        fleet.events().begin(), fleet.events().end(), [&](const standins::EventSeen &seen) {
+            return seen.event.kind == upstream::HealthEvent::Kind::Ejected
+                && seen.event.upstream != fleet.idOf(failing);
+        }));
+    return result;
+}
+
+/** Runs several seeds in parallel. @return The worst figures; seconds of the worst and the mean. */
+struct Worst
+{
+    Detection worst;
+    double meanSeconds = 0;
+};
+
+/** @return The figures over seeds 1 to seeds. */
+inline Worst detectOverSeeds(const standins::FleetOptions &base, standins::Fault fault, int seeds)
+{
+    std::vector<std::future<Detection>> runs;
+    for (int seed = 1; seed <= seeds; ++seed) {
+        standins::FleetOptions options = base;
+        options.seed = static_cast<std::uint64_t>(seed);
+        runs.push_back(
+            std::async(std::launch::async, [options, fault] { return detect(options, fault); }));
+    }
+    Worst result;
+    for (auto &run : runs) {
+        const Detection one = run.get();
+        result.meanSeconds += one.seconds / seeds;
+        result.worst.seconds = std::max(result.worst.seconds, one.seconds);
+        result.worst.shareLater = std::max(result.worst.shareLater, one.shareLater);
+        result.worst.trialShare = std::max(result.worst.trialShare, one.trialShare);
+        result.worst.p99Ratio = std::max(result.worst.p99Ratio, one.p99Ratio);
+        result.worst.falseEjections += one.falseEjections;
+    }
+    return result;
+}
+
+} // namespace teaselreach::bench
--- a/src/upstream/chooser.cpp
+++ b/src/upstream/chooser.cpp
@@ -27,14 +27,14 @@
     return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random);
 }
 
-/** @return Whether an upstream in slow start takes part in a choice. */
-bool takesPart(core::MonoTime now, const UpstreamView &view, Random &random)
+/** @return The share of its full number of requests that an upstream gets. */
+double slowStartShare(core::MonoTime now, const UpstreamView &view)
 {
     if (view.usedSince == core::MonoTime {} || now - view.usedSince >= slowStart)
-        return true;
+        return 1;
     const double share = std::chrono::duration<double>(now - view.usedSince)
         / std::chrono::duration<double>(slowStart);
-    return uniform(random) < std::max(minSlowStartShare, share);
+    return std::max(minSlowStartShare, share);
 }
 
 } // namespace
@@ -107,14 +107,16 @@
     loads_.record(now, index, load, ownInFlight);
 }
 
-std::size_t Chooser::drawTier(std::span<const UpstreamView> views, Random &random) const
+std::size_t Chooser::drawTier(core::MonoTime now, std::span<const UpstreamView> views,
+                              Random &random) const
 {
     std::array<double, tiers> usable {};
     for (std::size_t i = 0; i < views.size(); ++i)
-        usable[places_[i].tier] += views[i].usable ? 1 : 0;
+        usable[places_[i].tier] += views[i].usable ? slowStartShare(now, views[i]) : 0;
     const double all = usable[0] + usable[1] + usable[2];
     if (all == 0)
         return 0;
+    // Upstreams in slow start count in part, or the others of their zone would get their requests.
     // A zone with fewer upstreams than its share of the callers' requests passes on the excess,
     // so that all upstreams are equally busy.
     const double draw = uniform(random);
@@ -128,7 +130,7 @@
 std::vector<Candidate> Chooser::gather(core::MonoTime now, std::span<const UpstreamView> views,
                                        Random &random) const
 {
-    const std::size_t first = drawTier(views, random);
+    const std::size_t first = drawTier(now, views, random);
     for (const bool membersOnly : {true, false}) {
         for (std::size_t i = 0; i < tiers; ++i) {
             const std::size_t tier = (first + i) % tiers;
@@ -149,7 +151,8 @@
         if (!views[i].usable || places_[i].tier != tier || (membersOnly && !places_[i].member))
             continue;
         const Candidate candidate {.index = i, .load = loads_.expected(now, i, views[i].inFlight)};
-        (takesPart(now, views[i], random) ? candidates : resting).push_back(candidate);
+        const bool takesPart = uniform(random) < slowStartShare(now, views[i]);
+        (takesPart ? candidates : resting).push_back(candidate);
     }
     return candidates.empty() ? resting : candidates;
 }
--- a/src/upstream/chooser_base.h
+++ b/src/upstream/chooser_base.h
@@ -108,7 +108,7 @@
      */
     template <ChoiceStrategy Strategy>
     std::optional<std::size_t> choose(core::MonoTime now, std::span<const UpstreamView> views,
-                                      Strategy &strategy, Random &random)
+                                      Strategy &strategy, Random &random) const
     {
         const std::vector<Candidate> candidates = gather(now, views, random);
         if (candidates.empty())
@@ -131,7 +131,8 @@
 
     std::vector<Candidate> gather(core::MonoTime now, std::span<const UpstreamView> views,
                                   Random &random) const;
-    std::size_t drawTier(std::span<const UpstreamView> views, Random &random) const;
+    std::size_t drawTier(core::MonoTime now, std::span<const UpstreamView> views,
+                         Random &random) const;
     std::vector<Candidate> gatherTier(core::MonoTime now, std::span<const UpstreamView> views,
                                       std::size_t tier, bool membersOnly, Random &random) const;
 
--- a/src/upstream/health_table_base.h
+++ b/src/upstream/health_table_base.h
@@ -123,7 +123,7 @@
         core::MonoTime readmittedAt {};
         int relapses = 0;
         double severity = 0;
-        int trialsSent = 0;
+        std::size_t trialsSent = 0;
         OwnEvidence own;
         DecayingCounts ownTrials; ///< good: passed, failed: failed.
         std::uint64_t badEventsSent = 0;
@@ -182,6 +182,7 @@
     bool floorAllows(const Record &record) const;
     void restoreFloor(core::MonoTime now);
     std::size_t rankOf(Record &record);
+    std::size_t trialAllowance(const Record &record) const;
     bool quiet(core::MonoTime now, const Record &record) const;
     void note(HealthEvent::Kind kind, const Record &record);
 
@@ -190,7 +191,10 @@
     std::vector<Record> records_;
     std::unordered_map<core::UpstreamId, std::size_t, core::StrongHash> index_;
     std::unordered_map<core::UpstreamId, core::MonoTime, core::StrongHash> departed_;
+    /** Drains reported for upstreams that the own list does not have yet. */
+    std::unordered_map<core::UpstreamId, core::MonoTime, core::StrongHash> earlyDrains_;
     std::vector<core::VmId> zoneVms_; ///< Live entry VMs of the own zone.
+    std::size_t entryVms_ = 1;        ///< Live entry VMs.
     std::size_t entryZones_ = 1;      ///< Zones with live entry VMs.
     MedianDuration median_;
     std::uint64_t nextTicket_ = 1;
--- a/src/upstream/health_table_cmd.cpp
+++ b/src/upstream/health_table_cmd.cpp
@@ -35,10 +35,12 @@
             drain(now, records_[*find(vm.id)], DrainState::Leaving, true);
     }
     zoneVms_.clear();
+    entryVms_ = 0;
     std::set<core::AvailabilityZoneId> zones;
     for (const core::EntryVm &vm : entryVms) {
         if (vm.state != core::VmState::Live)
             continue;
+        ++entryVms_;
         zones.insert(vm.location.availabilityZone);
         if (vm.location.availabilityZone == options_.ownLocation.availabilityZone)
             zoneVms_.push_back(vm.id);
@@ -60,7 +62,9 @@
             departed_[record.vm.id] = now;
     }
     std::erase_if(records_, [&](const Record &one) { return !listed.contains(one.vm.id); });
-    std::erase_if(departed_, [&](const auto &one) { return now - one.second > departedMemory; });
+    const auto old = [&](const auto &one) { return now - one.second > departedMemory; };
+    std::erase_if(departed_, old);
+    std::erase_if(earlyDrains_, old);
     rebuildIndex();
 }
 
@@ -82,6 +86,8 @@
     }
     index_[vm.id] = records_.size();
     records_.push_back(std::move(record));
+    if (earlyDrains_.erase(vm.id) > 0)
+        drain(now, records_.back(), DrainState::Draining, false);
 }
 
 Ticket HealthTable::started(core::MonoTime now, std::size_t index, bool trial)
--- a/src/upstream/health_table_digest.cpp
+++ b/src/upstream/health_table_digest.cpp
@@ -23,25 +23,26 @@
 {
     if (!options_.exchangeEvidence || digest.reporter == options_.ownVm)
         return;
+    if (digest.age >= digestLifetime)
+        return;
     const auto index = find(digest.upstream);
     if (!index) {
-        if (digest.drain == DrainState::Leaving && digest.age < digestLifetime)
+        if (digest.drain == DrainState::Leaving)
             departed_[digest.upstream] = now;
+        if (digest.drain == DrainState::Draining)
+            earlyDrains_[digest.upstream] = now;
         return;
     }
     Record &record = records_[*index];
-    const Report *known = findReport(record, digest.reporter);
-    if (known != nullptr
-        && std::tie(known->incarnation, known->sequence)
-            >= std::tie(digest.incarnation, digest.sequence))
-        return;
-    if (digest.age >= digestLifetime)
-        return;
-    storeReport(now, record, digest);
     if (digest.drain != DrainState::None) {
         drain(now, record, digest.drain, false);
         restoreFloor(now);
     }
+    const Report *known = findReport(record, digest.reporter);
+    if (known == nullptr
+        || std::tie(known->incarnation, known->sequence)
+            < std::tie(digest.incarnation, digest.sequence))
+        storeReport(now, record, digest);
 }
 
 HealthTable::Report *HealthTable::findReport(Record &record, const core::VmId &reporter)
@@ -188,6 +189,9 @@
         return std::tuple(a.report->drain, a.report->sendsLeft)
             > std::tuple(b.report->drain, b.report->sendsLeft);
     });
+    const auto pushed = [](const Waiting &one) {
+        return !one.report->urgent || one.report->sendsLeft <= sendsUrgent - pushPeers;
+    };
     std::vector<EvidenceDigest> digests;
     for (const Waiting &one : waiting) {
         if (digests.size() == limit)
@@ -196,6 +200,7 @@
         --one.report->sendsLeft;
         --pendingSends_;
     }
+    urgent_ = !std::all_of(waiting.begin(), waiting.end(), pushed);
     return digests;
 }
 
--- a/src/upstream/health_table_query.cpp
+++ b/src/upstream/health_table_query.cpp
@@ -48,12 +48,22 @@
     return *record.rank;
 }
 
+std::size_t HealthTable::trialAllowance(const Record &record) const
+{
+    std::size_t vms = 1;
+    if (record.scope == Scope::Fleet)
+        vms = std::max<std::size_t>(1, entryVms_);
+    if (record.scope == Scope::Zone)
+        vms = std::max<std::size_t>(1, zoneVms_.size());
+    return (trialsTogether + vms - 1) / vms;
+}
+
 bool HealthTable::wantsTrial(core::MonoTime now, std::size_t index)
 {
     Record &record = records_[index];
     if (stateAt(index) != UseState::Ejected || now < record.trialFrom)
         return false;
-    if (record.trialsSent >= trialsPerVm || record.own.trialsInFlight() > 0)
+    if (record.trialsSent >= trialAllowance(record) || record.own.trialsInFlight() > 0)
         return false;
     if (record.scope == Scope::Vm)
         return true;
--- a/src/upstream/upstream_type.h
+++ b/src/upstream/upstream_type.h
@@ -170,9 +170,9 @@
 /** Longest ejection time. */
 inline constexpr core::Millis maxEjection {60000};
 /** Trial requests that must pass before readmission. */
-inline constexpr int trialsToPass = 5;
-/** Trials that one VM sends after one ejection time. */
-inline constexpr int trialsPerVm = 5;
+inline constexpr int trialsToPass = 8;
+/** Trials that the VMs send together after one ejection time, as some end without a verdict. */
+inline constexpr std::size_t trialsTogether = 12;
 /** A relapse this long after readmission counts as a first ejection. */
 inline constexpr core::Millis relapseMemory {120000};
 /** Time for which a VM repeats that an upstream drains. */
@@ -183,6 +183,8 @@
 inline constexpr core::Millis departedMemory {3600000};
 /** Peers to which a VM relays a digest that indicates a failure, a trial or a drain. */
 inline constexpr int sendsUrgent = 6;
+/** Peers to which the daemon pushes urgent digests at once. */
+inline constexpr int pushPeers = 4;
 /** Peers to which a VM relays a digest of single failures. */
 inline constexpr int sendsMild = 2;
 
--- a/tests/cmake/upstream.cmake
+++ b/tests/cmake/upstream.cmake
@@ -1,1 +1,7 @@
 teaselreach_test(upstream_unit_test SOURCES unit/upstream_unit_test.cpp LIBS tr_upstream)
+add_library(tr_upstream_fleet STATIC standins/upstream_fleet.cpp)
+target_include_directories(tr_upstream_fleet PUBLIC ${CMAKE_SOURCE_DIR}/tests)
+target_link_libraries(tr_upstream_fleet PUBLIC tr_upstream)
+foreach(name upstream_floor_test upstream_health_test upstream_fleet_test)
+    teaselreach_test(${name} SOURCES unit/${name}.cpp LIBS tr_upstream_fleet)
+endforeach()
--- /dev/null
+++ b/tests/unit/upstream_floor_test.cpp
@@ -0,0 +1,258 @@
+/** @file upstream_floor_test.cpp Floor and drain under random evidence, lists and partitions. */
+#include "upstream/service_state_base.h"
+
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <deque>
+#include <map>
+#include <set>
+
+using namespace teaselreach;
+using namespace teaselreach::upstream;
+
+namespace {
+
+/** Three VMs with their own lists, which exchange digests with loss, delay and partitions. */
+class RandomFleet
+{
+public:
+    explicit RandomFleet(std::uint64_t seed)
+        : random_(seed)
+        , floor_(0.5 + 0.1 * static_cast<double>(below(5)))
+        , zones_(1 + below(6))
+    {
+        const std::size_t upstreams = 1 + below(24);
+        for (std::size_t i = 0; i < 3; ++i)
+            list_.entryVms.push_back(
+                {.id = core::VmId("v" + std::to_string(i)),
+                 .location = {core::AvailabilityZoneId("z" + std::to_string(i)),
+                              core::RegionId("r")}});
+        for (std::size_t i = 0; i < upstreams; ++i)
+            addUpstream();
+        for (std::size_t i = 0; i < 3; ++i) {
+            vms_.push_back({.state = ServiceState({.service = {.id = service_, .floor = floor_},
+                                                   .ownVm = list_.entryVms[i].id,
+                                                   .ownLocation = list_.entryVms[i].location})});
+            publish(i);
+        }
+    }
+
+    /** Makes one random event happen and checks every VM. */
+    void step()
+    {
+        now_ += core::Millis(below(4) == 0 ? below(2000) : below(60));
+        Vm &vm = vms_[below(vms_.size())];
+        switch (below(9)) {
+        case 0:
+            changeList();
+            publish(below(vms_.size()));
+            break;
+        case 1:
+            claim(vm);
+            break;
+        case 2:
+            deliver();
+            break;
+        case 3:
+        case 4:
+            request(vm);
+            break;
+        case 5:
+            partitioned_ = below(3);
+            break;
+        default:
+            for (Vm &one : vms_)
+                one.state.tick(now_);
+            collect();
+        }
+        for (Vm &one : vms_)
+            check(one);
+    }
+
+    std::size_t ejections = 0;
+    std::size_t refusals = 0;
+    std::size_t restorations = 0;
+
+private:
+    struct Vm
+    {
+        ServiceState state;
+        core::VmList list;
+        std::set<core::UpstreamId> left; ///< Known to this VM to be leaving or draining.
+    };
+
+    std::size_t below(std::size_t bound) { return random_() % bound; }
+
+    void addUpstream()
+    {
+        const std::string number = std::to_string(nextUpstream_++);
+        list_.upstreams.push_back(
+            {.id = core::UpstreamId("u" + number),
+             .service = service_,
+             .location = {core::AvailabilityZoneId("z" + std::to_string(below(zones_))),
+                          core::RegionId("r")}});
+    }
+
+    void changeList()
+    {
+        if (below(3) == 0 || list_.upstreams.empty()) {
+            addUpstream();
+            return;
+        }
+        const std::size_t i = below(list_.upstreams.size());
+        if (below(2) == 0)
+            list_.upstreams[i].state = core::VmState::Leaving;
+        else
+            list_.upstreams.erase(list_.upstreams.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+
+    void publish(std::size_t vm)
+    {
+        std::set<core::UpstreamId> listed;
+        for (const core::UpstreamVm &one : list_.upstreams) {
+            listed.insert(one.id);
+            if (one.state == core::VmState::Leaving)
+                vms_[vm].left.insert(one.id);
+        }
+        for (const core::UpstreamVm &one : vms_[vm].list.upstreams) {
+            if (!listed.contains(one.id))
+                vms_[vm].left.insert(one.id);
+        }
+        vms_[vm].list = list_;
+        vms_[vm].state.listChanged(now_, list_);
+    }
+
+    /** Lets VMs of two zones claim that several upstreams fail. */
+    void claim(Vm &vm)
+    {
+        if (vm.list.upstreams.empty())
+            return;
+        const std::size_t targets = 1 + below(4);
+        for (std::size_t i = 0; i < targets * 6; ++i)
+            claimOne(vm, vm.list.upstreams[(sequence_ + i / 6) % vm.list.upstreams.size()], i % 6);
+        sequence_ += below(100);
+    }
+
+    void claimOne(Vm &vm, const core::UpstreamVm &target, std::size_t reporter)
+    {
+        const bool drains = below(300) == 0;
+        if (drains)
+            vm.left.insert(target.id);
+        vm.state.digestReceived(
+            now_,
+            {.service = service_,
+             .upstream = target.id,
+             .reporter = core::VmId("far" + std::to_string(reporter)),
+             .zone = core::AvailabilityZoneId("z" + std::to_string(reporter % 3)),
+             .sequence = ++claims_,
+             .counts = {.good = 0.1, .failed = static_cast<double>(below(10))},
+             .drain = drains ? DrainState::Draining : DrainState::None});
+    }
+
+    void request(Vm &vm)
+    {
+        const auto choice = vm.state.choose(now_, {.idempotent = below(2) == 0}, random_);
+        if (!choice)
+            return;
+        CHECK_FALSE(vm.left.contains(choice->upstream));
+        const Ticket ticket = vm.state.started(now_, *choice);
+        const bool drains = below(100) == 0;
+        if (drains)
+            vm.left.insert(choice->upstream);
+        vm.state.finished(now_ + core::Millis(below(300)), ticket,
+                          {.outcome = static_cast<Outcome>(below(8)),
+                           .hasLoad = drains,
+                           .load = {.draining = drains}});
+    }
+
+    void collect()
+    {
+        for (std::size_t from = 0; from < vms_.size(); ++from) {
+            for (EvidenceDigest &digest : vms_[from].state.digestsToSend(now_, 64)) {
+                if (below(4) > 0 && from != partitioned_)
+                    late_.push_back(digest);
+            }
+        }
+    }
+
+    void deliver()
+    {
+        const std::size_t to = below(vms_.size());
+        for (int i = 0; i < 10 && !late_.empty(); ++i) {
+            const EvidenceDigest digest = late_.front();
+            late_.pop_front();
+            if (to == partitioned_)
+                continue;
+            if (digest.drain != DrainState::None)
+                vms_[to].left.insert(digest.upstream);
+            vms_[to].state.digestReceived(now_, digest);
+        }
+    }
+
+    /** The floor may be missed only because of drains, and then nothing may be ejected there. */
+    void check(Vm &vm)
+    {
+        std::map<core::AvailabilityZoneId, std::array<std::size_t, 3>> zones;
+        std::array<std::size_t, 3> all {}; // listed, in use, ejected
+        for (const core::UpstreamVm &one : vm.list.upstreams) {
+            const auto explanation = vm.state.explain(now_, one.id);
+            if (one.state != core::VmState::Live || !explanation)
+                continue;
+            for (auto *counts : {&all, &zones[one.location.availabilityZone]}) {
+                ++(*counts)[0];
+                (*counts)[1] += explanation->state == UseState::InUse ? 1U : 0U;
+                (*counts)[2] += explanation->state == UseState::Ejected ? 1U : 0U;
+            }
+        }
+        if (all[2] > 0)
+            CHECK(static_cast<double>(all[1]) >= static_cast<double>(all[0]) * floor_ - 1e-6);
+        for (const auto &[zone, counts] : zones) {
+            const double least =
+                std::max(1.0, std::floor(floor_ * static_cast<double>(counts[0]) + 1e-6));
+            if (counts[2] > 0)
+                CHECK(static_cast<double>(counts[1]) >= least);
+        }
+        for (const HealthEvent &event : vm.state.takeEvents()) {
+            ejections += event.kind == HealthEvent::Kind::Ejected ? 1 : 0;
+            refusals += event.kind == HealthEvent::Kind::RefusedByFloor ? 1 : 0;
+            restorations += event.kind == HealthEvent::Kind::FloorRestored ? 1 : 0;
+        }
+    }
+
+    Random random_;
+    double floor_;
+    std::size_t zones_;
+    core::ServiceId service_ {"s"};
+    core::MonoTime now_ {core::Seconds(1000)};
+    core::VmList list_;
+    std::vector<Vm> vms_;
+    std::deque<EvidenceDigest> late_;
+    std::size_t partitioned_ = 3;
+    std::size_t nextUpstream_ = 0;
+    std::uint64_t sequence_ = 0; ///< Position of the next claim in the list.
+    std::uint64_t claims_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("ejection keeps the floors and a leaving upstream is never chosen, over 1,000 seeds")
+{
+    std::size_t ejections = 0;
+    std::size_t refusals = 0;
+    std::size_t restorations = 0;
+    for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+        CAPTURE(seed);
+        RandomFleet fleet(seed);
+        for (int i = 0; i < 300; ++i)
+            fleet.step();
+        ejections += fleet.ejections;
+        refusals += fleet.refusals;
+        restorations += fleet.restorations;
+    }
+    // The rules must have been at work, or the checks above say nothing.
+    CHECK(ejections > 1000);
+    CHECK(refusals > 500);
+    CHECK(restorations > 100);
+    MESSAGE("ejections " << ejections << ", refused " << refusals << ", restored " << restorations);
+}
