Add: [Config] Late answers in the random schedules

Cause: without the refusal of lower revisions in ConfigState the schedules still passed, since no answer arrived late in them.

Change: a VM's whole configuration is kept as an answer and applied to a random VM later, perhaps several times.

--- a/tests/unit/config_schedule_test.cpp
+++ b/tests/unit/config_schedule_test.cpp
@@ -95,7 +95,7 @@
     {
         const int vm = pick(static_cast<int>(vms_.size()));
         const int other = pick(static_cast<int>(vms_.size()));
-        switch (pick(16)) {
+        switch (pick(18)) {
         case 0:
             store_.outage = pick(2) == 0;
             return;
@@ -115,8 +115,14 @@
             store_.deliverDelayed();
             return;
         case 6:
+            late_ = answerOf(other);
+            return;
         case 7:
+            vmAt(vm).state.apply(late_.headText, late_.values);
+            return;
         case 8:
+        case 9:
+        case 10:
             operate(true);
             return;
         default:
@@ -124,6 +130,16 @@
         }
     }
 
+    /** @return A VM's whole configuration, as an answer that arrives much later. */
+    FetchAnswer answerOf(int i)
+    {
+        FetchAnswer answer = answerFetch(vmAt(i).state, {});
+        if (!answer.headText.empty())
+            answer.values =
+                vmAt(i).state.valuesFor(headFromText(answer.headText).groups, maxFetchBytes);
+        return answer;
+    }
+
     /** A daemon starts with empty memory. */
     void replaceVm(int i)
     {
@@ -313,6 +329,7 @@
     std::vector<std::unique_ptr<Vm>> vms_;
     std::set<std::pair<int, int>> cuts_; ///< From, to.
     std::set<int> storeCuts_;
+    FetchAnswer late_; ///< An answer that is delivered late, perhaps several times.
     std::uint64_t incarnations_ = 0;
     int changes_ = 0;
     std::map<core::ChangeId, std::pair<std::string, int>> wanted_;
