Change: [Daemon] Tests on the real collaborators; one rule for the number of homes

Cause: the chooser picks at random, so tests that relied on the first upstream passed or failed by chance (seen: a withdrawn key case answered 200 because the other upstream was chosen). Two rules for the number of homes stood side by side. Change: scripted upstreams answer in the order of being chosen, and each test counts the requests. record::homesForBurst has the measured rule (one for each 10 tokens, at most 3), so an upgraded limit with burst 50 gets 3 homes.

--- a/bench/limit_bench.cpp
+++ b/bench/limit_bench.cpp
@@ -1,5 +1,6 @@
 /** @file limit_bench.cpp Wrongful refusals, waits and messages of three ways to enforce limits. */
 #include "limit/baseline_base.h"
+#include "record/record_validate_func.h"
 #include "standins/virtual_fleet.h"
 
 #include <algorithm>
@@ -82,7 +83,7 @@
         , limit_ {.account = account,
                   .ratePerSecond = options.rate,
                   .burst = options.burst,
-                  .homes = homesForLimit(options.rate, options.burst)}
+                  .homes = record::homesForBurst(options.burst)}
         , list_(makeList(fleetSize))
     {
         if (std::is_same_v<Strategy, LeasedOwner>)
--- a/bench/limit_message_bench.cpp
+++ b/bench/limit_message_bench.cpp
@@ -1,5 +1,6 @@
 /** @file limit_message_bench.cpp Borrow messages and bytes for each VM at growing fleet sizes. */
 #include "entry/entry_address_func.h"
+#include "record/record_validate_func.h"
 #include "standins/virtual_fleet.h"
 
 #include <cstdio>
@@ -99,7 +100,7 @@
             records.limits.push_back({.account = core::ClientAccountId("a" + std::to_string(i)),
                                       .ratePerSecond = rate,
                                       .burst = burst,
-                                      .homes = homesForLimit(rate, burst)});
+                                      .homes = record::homesForBurst(burst)});
         }
         config_ = std::make_shared<const config::ConfigSnapshot>(core::Revision(1), records);
     }
--- a/src/daemon/peer_service.cpp
+++ b/src/daemon/peer_service.cpp
@@ -79,6 +79,7 @@
     std::vector<core::VmId> chosen;
     std::vector<core::EntryVm> sample;
     std::sample(peers_.begin(), peers_.end(), std::back_inserter(sample), pushPeers, random_);
+    chosen.reserve(sample.size());
     for (const core::EntryVm &peer : sample)
         chosen.push_back(peer.id);
     return chosen;
--- a/src/limit/borrow_json.cpp
+++ b/src/limit/borrow_json.cpp
@@ -43,7 +43,8 @@
                            .slot = document.at("slot"),
                            .id = idFromJson<BorrowId>(document.at("id")),
                            .wanted = document.at("wanted"),
-                           .maxDelay = core::Micros(document.at("max_delay_us").get<std::int64_t>()),
+                           .maxDelay =
+                               core::Micros(document.at("max_delay_us").get<std::int64_t>()),
                            .finished = {}};
     for (const nlohmann::json &loan : document.at("finished")) {
         request.finished.push_back(
@@ -69,15 +70,14 @@
 
 BorrowAnswer borrowAnswerFromJson(const nlohmann::json &document)
 {
-    BorrowAnswer answer {
-        .account = core::ClientAccountId(document.at("account")),
-        .slot = document.at("slot"),
-        .id = idFromJson<BorrowId>(document.at("id")),
-        .acting = document.at("acting"),
-        .loan = idFromJson<LoanId>(document.at("loan")),
-        .delays = {},
-        .lifetime = core::Micros(document.at("lifetime_us").get<std::int64_t>()),
-        .level = document.at("level")};
+    BorrowAnswer answer {.account = core::ClientAccountId(document.at("account")),
+                         .slot = document.at("slot"),
+                         .id = idFromJson<BorrowId>(document.at("id")),
+                         .acting = document.at("acting"),
+                         .loan = idFromJson<LoanId>(document.at("loan")),
+                         .delays = {},
+                         .lifetime = core::Micros(document.at("lifetime_us").get<std::int64_t>()),
+                         .level = document.at("level")};
     for (const nlohmann::json &delay : document.at("delays_us"))
         answer.delays.emplace_back(delay.get<std::int64_t>());
     return answer;
--- a/src/limit/home_choice.cpp
+++ b/src/limit/home_choice.cpp
@@ -6,14 +6,6 @@
 
 namespace teaselreach::limit {
 
-int homesForLimit(double ratePerSecond, double burst)
-{
-    (void)ratePerSecond;
-    // A share below this many tokens refuses requests that one bucket would admit.
-    constexpr double minShareBurst = 10;
-    return std::clamp(static_cast<int>(burst / minShareBurst), 1, slotsPerPartition);
-}
-
 Share shareOf(const record::Limit &limit)
 {
     return {.ratePerSecond = limit.ratePerSecond / limit.homes, .burst = limit.burst / limit.homes};
--- a/src/limit/home_choice_func.h
+++ b/src/limit/home_choice_func.h
@@ -1,4 +1,4 @@
-/** @file home_choice_func.h Number of homes of an account, loan lifetime, order of homes asked. */
+/** @file home_choice_func.h Share of a home, loan lifetime, order of homes asked. */
 #pragma once
 
 #include "limit/limit_type.h"
@@ -8,14 +8,6 @@
 
 namespace teaselreach::limit {
 
-/**
- * Number of homes for a new limit record.
- * @param ratePerSecond Rate of the account.
- * @param burst Burst of the account.
- * @return 1 to 3.
- */
-int homesForLimit(double ratePerSecond, double burst);
-
 /** @return The part of a limit that each of its home slots owns. */
 Share shareOf(const record::Limit &limit);
 
--- a/src/record/record_validate.cpp
+++ b/src/record/record_validate.cpp
@@ -19,10 +19,9 @@
 constexpr double maxRatePerSecond = 1'000'000;
 constexpr double maxBurst = 10'000'000;
 constexpr core::Millis maxTimeout {60'000};
-/// Shares of 33 requests still keep wrongful refusals at 0% (design, section 4.3).
-constexpr double burstForThreeHomes = 100;
-/// With a burst of 20, two homes refuse 0.09%, too close to the bound of 0.1%.
-constexpr double burstForTwoHomes = 40;
+/** A share below this many tokens refuses requests that one bucket would admit. */
+constexpr double minShareBurst = 10;
+constexpr int maxHomes = 3;
 
 /** Collects the problems of one record. */
 class Checker
@@ -160,9 +159,7 @@
 
 int homesForBurst(double burst)
 {
-    if (burst >= burstForThreeHomes)
-        return 3;
-    return burst >= burstForTwoHomes ? 2 : 1;
+    return std::clamp(static_cast<int>(burst / minShareBurst), 1, maxHomes);
 }
 
 } // namespace teaselreach::record
--- a/tests/daemon/request_test.cpp
+++ b/tests/daemon/request_test.cpp
@@ -44,27 +44,46 @@
     }
 }
 
-TEST_CASE("a request that was certainly not run, or that is idempotent, reaches another upstream")
+namespace {
+
+const RawReply shedReply {okReply("", "X-Not-Run: 1\r\n", "503 Busy")};
+const RawReply cutReply {"", true};
+
+/** Two upstreams: the one that is chosen first gives one reply, the other one another. */
+std::vector<standins::RawServer::Handler> answersInOrder(const RawReply &first,
+                                                         const RawReply &second)
 {
-    const auto shed = [](const RawRequest &) {
-        return RawReply {okReply("", "X-Not-Run: 1\r\n", "503 Busy")};
+    const auto calls = std::make_shared<std::atomic<int>>(0);
+    const auto handler = [=](const RawRequest &) {
+        return calls->fetch_add(1) == 0 ? first : second;
     };
-    const auto cut = [](const RawRequest &) { return RawReply {"", true}; };
-    Fixture afterShed({shed, answerOk});
+    return {handler, handler};
+}
+
+int requestsAtBoth(const Fixture &fixture)
+{
+    return fixture.upstreams[0]->requests() + fixture.upstreams[1]->requests();
+}
+
+} // namespace
+
+TEST_CASE("a request that was certainly not run, or that is idempotent, reaches another upstream")
+{
+    Fixture afterShed(answersInOrder(shedReply, RawReply {okReply("")}));
     CHECK(afterShed.call(Fixture::keyed("POST")).status == 200);
-    Fixture afterCut({cut, answerOk});
+    CHECK(requestsAtBoth(afterShed) == 2);
+    Fixture afterCut(answersInOrder(cutReply, RawReply {okReply("")}));
     CHECK(afterCut.call(Fixture::keyed("GET", "")).status == 200);
+    CHECK(requestsAtBoth(afterCut) == 2);
 }
 
 TEST_CASE("\"not run\" is reported only if no upstream may have run the request")
 {
-    const auto shed = [](const RawRequest &) {
-        return RawReply {okReply("", "X-Not-Run: 1\r\n", "503 Busy")};
-    };
-    Fixture allShed({shed});
+    Fixture allShed(answersInOrder(shedReply, shedReply));
     checkRefusal(allShed.call(Fixture::keyed("POST")), Refusal::UpstreamRefused);
-    Fixture cutThenShed({[](const RawRequest &) { return RawReply {"", true}; }, shed});
+    Fixture cutThenShed(answersInOrder(cutReply, shedReply));
     checkRefusal(cutThenShed.call(Fixture::keyed("GET", "")), Refusal::UpstreamCut);
+    CHECK(requestsAtBoth(cutThenShed) == 2);
     Fixture none({});
     checkRefusal(none.call(Fixture::keyed("POST")), Refusal::NoUpstream);
 }
@@ -83,15 +102,15 @@
 TEST_CASE("a key withdrawn while a request waits stops it, also on an open connection")
 {
     Fixture *running = nullptr;
-    // The first upstream sheds after the withdrawal, so the request comes to dispatch again.
-    Fixture fixture({[&running](const RawRequest &) {
-                         running->daemon.applyConfig(makeSnapshot(2, true));
-                         return RawReply {okReply("", "X-Not-Run: 1\r\n", "503 Busy")};
-                     },
-                     answerOk});
+    // The upstream chosen first sheds after the withdrawal, so the request comes to dispatch again.
+    const auto withdrawAndShed = [&running](const RawRequest &) {
+        running->daemon.applyConfig(makeSnapshot(2, true));
+        return RawReply {okReply("", "X-Not-Run: 1\r\n", "503 Busy")};
+    };
+    Fixture fixture({withdrawAndShed, withdrawAndShed});
     running = &fixture;
     checkRefusal(fixture.call(Fixture::keyed("POST")), Refusal::UnknownKey);
-    CHECK(fixture.upstreams[1]->requests() == 0);
+    CHECK(requestsAtBoth(fixture) == 1);
     checkRefusal(fixture.call(Fixture::keyed("POST")), Refusal::UnknownKey);
     CHECK_FALSE(fixture.daemon.config().apply(makeSnapshot(1)));
 }
@@ -156,5 +175,7 @@
     const auto health = fixture.client.send(control, {.target = "/health"}, callTimeout);
     CHECK(nlohmann::json::parse(health.body)["revision"] == 1);
     const auto metrics = fixture.client.send(control, {.target = "/metrics"}, callTimeout);
-    CHECK(metrics.body.find("teaselreach_requests_answered_total 1\n") != std::string::npos);
+    CHECK(metrics.body.find("teaselreach_request_duration_seconds_count{account=\"bakery\","
+                            "outcome=\"answered\",service=\"slots\"} 1\n")
+          != std::string::npos);
 }
--- a/tests/unit/record_test.cpp
+++ b/tests/unit/record_test.cpp
@@ -72,7 +72,7 @@
     const auto limit = std::get<Limit>(fromJson(json::parse(
         R"({"kind":"limit","id":"a","schema_version":1,"per_minute":120,"burst":50})")));
     CHECK(limit.ratePerSecond == doctest::Approx(2));
-    CHECK(limit.homes == 2);
+    CHECK(limit.homes == 3);
 }
 
 TEST_CASE("an unknown schema version is refused, not read as another version")
