Add: [Bench] Time that a daemon adds, on real processes; make measure

Cause: the added time had no measurement against the bound of 1.3 ms. Change: added_latency_bench sends to an upstream directly and through a daemon in turn at 200 requests/s each; MEASURE=1 scripts/demo.sh runs it and reads memory and processor time of idle daemons.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -25,6 +25,14 @@
     "crew-2 127.0.2.12 7400 crew-desk az-3 region-2"
     "crew-3 127.0.3.12 7400 crew-desk az-5 region-3")
 
+upstream_options=()
+clinic_rate=100
+if [ "${MEASURE:-0}" = 1 ]; then
+    # Short work in many slots, so that the upstream's queue does not hide what the daemon adds.
+    upstream_options=(--service_ms 1 --slots 64)
+    clinic_rate=1000
+fi
+
 work=$(mktemp -d "${TMPDIR:-/tmp}/teaselreach-demo.XXXXXX")
 daemon_pids=()
 # cleanup() can run inside a command whose output is redirected.
@@ -173,14 +181,15 @@
 say "installing what is missing and building"
 scripts/install_packages.sh
 cmake -S . -B "$build" -G Ninja >/dev/null
-cmake --build "$build" --target kv_store vm_list upstream teaselreachd teaselreach
+cmake --build "$build" --target kv_store vm_list upstream teaselreachd teaselreach added_latency_bench
 
 say "starting the store, the VM list and ${#upstreams[@]} upstreams"
 start_standin store kv_store --address "${store%:*}" --port "${store#*:}"
 start_standin vm_list vm_list --address "${vm_list%:*}" --port "${vm_list#*:}"
 for line in "${upstreams[@]}"; do
     read -r id address port _ <<<"$line"
-    start_standin "$id" upstream --address "$address" --port "$port" --name "$id"
+    start_standin "$id" upstream --address "$address" --port "$port" --name "$id" \
+        "${upstream_options[@]}"
 done
 vm_list_json | curl -sSf -m 5 -X PUT --data-binary @- "http://$vm_list/admin/vms"
 
@@ -207,7 +216,7 @@
 create account bakery routes=slot-lookup,slot-booking
 create account clinic routes=slot-lookup,slot-booking,crew-lookup,crew-booking
 create limit bakery rate_per_second=20 burst=20
-create limit clinic rate_per_second=100 burst=100
+create limit clinic rate_per_second=$clinic_rate burst=$clinic_rate
 bakery_key=$(create_key bakery-1 bakery)
 clinic_key=$(create_key clinic-1 clinic)
 cat "$work/tool.log"
@@ -253,4 +262,24 @@
 expect 401 "$bakery_key" GET "$base/slots"
 expect 200 "$clinic_key" GET "$base/slots"
 
+# With MEASURE=1: time added by a daemon, then memory and processor time of idle daemons.
+measure() {
+    local pid ticks_before ticks_after seconds=10 hertz
+    say "measuring the time that a daemon adds"
+    "$build/bench/added_latency_bench" --upstream 127.0.2.11:7300 --daemon "127.0.2.1:$caller_port" \
+        --key "$clinic_key" --path /slots
+    say "measuring idle daemons for $seconds s"
+    hertz=$(getconf CLK_TCK)
+    for pid in "${daemon_pids[@]}"; do
+        ticks_before=$(awk '{print $14 + $15}' "/proc/$pid/stat")
+        sleep "$seconds"
+        ticks_after=$(awk '{print $14 + $15}' "/proc/$pid/stat")
+        awk -v pid="$pid" -v ticks=$((ticks_after - ticks_before)) -v s="$seconds" -v hz="$hertz" \
+            '/^VmRSS/ {printf "process %s: %.1f MB resident, %.2f%% of a core\n", pid, $2 / 1024, \
+                100 * ticks / hz / s}' "/proc/$pid/status"
+        [ "$pid" != "${daemon_pids[1]}" ] || break
+    done
+}
+if [ "${MEASURE:-0}" = 1 ]; then measure; fi
+
 say "stopping"
--- a/tests/unit/config_schedule_test.cpp
+++ b/tests/unit/config_schedule_test.cpp
@@ -204,7 +204,7 @@
         for (const auto &[name, digest] : head.groups)
             values[name] = store_.values.at(groupKey(name, digest)).value;
         CHECK(modelOf(unpackAll(values)) == model_);
-        history_.push_back({core::sha256Hex(text), model_});
+        history_.emplace_back(core::sha256Hex(text), model_);
     }
 
     nlohmann::json serve(int target, int from, const std::string &method,
--- a/tests/unit/spread_test.cpp
+++ b/tests/unit/spread_test.cpp
@@ -18,6 +18,7 @@
 std::vector<core::EntryVm> makeList(int count)
 {
     std::vector<core::EntryVm> list;
+    list.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         list.push_back({.id = core::VmId("vm-" + std::to_string(i)),
                         .location = {core::AvailabilityZoneId("z" + std::to_string(i % 3)),
