Fix: [Daemon] fleet.explain and fleet.burn answer in the tool's form; demo waits for tokens

Cause: the tool and the daemon were written apart: the tool sends 'subject' and expects the samples alone. The demo sent a request of a limited account before the limit's homes had tokens (seen in a fresh clone: 429 within the first second). Change: the daemon follows the tool; the demo waits until the account is served and shows status, explain and the burn report.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -213,6 +213,7 @@
 create route crew-lookup path_prefix=/crews methods=GET service=crew-desk idempotent=true \
     class=deferrable
 create route crew-booking path_prefix=/crews methods=POST service=crew-desk class=urgent
+create objective slot-answers service=slot-desk target=0.99 latency_ms=500
 create account bakery routes=slot-lookup,slot-booking
 create account clinic routes=slot-lookup,slot-booking,crew-lookup,crew-booking
 create limit bakery rate_per_second=20 burst=20
@@ -234,6 +235,9 @@
     || fail "the answer names no entry address"
 base=http://$entry:$caller_port
 
+# The homes of a new limit start without tokens and hold back for one loan lifetime.
+wait_until 10 "the limit of account bakery has tokens" has_status 200 "$bakery_key" "$base/slots"
+
 say "lookups and bookings"
 expect 200 "$bakery_key" GET "$base/slots?day=monday"
 expect 200 "$bakery_key" POST "$base/slots" '{"slot":"monday-9","name":"bakery"}'
@@ -250,6 +254,11 @@
 expect 401 "not-a-key-of-anyone" GET "$base/slots"
 expect 404 "$bakery_key" GET "$base/parking"
 
+say "what the fleet tells its operators"
+run_tool status
+run_tool explain account bakery
+run_tool report burn
+
 say "withdrawing the key of account bakery"
 withdraw_key bakery-1
 started=$(now_ms)
--- a/src/daemon/daemon_handlers.cpp
+++ b/src/daemon/daemon_handlers.cpp
@@ -117,7 +117,7 @@
 
 json Daemon::answerExplain(const json &params) const
 {
-    const std::string what = params.at("what");
+    const std::string what = params.at("subject");
     const std::string id = params.at("id");
     if (what == "upstream") {
         json found = json::array();
@@ -141,8 +141,7 @@
 
 json Daemon::answerBurn() const
 {
-    return {{"vm", settings_.vm.id.str()},
-            {"samples", burn::samplesToJson(observer_.burn().samples(core::MonoClock::now()))}};
+    return burn::samplesToJson(observer_.burn().samples(core::MonoClock::now()));
 }
 
 } // namespace teaselreach::daemon
