--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,7 +1,6 @@
 /** @file log.cpp Event logging through log4cplus. */
 #include "core/log_func.h"
 
-#include <log4cplus/asyncappender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -17,9 +16,6 @@
 
 std::atomic<bool> started {false};
 
-/** Events that wait to be written; with more, the threads that log have to wait. */
-constexpr unsigned maxQueuedEvents = 10000;
-
 std::string quoted(std::string_view value)
 {
     const bool plain =
@@ -72,12 +68,9 @@
 void startLogging(LogLevel minimum)
 {
     static log4cplus::Initializer initializer;
-    const log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(true, true));
-    console->setLayout(std::make_unique<log4cplus::PatternLayout>(
+    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
         LOG4CPLUS_TEXT("ts=%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n")));
-    // Writing is slow when the reader of standard error is; request threads must not wait for it.
-    const log4cplus::SharedAppenderPtr appender(
-        new log4cplus::AsyncAppender(console, maxQueuedEvents));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.addAppender(appender);
     root.setLogLevel(toLog4cplus(minimum));
