--- /dev/null
+++ b/src/proxy/asio_type.h
@@ -0,0 +1,32 @@
+/** @file asio_type.h Boost.Asio and Boost.Beast names that the event loop uses. */
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <utility> // Boost 1.74's awaitable.hpp needs it and does not include it.
+
+namespace teaselreach::proxy {
+
+namespace asio = boost::asio;
+namespace beasthttp = boost::beast::http;
+using ErrorCode = boost::system::error_code;
+using Socket = asio::ip::tcp::socket;
+using HttpRequest = beasthttp::request<beasthttp::string_body>;
+using HttpResponse = beasthttp::response<beasthttp::string_body>;
+
+/** @return A completion token that stores the error of an operation instead of throwing it. */
+inline auto storeError(ErrorCode &error)
+{
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+} // namespace teaselreach::proxy
--- /dev/null
+++ b/src/proxy/caller_session.cpp
@@ -0,0 +1,300 @@
+/** @file caller_session.cpp Connections of callers: reading, pipelining, answers in order. */
+#include "http/server_base.h"
+#include "proxy/caller_session_base.h"
+
+namespace teaselreach::proxy {
+
+namespace {
+
+/** Requests of one connection that are worked on at a time; more are read later. */
+constexpr std::size_t maxPipelined = 16;
+/** How long a connection that is given up is read, so that the caller receives the answer before
+ * a reset for unread bytes. */
+constexpr core::Millis lingerTime {500};
+/** Largest read while lingering. */
+constexpr std::size_t lingerBytes = 16384;
+/** Pause after a failed accept, usually for want of descriptors. */
+constexpr core::Millis acceptPause {50};
+
+beasthttp::status statusOf(const ErrorCode &error)
+{
+    if (error == beasthttp::error::header_limit)
+        return beasthttp::status::request_header_fields_too_large;
+    if (error == beasthttp::error::body_limit)
+        return beasthttp::status::payload_too_large;
+    return beasthttp::status::bad_request;
+}
+
+bool isProtocolError(const ErrorCode &error)
+{
+    return error.category() == beasthttp::make_error_code(beasthttp::error::bad_method).category()
+        && error != beasthttp::error::end_of_stream && error != beasthttp::error::partial_message;
+}
+
+} // namespace
+
+CallerSession::CallerSession(Socket socket, const CallerHandlers &handlers)
+    : socket_(std::move(socket))
+    , handlers_(handlers)
+    , room_(socket_.get_executor())
+    , idleSince_(core::MonoClock::now())
+{
+    ErrorCode ignored; // Delay is only a matter of speed.
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+asio::awaitable<void> CallerSession::run()
+{
+    const auto self = shared_from_this();
+    while (!ended_ && !lastRequest_) {
+        std::unique_ptr<Parser> parser;
+        if (!co_await readRequest(parser) || lastRequest_)
+            break;
+        accept(parser->release());
+        co_await waitForRoom();
+    }
+    if (lastRequest_ && !ended_)
+        co_await watchForEnd();
+    if (!ended_ && !lingering_)
+        callerLeft();
+}
+
+/** Notices that the caller leaves before its last answer. */
+asio::awaitable<void> CallerSession::watchForEnd()
+{
+    const auto self = shared_from_this();
+    std::string discarded(lingerBytes, '\0');
+    ErrorCode error;
+    while (!error && !ended_ && !lingering_)
+        co_await socket_.async_read_some(asio::buffer(discarded), storeError(error));
+}
+
+/** @return Whether a whole request was read. */
+asio::awaitable<bool> CallerSession::readRequest(std::unique_ptr<Parser> &parser)
+{
+    ErrorCode error;
+    if (buffer_.size() == 0)
+        co_await socket_.async_wait(Socket::wait_read, storeError(error));
+    if (error || ended_)
+        co_return false;
+    readingSince_ = core::MonoClock::now();
+    reading_ = true;
+    headerRead_ = false;
+    const SessionLimits limits = handlers_.limits();
+    parser = std::make_unique<Parser>();
+    parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+    parser->body_limit(limits.maxBodyBytes);
+    co_await beasthttp::async_read_header(socket_, buffer_, *parser, storeError(error));
+    headerRead_ = !error;
+    if (!error && !parser->is_done())
+        co_await beasthttp::async_read(socket_, buffer_, *parser, storeError(error));
+    reading_ = false;
+    if (!error)
+        co_return true;
+    if (isProtocolError(error) && !ended_)
+        refuseMalformed(error);
+    co_return false;
+}
+
+asio::awaitable<void> CallerSession::waitForRoom()
+{
+    while (pending_.size() >= maxPipelined && !ended_) {
+        room_.expires_at(asio::steady_timer::time_point::max());
+        ErrorCode cancelled; // Cancelled each time an answer was written.
+        co_await room_.async_wait(storeError(cancelled));
+    }
+}
+
+void CallerSession::accept(HttpRequest request)
+{
+    auto exchange = std::make_shared<CallerExchange>();
+    lastRequest_ = !request.keep_alive();
+    exchange->request = std::move(request);
+    exchange->receivedAt = core::MonoClock::now();
+    pending_.push_back(exchange);
+    asio::co_spawn(
+        socket_.get_executor(),
+        [self = shared_from_this(), exchange]() { return self->work(exchange); }, asio::detached);
+}
+
+void CallerSession::refuseMalformed(const ErrorCode &error)
+{
+    auto exchange = std::make_shared<CallerExchange>();
+    exchange->response = HttpResponse(statusOf(error), 11);
+    exchange->response.prepare_payload();
+    exchange->answered = true;
+    lastRequest_ = true;
+    pending_.push_back(exchange);
+    startWriter();
+}
+
+asio::awaitable<void> CallerSession::work(std::shared_ptr<CallerExchange> exchange)
+{
+    const auto self = shared_from_this();
+    co_await handlers_.serve(exchange);
+    exchange->answered = true;
+    startWriter();
+}
+
+void CallerSession::startWriter()
+{
+    if (writing_ || ended_)
+        return;
+    writing_ = true;
+    asio::co_spawn(
+        socket_.get_executor(), [self = shared_from_this()]() { return self->writeAnswers(); },
+        asio::detached);
+}
+
+asio::awaitable<void> CallerSession::writeAnswers()
+{
+    const auto self = shared_from_this();
+    while (!ended_ && !pending_.empty() && pending_.front()->answered) {
+        const std::shared_ptr<CallerExchange> exchange = pending_.front();
+        const bool last = pending_.size() == 1 && (lastRequest_ || handlers_.closing());
+        // A request that is read from now on would be cut off by the close.
+        lastRequest_ = lastRequest_ || last;
+        exchange->response.keep_alive(!last);
+        ErrorCode error;
+        co_await beasthttp::async_write(socket_, exchange->response, storeError(error));
+        if (ended_)
+            co_return;
+        pending_.pop_front();
+        idleSince_ = core::MonoClock::now();
+        room_.cancel();
+        if (error) {
+            callerLeft();
+            co_return;
+        }
+        if (last) {
+            co_await lingerAndClose();
+            co_return;
+        }
+    }
+    writing_ = false;
+}
+
+asio::awaitable<void> CallerSession::lingerAndClose()
+{
+    const auto self = shared_from_this();
+    ErrorCode error;
+    lingering_ = true;
+    socket_.cancel(error);
+    socket_.shutdown(Socket::shutdown_send, error);
+    auto timer = std::make_shared<asio::steady_timer>(socket_.get_executor(), lingerTime);
+    timer->async_wait([self, timer](ErrorCode) { self->close(); });
+    std::string discarded(lingerBytes, '\0');
+    while (!error && !ended_)
+        co_await socket_.async_read_some(asio::buffer(discarded), storeError(error));
+    timer->cancel();
+    callerLeft();
+}
+
+void CallerSession::callerLeft()
+{
+    close();
+    for (const auto &exchange : pending_) {
+        exchange->callerLeft = true;
+        if (exchange->onCallerLeft)
+            exchange->onCallerLeft();
+    }
+    pending_.clear();
+}
+
+void CallerSession::close()
+{
+    ended_ = true;
+    room_.cancel();
+    ErrorCode ignored; // The connection is given up.
+    socket_.close(ignored);
+}
+
+void CallerSession::closeIfStale(core::MonoTime now)
+{
+    if (ended_ || !pending_.empty())
+        return;
+    const SessionLimits limits = handlers_.limits();
+    const bool slowHeader = reading_ && !headerRead_ && now - readingSince_ > limits.headerTimeout;
+    const bool idle = !reading_ && now - idleSince_ > limits.idleTimeout;
+    if (slowHeader || idle)
+        close();
+}
+
+void CallerSession::closeIfIdle()
+{
+    if (!ended_ && pending_.empty() && !reading_)
+        close();
+}
+
+CallerServer::CallerServer(asio::io_context &context, const std::string &address,
+                           std::uint16_t port, CallerHandlers handlers)
+    : context_(context)
+    , acceptor_(context)
+    , handlers_(std::move(handlers))
+{
+    ErrorCode error;
+    const auto number = asio::ip::make_address_v4(address, error);
+    if (!error)
+        acceptor_.open(asio::ip::tcp::v4(), error);
+    if (!error)
+        acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor_.bind({number, port}, error);
+    if (!error)
+        acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        throw http::ServerUnavailable(address + ":" + std::to_string(port) + ": "
+                                      + error.message());
+    asio::co_spawn(
+        context_, [this]() { return acceptAll(); }, asio::detached);
+}
+
+asio::awaitable<void> CallerServer::acceptAll()
+{
+    while (acceptor_.is_open()) {
+        Socket socket(context_);
+        ErrorCode error;
+        co_await acceptor_.async_accept(socket, storeError(error));
+        if (!acceptor_.is_open())
+            co_return;
+        if (error) {
+            asio::steady_timer pause(context_, acceptPause);
+            ErrorCode ignored; // Nothing cancels the pause.
+            co_await pause.async_wait(storeError(ignored));
+            continue;
+        }
+        auto session = std::make_shared<CallerSession>(std::move(socket), handlers_);
+        sessions_.insert(session);
+        asio::co_spawn(
+            context_, [session]() { return session->run(); }, asio::detached);
+    }
+}
+
+void CallerServer::closeStale(core::MonoTime now)
+{
+    for (const auto &session : sessions_)
+        session->closeIfStale(now);
+    std::erase_if(sessions_, [](const auto &session) { return session->ended(); });
+}
+
+void CallerServer::stopAccepting()
+{
+    ErrorCode ignored; // Nothing is accepted either way.
+    acceptor_.close(ignored);
+}
+
+void CallerServer::closeIdle()
+{
+    for (const auto &session : sessions_)
+        session->closeIfIdle();
+}
+
+std::size_t CallerServer::pending() const
+{
+    std::size_t count = 0;
+    for (const auto &session : sessions_)
+        count += session->pending();
+    return count;
+}
+
+} // namespace teaselreach::proxy
--- /dev/null
+++ b/src/proxy/entry_choice.cpp
@@ -0,0 +1,100 @@
+/** @file entry_choice.cpp Which entry VMs callers are sent to, and each VM's part of limits. */
+#include "core/digest_func.h"
+#include "proxy/entry_choice_base.h"
+
+#include <algorithm>
+#include <set>
+
+namespace teaselreach::proxy {
+
+EntryChoice::EntryChoice(EntryChoiceOptions options)
+    : options_(options)
+{ }
+
+void EntryChoice::joined(const EntryMember &member)
+{
+    members_[member.id] = member;
+    departed_.erase(member.id);
+}
+
+void EntryChoice::left(core::MonoTime now, const core::VmId &id)
+{
+    const auto found = members_.find(id);
+    if (found == members_.end())
+        return;
+    departed_[id] = {
+        .zone = found->second.location.availabilityZone, .at = now, .wasActive = isActive(id)};
+    members_.erase(found);
+}
+
+std::vector<const EntryMember *> EntryChoice::activeOf(const core::AvailabilityZoneId &zone) const
+{
+    std::vector<const EntryMember *> active;
+    for (const auto &[id, member] : members_) {
+        if (member.accepting && member.location.availabilityZone == zone)
+            active.push_back(&member);
+    }
+    std::sort(active.begin(), active.end(), [&](const EntryMember *a, const EntryMember *b) {
+        return core::rendezvousWeight(zone.str(), a->id.str())
+            > core::rendezvousWeight(zone.str(), b->id.str());
+    });
+    if (active.size() > options_.activePerZone)
+        active.resize(options_.activePerZone);
+    return active;
+}
+
+std::vector<std::string> EntryChoice::addressesFor(const core::Location &caller) const
+{
+    std::vector<std::string> addresses;
+    for (const EntryMember *member : activeOf(caller.availabilityZone))
+        addresses.push_back(member->callerAddress);
+    if (!addresses.empty())
+        return addresses;
+    std::set<core::AvailabilityZoneId> nearZones;
+    std::set<core::AvailabilityZoneId> allZones;
+    for (const auto &[id, member] : members_) {
+        allZones.insert(member.location.availabilityZone);
+        if (member.location.region == caller.region)
+            nearZones.insert(member.location.availabilityZone);
+    }
+    for (const auto &zones : {nearZones, allZones}) {
+        for (const core::AvailabilityZoneId &zone : zones) {
+            for (const EntryMember *member : activeOf(zone))
+                addresses.push_back(member->callerAddress);
+        }
+        if (!addresses.empty())
+            break;
+    }
+    return addresses;
+}
+
+bool EntryChoice::isActive(const core::VmId &id) const
+{
+    const auto found = members_.find(id);
+    if (found == members_.end())
+        return false;
+    const auto active = activeOf(found->second.location.availabilityZone);
+    return std::any_of(active.begin(), active.end(),
+                       [&](const EntryMember *member) { return member->id == id; });
+}
+
+double EntryChoice::partOf(core::MonoTime now, const core::VmId &id)
+{
+    std::erase_if(departed_,
+                  [&](const auto &entry) { return now - entry.second.at > options_.holdPart; });
+    std::set<core::AvailabilityZoneId> zones;
+    for (const auto &[memberId, member] : members_)
+        zones.insert(member.location.availabilityZone);
+    std::size_t active = 0;
+    for (const core::AvailabilityZoneId &zone : zones)
+        active += activeOf(zone).size();
+    std::size_t departedActive = 0;
+    for (const auto &[departedId, departed] : departed_)
+        departedActive += departed.wasActive ? 1 : 0;
+    const std::size_t others = members_.size() - std::min(members_.size(), active);
+    if (isActive(id))
+        return (1 - options_.reservedForOthers) / static_cast<double>(active + departedActive);
+    return options_.reservedForOthers / static_cast<double>(std::max<std::size_t>(1, others));
+}
+
+} // namespace teaselreach::proxy
--- /dev/null
+++ b/src/proxy/entry_choice_base.h
@@ -0,0 +1,65 @@
+/** @file entry_choice_base.h Which entry VMs callers are sent to, and each VM's part of limits. */
+#pragma once
+
+#include "proxy/proxy_type.h"
+
+#include <map>
+#include <vector>
+
+namespace teaselreach::proxy {
+
+/** How many entry VMs take callers, and how quickly a VM's part of a limit passes to others. */
+struct EntryChoiceOptions
+{
+    /** Entry VMs that the callers of one availability zone are sent to. Each sees a larger sample
+     * of its upstreams the fewer they are; one alone would take all its callers down with it. */
+    std::size_t activePerZone = 2;
+    /** Part of every limit that the VMs without callers hold together. Callers with an old answer
+     * reach them after a change of the active VMs. */
+    double reservedForOthers = 0.15;
+    /** How long a VM that disappeared keeps its part. A VM that is cut off from the store goes on
+     * serving the callers that hold its address. */
+    core::Micros holdPart {core::Seconds(20)};
+};
+
+/** The entry VMs that are registered, and what follows from them. */
+class EntryChoice
+{
+public:
+    /** @param options Counts and times. */
+    explicit EntryChoice(EntryChoiceOptions options);
+
+    /** Records that a VM is registered. */
+    void joined(const EntryMember &member);
+    /** Records that a VM's registration has ended. */
+    void left(core::MonoTime now, const core::VmId &id);
+
+    /**
+     * @param caller Availability zone and region of the caller.
+     * @return Addresses for a caller: of its zone, else of its region, else all.
+     */
+    std::vector<std::string> addressesFor(const core::Location &caller) const;
+    /** @return The part of every limit that a VM holds; the parts add up to at most one. */
+    double partOf(core::MonoTime now, const core::VmId &id);
+    /** @return Whether callers are sent to a VM. */
+    bool isActive(const core::VmId &id) const;
+    /** @return Registered VMs. */
+    std::size_t size() const { return members_.size(); }
+
+private:
+    /** A VM that has disappeared. */
+    struct Departed
+    {
+        core::AvailabilityZoneId zone;
+        core::MonoTime at {};
+        bool wasActive = false;
+    };
+
+    std::vector<const EntryMember *> activeOf(const core::AvailabilityZoneId &zone) const;
+
+    EntryChoiceOptions options_;
+    std::map<core::VmId, EntryMember> members_;
+    std::map<core::VmId, Departed> departed_;
+};
+
+} // namespace teaselreach::proxy
--- /dev/null
+++ b/src/proxy/exchange.cpp
@@ -0,0 +1,171 @@
+/** @file exchange.cpp What is sent to an upstream, and what its answer means. */
+#include "http/headers_func.h"
+#include "proxy/exchange_func.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace teaselreach::proxy {
+
+namespace {
+
+/** Fields that concern one connection only, and framing, which is written anew. */
+constexpr std::array<std::string_view, 11> connectionFields {
+    "Connection",     "Keep-Alive",          "Proxy-Connection",  "TE",
+    "Trailer",        "Transfer-Encoding",   "Upgrade",           "Expect",
+    "Content-Length", "Proxy-Authorization", "Proxy-Authenticate"};
+
+bool isConnectionField(std::string_view name)
+{
+    return std::any_of(
+        connectionFields.begin(), connectionFields.end(),
+        [&](std::string_view field) { return http::equalIgnoringCase(field, name); });
+}
+
+/** @return Whether the Connection field names a field. */
+bool isNamedByConnection(std::string_view connection, std::string_view name)
+{
+    while (!connection.empty()) {
+        const std::size_t comma = connection.find(',');
+        std::string_view token = connection.substr(0, comma);
+        token.remove_prefix(std::min(token.find_first_not_of(" \t"), token.size()));
+        token = token.substr(0, token.find_last_not_of(" \t") + 1);
+        if (!token.empty() && http::equalIgnoringCase(token, name))
+            return true;
+        if (comma == std::string_view::npos)
+            break;
+        connection.remove_prefix(comma + 1);
+    }
+    return false;
+}
+
+std::optional<LoadReport> readLoad(std::string_view text)
+{
+    std::array<int, 3> numbers {};
+    const char *at = text.data();
+    const char *end = text.data() + text.size();
+    for (std::size_t i = 0; i < numbers.size(); ++i) {
+        const auto [next, error] = std::from_chars(at, end, numbers[i]);
+        if (error != std::errc() || numbers[i] < 0)
+            return std::nullopt;
+        at = next;
+        if (i + 1 < numbers.size()) {
+            if (at == end || *at != ',')
+                return std::nullopt;
+            ++at;
+        }
+    }
+    return LoadReport {.running = numbers[0], .waiting = numbers[1], .slots = numbers[2]};
+}
+
+template <typename Message>
+void copyEndToEndFields(const Message &from, Message &to,
+                        const std::function<bool(std::string_view)> &dropped)
+{
+    const auto connection = from[beasthttp::field::connection];
+    for (const auto &field : from) {
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        if (isConnectionField(name) || dropped(name)
+            || isNamedByConnection({connection.data(), connection.size()}, name))
+            continue;
+        to.insert(field.name_string(), field.value());
+    }
+}
+
+} // namespace
+
+HttpRequest makeForwardRequest(const HttpRequest &request, const HeaderNames &names,
+                               const ForwardFields &fields)
+{
+    HttpRequest forwarded;
+    forwarded.version(11);
+    forwarded.method_string(request.method_string());
+    forwarded.target(request.target());
+    copyEndToEndFields(request, forwarded, [&](std::string_view name) {
+        return http::equalIgnoringCase(name, "Authorization")
+            || http::equalIgnoringCase(name, names.deadlineMs)
+            || http::equalIgnoringCase(name, names.account)
+            || http::equalIgnoringCase(name, names.targetUpstream);
+    });
+    const auto timeLeft = std::chrono::duration_cast<core::Millis>(fields.timeLeft).count();
+    forwarded.set(names.deadlineMs, std::to_string(timeLeft));
+    forwarded.set(names.targetUpstream, fields.upstream.str());
+    if (!fields.account.empty())
+        forwarded.set(names.account, fields.account.str());
+    forwarded.body() = request.body();
+    forwarded.prepare_payload();
+    return forwarded;
+}
+
+UpstreamAnswer readUpstreamAnswer(const HttpResponse &response, const HeaderNames &names)
+{
+    UpstreamAnswer answer {.load = readLoad(fieldValue(response, names.load)), .leaving = false};
+    const bool success =
+        beasthttp::to_status_class(response.result()) == beasthttp::status_class::successful;
+    if (response.result() == beasthttp::status::misdirected_request)
+        answer.end = AttemptEnd::Misdirected;
+    else if (!fieldValue(response, names.notExecuted).empty())
+        answer.end = AttemptEnd::NotExecuted;
+    else if (success
+             && (fieldValue(response, names.seal).empty()
+                 || response.count(beasthttp::field::content_encoding) > 0))
+        answer.end = AttemptEnd::Broken;
+    else if (beasthttp::to_status_class(response.result()) == beasthttp::status_class::server_error)
+        answer.end = AttemptEnd::ServerError;
+    return answer;
+}
+
+UpstreamAnswer interpretLinkResult(const LinkResult &result, const HeaderNames &names)
+{
+    switch (result.failure) {
+    case LinkFailure::None:
+        return readUpstreamAnswer(result.response, names);
+    case LinkFailure::NotConnected:
+        return {.end = AttemptEnd::NotSent};
+    case LinkFailure::Broken:
+        return {.end = AttemptEnd::Broken};
+    case LinkFailure::TimedOut:
+        return {.end = AttemptEnd::TimedOut};
+    case LinkFailure::Cancelled:
+        return {.end = AttemptEnd::CallerLeft};
+    }
+    return {.end = AttemptEnd::Broken};
+}
+
+HttpResponse makeCallerAnswer(HttpResponse response, const HeaderNames &names)
+{
+    HttpResponse answer;
+    answer.version(11);
+    answer.result(response.result_int());
+    copyEndToEndFields(response, answer, [&](std::string_view name) {
+        return http::equalIgnoringCase(name, names.load)
+            || http::equalIgnoringCase(name, names.upstreamId);
+    });
+    answer.body() = std::move(response.body());
+    answer.prepare_payload();
+    return answer;
+}
+
+std::optional<std::string> keyOf(const HttpRequest &request, const HeaderNames &names)
+{
+    const auto field = request[beasthttp::field::authorization];
+    const std::string_view value(field.data(), field.size());
+    if (value.size() <= names.keyScheme.size() + 1 || value[names.keyScheme.size()] != ' '
+        || !http::equalIgnoringCase(value.substr(0, names.keyScheme.size()), names.keyScheme))
+        return std::nullopt;
+    return std::string(value.substr(names.keyScheme.size() + 1));
+}
+
+std::optional<core::Micros> callerDeadline(const HttpRequest &request, const HeaderNames &names)
+{
+    const std::string_view value = fieldValue(request, names.deadlineMs);
+    std::int64_t milliseconds = 0;
+    const auto [end, error] =
+        std::from_chars(value.data(), value.data() + value.size(), milliseconds);
+    if (value.empty() || error != std::errc() || milliseconds < 0)
+        return std::nullopt;
+    return core::Millis(milliseconds);
+}
+
+} // namespace teaselreach::proxy
--- /dev/null
+++ b/src/proxy/http_link.cpp
@@ -0,0 +1,262 @@
+/** @file http_link.cpp One HTTP/1.1 connection to a server, and kept ones for reuse. */
+#include "proxy/http_link_base.h"
+
+#include <charconv>
+#include <limits>
+#include <sys/socket.h>
+
+namespace teaselreach::proxy {
+
+namespace {
+
+/** Answers to earlier requests that are skipped before a connection is given up. */
+constexpr int maxSkippedAnswers = 4;
+/** Largest body that is accepted from a server. */
+constexpr std::uint64_t maxAnswerBytes = 64ULL * 1024 * 1024;
+/** Largest header that is accepted from a server. */
+constexpr std::uint32_t maxAnswerHeaderBytes = 64 * 1024;
+/** Idle time for which a connection is kept if the server states none. */
+constexpr core::Micros defaultKeepAlive {core::Seconds(4)};
+/** Taken off the idle time that a server states, for the way of a request and slow timers. */
+constexpr core::Micros keepAliveMargin {core::Millis(1500)};
+
+/** Closes a socket at a time, unless it is disarmed before. */
+class CloseTimer
+{
+public:
+    CloseTimer(asio::io_context &context, Socket &socket)
+        : timer_(context)
+        , state_(std::make_shared<State>())
+    {
+        state_->socket = &socket;
+    }
+    ~CloseTimer() { disarm(); }
+    CloseTimer(const CloseTimer &) = delete;
+    CloseTimer &operator=(const CloseTimer &) = delete;
+
+    /** @param mayClose Asked when the time is over; nothing happens if it says no. */
+    void arm(core::Micros time, std::function<bool()> mayClose = nullptr)
+    {
+        timer_.expires_after(time);
+        timer_.async_wait([state = state_, mayClose = std::move(mayClose)](ErrorCode error) {
+            if (error || state->socket == nullptr || (mayClose && !mayClose()))
+                return;
+            state->fired = true;
+            ErrorCode ignored; // The socket is given up; a failure to close it changes nothing.
+            state->socket->close(ignored);
+        });
+    }
+    void disarm()
+    {
+        state_->socket = nullptr;
+        timer_.cancel();
+    }
+    bool fired() const { return state_->fired; }
+
+private:
+    struct State
+    {
+        Socket *socket = nullptr;
+        bool fired = false;
+    };
+    asio::steady_timer timer_;
+    std::shared_ptr<State> state_;
+};
+
+/** Lets a canceller close the socket for the length of a scope. */
+struct CancelScope
+{
+    CancelScope(Socket *&slot, Socket &socket)
+        : slot_(slot)
+    {
+        slot_ = &socket;
+    }
+    ~CancelScope() { slot_ = nullptr; }
+    CancelScope(const CancelScope &) = delete;
+    CancelScope &operator=(const CancelScope &) = delete;
+
+private:
+    Socket *&slot_;
+};
+
+std::optional<core::Micros> statedKeepAlive(std::string_view value)
+{
+    constexpr std::string_view field = "timeout=";
+    const std::size_t at = value.find(field);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    int seconds = 0;
+    const char *begin = value.data() + at + field.size();
+    const auto [end, error] = std::from_chars(begin, value.data() + value.size(), seconds);
+    if (error != std::errc() || seconds < 0)
+        return std::nullopt;
+    return core::Seconds(seconds);
+}
+
+} // namespace
+
+void LinkCanceller::cancel()
+{
+    cancelled_ = true;
+    if (socket_ == nullptr)
+        return;
+    ErrorCode ignored; // The exchange ends either way.
+    socket_->close(ignored);
+}
+
+HttpLink::HttpLink(asio::io_context &context, http::Target target)
+    : context_(context)
+    , target_(std::move(target))
+    , socket_(context)
+    , keepAlive_(defaultKeepAlive)
+{ }
+
+asio::awaitable<void> HttpLink::connect(core::Micros timeout, ErrorCode &error)
+{
+    const auto address = asio::ip::make_address_v4(target_.address, error);
+    if (error)
+        co_return;
+    CloseTimer timer(context_, socket_);
+    timer.arm(timeout);
+    socket_.open(asio::ip::tcp::v4(), error);
+    if (error)
+        co_return;
+    co_await socket_.async_connect({address, target_.port}, storeError(error));
+    if (timer.fired() && !error)
+        error = asio::error::timed_out;
+    if (error)
+        co_return;
+    ErrorCode ignored; // Delay is only a matter of speed.
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+asio::awaitable<LinkResult> HttpLink::exchange(const HttpRequest &request,
+                                               const LinkOptions &options,
+                                               const std::shared_ptr<LinkCanceller> &canceller,
+                                               const AnswerFilter &filter)
+{
+    LinkResult result;
+    result.reused = used_;
+    mayReuse_ = false;
+    const CancelScope scope(canceller->socket_, socket_);
+    ErrorCode error;
+    const core::MonoTime start = core::MonoClock::now();
+    if (canceller->cancelled())
+        error = asio::error::operation_aborted;
+    else if (!used_)
+        co_await connect(std::min(options.connectTimeout, options.deadline - start), error);
+    if (error || options.deadline <= core::MonoClock::now()) {
+        result.failure =
+            canceller->cancelled() ? LinkFailure::Cancelled : LinkFailure::NotConnected;
+        result.detail = error ? error.message() : "no time left to send";
+        co_return result;
+    }
+    used_ = true;
+    CloseTimer hardTimer(context_, socket_);
+    hardTimer.arm(options.deadline - core::MonoClock::now());
+    CloseTimer softTimer(context_, socket_);
+    if (options.softTimeout > core::Micros(0))
+        softTimer.arm(options.softTimeout, options.mayAbandon);
+    co_await beasthttp::async_write(socket_, request, storeError(error));
+    // A server may answer before it has read the whole request and then close.
+    ErrorCode readError;
+    co_await readAnswer(result, request, filter, readError);
+    if (!readError)
+        co_return result;
+    result.detail = error ? error.message() : readError.message();
+    if (canceller->cancelled())
+        result.failure = LinkFailure::Cancelled;
+    else if (hardTimer.fired() || softTimer.fired())
+        result.failure = LinkFailure::TimedOut;
+    else
+        result.failure = LinkFailure::Broken;
+    co_return result;
+}
+
+asio::awaitable<void> HttpLink::readAnswer(LinkResult &result, const HttpRequest &request,
+                                           const AnswerFilter &filter, ErrorCode &error)
+{
+    for (int skipped = 0; skipped <= maxSkippedAnswers;) {
+        beasthttp::response_parser<beasthttp::string_body> parser;
+        parser.body_limit(maxAnswerBytes);
+        parser.header_limit(maxAnswerHeaderBytes);
+        parser.skip(request.method() == beasthttp::verb::head);
+        co_await beasthttp::async_read(socket_, buffer_, parser, storeError(error));
+        if (error)
+            co_return;
+        result.response = parser.release();
+        if (beasthttp::to_status_class(result.response.result())
+            == beasthttp::status_class::informational)
+            continue;
+        if (filter && !filter(result.response)) {
+            ++skipped;
+            continue;
+        }
+        noteKeepAlive(result.response);
+        mayReuse_ =
+            result.response.keep_alive() && !result.response.need_eof() && buffer_.size() == 0;
+        idleSince_ = core::MonoClock::now();
+        co_return;
+    }
+    error = beasthttp::error::bad_value;
+}
+
+void HttpLink::noteKeepAlive(const HttpResponse &response)
+{
+    const auto value = response[beasthttp::field::keep_alive];
+    const auto stated = statedKeepAlive({value.data(), value.size()});
+    keepAlive_ = stated ? std::max(core::Micros(0), *stated - keepAliveMargin) : defaultKeepAlive;
+}
+
+bool HttpLink::reusable(core::MonoTime now)
+{
+    if (!mayReuse_ || !socket_.is_open() || idleFor(now) > keepAlive_)
+        return false;
+    // Any byte, or the end of the stream, means that the connection carries no further exchange:
+    // bytes that arrive before a request was sent belong to an earlier one.
+    char byte = 0;
+    const ssize_t count =
+        recv(socket_.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+LinkPool::LinkPool(asio::io_context &context)
+    : context_(context)
+{ }
+
+std::unique_ptr<HttpLink> LinkPool::take(core::MonoTime now, const http::Target &target,
+                                         core::Micros maxIdle)
+{
+    auto &kept = idle_[target];
+    // The newest first: the others may then grow old and be closed.
+    while (!kept.empty()) {
+        std::unique_ptr<HttpLink> link = std::move(kept.back());
+        kept.pop_back();
+        if (link->reusable(now) && link->idleFor(now) <= maxIdle)
+            return link;
+    }
+    return std::make_unique<HttpLink>(context_, target);
+}
+
+void LinkPool::give(core::MonoTime now, std::unique_ptr<HttpLink> link)
+{
+    if (link->reusable(now))
+        idle_[link->target()].push_back(std::move(link));
+}
+
+void LinkPool::closeStale(core::MonoTime now)
+{
+    for (auto &[target, kept] : idle_)
+        std::erase_if(kept, [&](const auto &link) { return !link->reusable(now); });
+    std::erase_if(idle_, [](const auto &entry) { return entry.second.empty(); });
+}
+
+std::size_t LinkPool::size() const
+{
+    std::size_t count = 0;
+    for (const auto &[target, kept] : idle_)
+        count += kept.size();
+    return count;
+}
+
+} // namespace teaselreach::proxy
--- /dev/null
+++ b/src/proxy/http_link_base.h
@@ -0,0 +1,130 @@
+/** @file http_link_base.h One HTTP/1.1 connection to a server, and kept ones for reuse. */
+#pragma once
+
+#include "core/clock_type.h"
+#include "http/http_type.h"
+#include "proxy/asio_type.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace teaselreach::proxy {
+
+/** Why an exchange ended without a whole answer. */
+enum class LinkFailure : std::uint8_t {
+    None,
+    NotConnected, ///< Nothing was sent.
+    Broken,       ///< Cut, or not an answer in the protocol.
+    TimedOut,
+    Cancelled,
+};
+
+/** The end of an exchange. */
+struct LinkResult
+{
+    LinkFailure failure = LinkFailure::None;
+    HttpResponse response; ///< Set if there was no failure.
+    bool reused = false;   ///< Whether the connection had carried a request before.
+    std::string detail;    ///< For logs: the library's message.
+};
+
+/** Times of an exchange. */
+struct LinkOptions
+{
+    core::Micros connectTimeout {core::Millis(300)};
+    core::MonoTime deadline {}; ///< For the whole answer.
+    /** Time after which mayAbandon is asked once; zero for never. */
+    core::Micros softTimeout {0};
+    /** Whether the attempt may be given up at the soft timeout, because another will be made. */
+    std::function<bool()> mayAbandon;
+};
+
+/** Ends an exchange from outside. */
+class LinkCanceller
+{
+public:
+    /** Closes the connection of the exchange under way, now or as soon as there is one. */
+    void cancel();
+    /** @return Whether cancel() was called. */
+    bool cancelled() const { return cancelled_; }
+
+private:
+    friend class HttpLink;
+    Socket *socket_ = nullptr;
+    bool cancelled_ = false;
+};
+
+/** Decides whether an answer belongs to the request just sent; others are skipped. */
+using AnswerFilter = std::function<bool(const HttpResponse &)>;
+
+/** One connection. Not for several exchanges at a time. */
+class HttpLink
+{
+public:
+    /** @param context The event loop. @param target The server. */
+    HttpLink(asio::io_context &context, http::Target target);
+
+    /**
+     * Sends a request and reads its answer; connects first if there is no connection.
+     * All arguments must outlive the call.
+     * @param request The request.
+     * @param options Times.
+     * @param canceller Ends the exchange early.
+     * @param filter Accepts the answer; a few others are skipped. May be empty.
+     */
+    asio::awaitable<LinkResult> exchange(const HttpRequest &request, const LinkOptions &options,
+                                         const std::shared_ptr<LinkCanceller> &canceller,
+                                         const AnswerFilter &filter);
+    /** @return Whether the connection is open, silent and fresh enough for another request. */
+    bool reusable(core::MonoTime now);
+    /** @return Time since the last answer. */
+    core::Micros idleFor(core::MonoTime now) const { return now - idleSince_; }
+    /** @return The server. */
+    const http::Target &target() const { return target_; }
+
+private:
+    asio::awaitable<void> connect(core::Micros timeout, ErrorCode &error);
+    asio::awaitable<void> readAnswer(LinkResult &result, const HttpRequest &request,
+                                     const AnswerFilter &filter, ErrorCode &error);
+    void noteKeepAlive(const HttpResponse &response);
+
+    asio::io_context &context_;
+    http::Target target_;
+    Socket socket_;
+    boost::beast::flat_buffer buffer_;
+    bool used_ = false;
+    bool mayReuse_ = false;
+    core::MonoTime idleSince_ {};
+    core::Micros keepAlive_;
+};
+
+/** Idle connections by server. */
+class LinkPool
+{
+public:
+    /** @param context The event loop. */
+    explicit LinkPool(asio::io_context &context);
+
+    /**
+     * @param maxIdle Longest idle time that the connection may have had.
+     * @return A kept connection, or a new one that is not connected yet.
+     */
+    std::unique_ptr<HttpLink> take(core::MonoTime now, const http::Target &target,
+                                   core::Micros maxIdle);
+    /** Keeps a connection for reuse if it can be reused. */
+    void give(core::MonoTime now, std::unique_ptr<HttpLink> link);
+    /** Closes connections that cannot be reused any more. */
+    void closeStale(core::MonoTime now);
+    /** @return Kept connections. */
+    std::size_t size() const;
+
+private:
+    asio::io_context &context_;
+    std::map<http::Target, std::deque<std::unique_ptr<HttpLink>>> idle_;
+};
+
+} // namespace teaselreach::proxy
--- /dev/null
+++ b/src/proxy/loop_daemon_base.h
@@ -0,0 +1,265 @@
+/** @file loop_daemon_base.h The daemon on one event loop: servers, state, store and shutdown. */
+#pragma once
+
+#include "metrics/registry_base.h"
+#include "proxy/fleet_sync_base.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <optional>
+
+namespace teaselreach::proxy {
+
+/** An IPv4 number and a port. */
+struct ListenAddress
+{
+    std::string address;
+    std::uint16_t port = 0;
+};
+
+/** Times of the shutdown, from SIGTERM. */
+struct ShutdownOptions
+{
+    /** Requests that arrive later are refused as not run: they might not end in time. */
+    core::Micros serveFor {core::Millis(3200)};
+    /** The process ends then, or as soon after serveFor as nothing is under way. */
+    core::Micros endAfter {core::Millis(5700)};
+};
+
+/** Everything that a daemon is started with. */
+struct LoopDaemonOptions
+{
+    EntryMember self;
+    std::map<core::AvailabilityZoneId, core::RegionId> regionOfZone;
+    ListenAddress callers;
+    ListenAddress readiness;
+    ListenAddress directory;
+    std::optional<ListenAddress> metrics;
+    RequestFlowOptions flow;
+    ShutdownOptions shutdown;
+    std::uint64_t seed = 0; ///< For all choices by chance; differs between processes.
+};
+
+/** Answers the questions of callers for entry addresses. */
+template <typename T>
+concept DirectoryCodec = requires(const T &codec, const HttpRequest &request,
+                                  const std::vector<std::string> &addresses)
+{
+    {
+        codec.callerLocation(request)
+        } -> std::same_as<std::optional<core::Location>>;
+    {
+        codec.answer(addresses)
+        } -> std::same_as<HttpResponse>;
+    {
+        codec.isReadinessRequest(request)
+        } -> std::same_as<bool>;
+};
+
+/** One daemon process. */
+template <FleetStore Store, DirectoryCodec Directory>
+class LoopDaemon
+{
+public:
+    /**
+     * @param context The event loop. @param store The store. @param directory Directory codec.
+     * @throws http::ServerUnavailable if an address cannot be bound.
+     */
+    LoopDaemon(asio::io_context &context, Store &store, Directory &directory,
+               LoopDaemonOptions options)
+        : context_(context)
+        , directory_(directory)
+        , options_(std::move(options))
+        , upstreams_({.self = options_.self.location, .regionOfZone = options_.regionOfZone},
+                     options_.seed)
+        , shares_({})
+        , entries_({})
+        , flow_({.context = context,
+                 .upstreams = upstreams_,
+                 .shares = shares_,
+                 .registry = registry_},
+                options_.flow, options_.seed)
+        , state_({.flow = flow_, .upstreams = upstreams_, .entries = entries_, .shares = shares_},
+                 options_.self.id)
+        , sync_({.context = context, .store = store, .state = state_}, {.self = options_.self},
+                options_.seed)
+        , callers_(context, options_.callers.address, options_.callers.port, callerHandlers())
+        , readiness_(
+              context, options_.readiness.address, options_.readiness.port,
+              plainHandlers([this](const HttpRequest &request) { return answerReady(request); }))
+        , directoryServer_(
+              context, options_.directory.address, options_.directory.port,
+              plainHandlers([this](const HttpRequest &request) { return answerEntry(request); }))
+    {
+        if (options_.metrics)
+            metricsServer_.emplace(
+                context, options_.metrics->address, options_.metrics->port,
+                plainHandlers([this](const HttpRequest &) { return answerMetrics(); }));
+    }
+
+    /** Starts the loops of the daemon. */
+    void start()
+    {
+        sync_.start();
+        asio::co_spawn(
+            context_, [this]() { return tickForever(); }, asio::detached);
+    }
+
+    /** Leaves the fleet and stops the event loop once nothing is under way. */
+    void shutDown()
+    {
+        if (leavingSince_)
+            return;
+        leavingSince_ = core::MonoClock::now();
+        core::logEvent(core::LogLevel::Info, "daemon_leaving",
+                       {{"vm", options_.self.id.str()},
+                        {"pending", static_cast<std::int64_t>(callers_.pending())}});
+        flow_.enter(FlowPhase::Leaving);
+        sync_.leave();
+    }
+
+private:
+    /** Interval of the work that no event causes. */
+    static constexpr core::Millis tickInterval {25};
+    /** Ticks between two searches for stale connections. */
+    static constexpr int staleEvery = 10;
+
+    CallerHandlers callerHandlers()
+    {
+        return {.serve =
+                    [this](std::shared_ptr<CallerExchange> exchange) {
+                        return flow_.serve(std::move(exchange));
+                    },
+                .limits = [this] { return limits(); },
+                .closing = [this] { return flow_.phase() != FlowPhase::Serving; }};
+    }
+
+    CallerHandlers plainHandlers(std::function<HttpResponse(const HttpRequest &)> answer)
+    {
+        return {.serve =
+                    [answer = std::move(answer)](std::shared_ptr<CallerExchange> exchange) {
+                        return answerAtOnce(answer, std::move(exchange));
+                    },
+                .limits = [] { return SessionLimits {}; },
+                .closing = [] { return false; }};
+    }
+
+    static asio::awaitable<void>
+    answerAtOnce(const std::function<HttpResponse(const HttpRequest &)> &answer,
+                 std::shared_ptr<CallerExchange> exchange)
+    {
+        exchange->response = answer(exchange->request);
+        co_return;
+    }
+
+    SessionLimits limits() const
+    {
+        if (!flow_.table())
+            return {};
+        const CallerLimits &limits = flow_.table()->configuration().limits;
+        return {.maxHeaderBytes = limits.maxHeaderBytes,
+                .maxBodyBytes = limits.maxBodyBytes,
+                .headerTimeout = limits.headerTimeout,
+                .idleTimeout = limits.idleTimeout};
+    }
+
+    static HttpResponse makeResponse(beasthttp::status status, std::string body = "")
+    {
+        HttpResponse response(status, 11);
+        response.body() = std::move(body);
+        response.prepare_payload();
+        return response;
+    }
+
+    HttpResponse answerReady(const HttpRequest &request) const
+    {
+        if (!directory_.isReadinessRequest(request))
+            return makeResponse(beasthttp::status::not_found);
+        return makeResponse(state_.ready() ? beasthttp::status::ok
+                                           : beasthttp::status::service_unavailable);
+    }
+
+    HttpResponse answerEntry(const HttpRequest &request) const
+    {
+        const std::optional<core::Location> location = directory_.callerLocation(request);
+        if (!location)
+            return makeResponse(beasthttp::status::not_found);
+        std::vector<std::string> addresses = entries_.addressesFor(*location);
+        // Before this VM knows any other, it can still name itself.
+        if (addresses.empty() && state_.ready())
+            addresses.push_back(options_.self.callerAddress);
+        return directory_.answer(addresses);
+    }
+
+    HttpResponse answerMetrics() const
+    {
+        return makeResponse(beasthttp::status::ok,
+                            registry_.prometheusText(core::MonoClock::now()));
+    }
+
+    asio::awaitable<void> tickForever()
+    {
+        asio::steady_timer timer(context_);
+        for (int count = 0; !context_.stopped(); ++count) {
+            timer.expires_after(tickInterval);
+            ErrorCode ignored; // Nothing cancels the timer.
+            co_await timer.async_wait(storeError(ignored));
+            const core::MonoTime now = core::MonoClock::now();
+            flow_.pump(now);
+            if (count % staleEvery == 0)
+                tidy(now);
+            if (leavingSince_)
+                goOnLeaving(now - *leavingSince_);
+        }
+    }
+
+    void tidy(core::MonoTime now)
+    {
+        state_.tick(now);
+        flow_.closeStaleLinks(now);
+        callers_.closeStale(now);
+        readiness_.closeStale(now);
+        directoryServer_.closeStale(now);
+        if (metricsServer_)
+            metricsServer_->closeStale(now);
+        registry_.setGauge("teaselreach_waiting_requests", {},
+                           static_cast<double>(flow_.waiting()));
+        registry_.setGauge("teaselreach_caller_connections", {},
+                           static_cast<double>(callers_.size()));
+        registry_.setGauge("teaselreach_limit_part", {}, shares_.part());
+        registry_.setGauge("teaselreach_members", {}, static_cast<double>(entries_.size()));
+    }
+
+    void goOnLeaving(core::Micros since)
+    {
+        if (since >= options_.shutdown.serveFor && flow_.phase() == FlowPhase::Leaving) {
+            flow_.enter(FlowPhase::Refusing);
+            callers_.closeIdle();
+        }
+        const bool done = flow_.phase() == FlowPhase::Refusing && callers_.pending() == 0;
+        if (!done && since < options_.shutdown.endAfter)
+            return;
+        core::logEvent(core::LogLevel::Info, "daemon_stopped",
+                       {{"vm", options_.self.id.str()},
+                        {"pending", static_cast<std::int64_t>(callers_.pending())}});
+        context_.stop();
+    }
+
+    asio::io_context &context_;
+    Directory &directory_;
+    LoopDaemonOptions options_;
+    metrics::Registry registry_;
+    UpstreamTable upstreams_;
+    AccountShare shares_;
+    EntryChoice entries_;
+    RequestFlow flow_;
+    FleetState state_;
+    FleetSync<Store> sync_;
+    CallerServer callers_;
+    CallerServer readiness_;
+    CallerServer directoryServer_;
+    std::optional<CallerServer> metricsServer_;
+    std::optional<core::MonoTime> leavingSince_;
+};
+
+} // namespace teaselreach::proxy
--- /dev/null
+++ b/src/proxy/proxy_type.cpp
@@ -0,0 +1,29 @@
+/** @file proxy_type.cpp Names of attempt ends. */
+#include "proxy/proxy_type.h"
+
+namespace teaselreach::proxy {
+
+std::string_view attemptEndName(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Answered:
+        return "answered";
+    case AttemptEnd::ServerError:
+        return "server_error";
+    case AttemptEnd::NotExecuted:
+        return "not_executed";
+    case AttemptEnd::Misdirected:
+        return "misdirected";
+    case AttemptEnd::NotSent:
+        return "not_sent";
+    case AttemptEnd::Broken:
+        return "broken";
+    case AttemptEnd::TimedOut:
+        return "timed_out";
+    case AttemptEnd::CallerLeft:
+        return "caller_left";
+    }
+    return "unknown";
+}
+
+} // namespace teaselreach::proxy
--- /dev/null
+++ b/src/proxy/request_flow_base.h
@@ -0,0 +1,109 @@
+/** @file request_flow_base.h The path of a request from its arrival to its answer. */
+#pragma once
+
+#include "metrics/registry_base.h"
+#include "proxy/account_share_base.h"
+#include "proxy/caller_session_base.h"
+#include "proxy/exchange_func.h"
+#include "proxy/retry_share_base.h"
+#include "proxy/route_table_base.h"
+#include "proxy/upstream_table_base.h"
+#include "proxy/wait_queue_base.h"
+
+#include <map>
+#include <memory>
+
+namespace teaselreach::proxy {
+
+/** What the flow does at the end of the process's life. */
+enum class FlowPhase : std::uint8_t {
+    Serving,
+    Leaving,  ///< Serves, and closes connections after their answers.
+    Refusing, ///< Refuses new requests as not run.
+};
+
+/** Constants of the flow. */
+struct RequestFlowOptions
+{
+    HeaderNames names;
+    RetryShareOptions retries;
+    /** Idle time after which a kept connection carries no request that may not be repeated: an
+     * upstream may drop idle connections, and whatever is sent then may or may not have run. */
+    core::Micros maxIdleForNonIdempotent {core::Seconds(3)};
+    /** Time for a new connection, besides the way there and back. */
+    core::Micros connectTimeout {core::Millis(250)};
+    /** Part of the target latency after which an idempotent request is sent elsewhere. */
+    double softTimeoutOfTarget = 0.8;
+    /** Connections that may fail before a request is refused. */
+    int maxConnectFailures = 3;
+    /** Taken off the deadline that is passed on, for the way back of the answer. */
+    core::Micros returnTime {core::Millis(10)};
+};
+
+/** Routes, limits, waits, placement, repeats and answers of the requests of one VM. */
+class RequestFlow
+{
+public:
+    /** Collaborators; all must outlive the flow. */
+    struct Parts
+    {
+        asio::io_context &context;
+        UpstreamTable &upstreams;
+        AccountShare &shares;
+        metrics::Registry &registry;
+    };
+
+    /** @param parts Collaborators. @param options Constants. @param seed For split turns. */
+    RequestFlow(Parts parts, RequestFlowOptions options, std::uint64_t seed);
+
+    /** Carries out one request and fills its answer. */
+    asio::awaitable<void> serve(std::shared_ptr<CallerExchange> exchange);
+    /** Puts a configuration in force. */
+    void configure(std::shared_ptr<const RouteTable> table) { table_ = std::move(table); }
+    /** @return The configuration in force, or nullptr. */
+    const std::shared_ptr<const RouteTable> &table() const { return table_; }
+    /** Enters a phase of the shutdown. */
+    void enter(FlowPhase phase) { phase_ = phase; }
+    /** @return The phase. */
+    FlowPhase phase() const { return phase_; }
+    /** Sends waiting requests for which there is room, and refuses those that are too late. */
+    void pump(core::MonoTime now);
+    /** Closes kept connections that are of no use any more. */
+    void closeStaleLinks(core::MonoTime now) { links_.closeStale(now); }
+    /** @return Waiting requests. */
+    std::size_t waiting() const;
+
+private:
+    struct Job;
+    struct Waiter;
+    struct ServiceQueue;
+    struct Refusal;
+
+    bool prepare(Job &job);
+    PlacementRequest placementRequest(const Job &job, core::MonoTime now) const;
+    asio::awaitable<PlacementResult> place(Job &job);
+    asio::awaitable<bool> attempt(Job &job, const Placement &placement);
+    LinkOptions linkOptions(Job &job, const Placement &placement, core::MonoTime now);
+    bool mayRepeat(Job &job, AttemptEnd end, core::MonoTime now);
+    void refuse(Job &job, const Refusal &refusal);
+    void refuseUnplaced(Job &job, NoPlacement reason);
+    void answerFailure(Job &job, AttemptEnd end, LinkResult result);
+    void report(const Job &job);
+    void reportAttempt(const Job &job, const Placement &placement, const AttemptRecord &record,
+                       const LinkResult &result);
+    RetryShare &retriesOf(const core::ServiceId &service);
+    ServiceQueue &queueOf(const core::ServiceId &service);
+    void pumpService(ServiceQueue &queue, core::MonoTime now);
+
+    Parts parts_;
+    RequestFlowOptions options_;
+    LinkPool links_;
+    SplitSelector splits_;
+    std::shared_ptr<const RouteTable> table_;
+    FlowPhase phase_ = FlowPhase::Serving;
+    std::map<core::ServiceId, RetryShare> retries_;
+    std::map<core::ServiceId, std::shared_ptr<ServiceQueue>> queues_;
+    std::uint64_t lastTicket_ = 0;
+};
+
+} // namespace teaselreach::proxy
--- /dev/null
+++ b/src/proxy/route_table.cpp
@@ -0,0 +1,90 @@
+/** @file route_table.cpp Which route and which client account a request belongs to. */
+#include "core/digest_func.h"
+#include "proxy/route_table_base.h"
+
+#include <algorithm>
+#include <cctype>
+#include <numeric>
+
+namespace teaselreach::proxy {
+
+namespace {
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return lower;
+}
+
+} // namespace
+
+RouteTable::RouteTable(Configuration configuration)
+    : configuration_(std::move(configuration))
+{
+    for (const Route &route : configuration_.routes)
+        routesByHost_[lowerCase(route.host)].push_back(&route);
+    for (auto &[host, routes] : routesByHost_) {
+        std::stable_sort(routes.begin(), routes.end(), [](const Route *a, const Route *b) {
+            return a->pathPrefix.size() > b->pathPrefix.size();
+        });
+    }
+    for (const Account &account : configuration_.accounts) {
+        for (const std::string &key : account.keys)
+            accountsByKey_.emplace(key, &account);
+    }
+}
+
+const Route *RouteTable::findRoute(std::string_view host, std::string_view target) const
+{
+    const auto found = routesByHost_.find(lowerCase(host.substr(0, host.find(':'))));
+    if (found == routesByHost_.end())
+        return nullptr;
+    const std::string_view path = target.substr(0, target.find_first_of("?#"));
+    for (const Route *route : found->second) {
+        if (path.starts_with(route->pathPrefix))
+            return route;
+    }
+    return nullptr;
+}
+
+const Account *RouteTable::findAccount(std::string_view key) const
+{
+    const auto found = accountsByKey_.find(key);
+    return found == accountsByKey_.end() ? nullptr : found->second;
+}
+
+SplitSelector::SplitSelector(std::uint64_t seed)
+    : seed_(seed)
+{ }
+
+const core::ServiceId &SplitSelector::select(const Route &route)
+{
+    if (route.destinations.size() == 1)
+        return route.destinations.front().service;
+    std::vector<int> weights;
+    for (const Destination &destination : route.destinations)
+        weights.push_back(destination.weight);
+    const double total = std::accumulate(weights.begin(), weights.end(), 0);
+    Turns &turns = turns_[route.id];
+    if (turns.weights != weights) {
+        // A fraction of a round, the same on this VM each time, in proportion to the weights.
+        constexpr double parts = 1024;
+        const double phase =
+            static_cast<double>((core::stableHash(route.id.str()) ^ seed_) % 1024) / parts;
+        turns = {.weights = weights, .credit = std::vector<double>(weights.size(), 0)};
+        for (std::size_t i = 0; i < weights.size(); ++i)
+            turns.credit[i] = (i == 0 ? -phase : phase) * total / 2;
+    }
+    std::size_t best = 0;
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+        turns.credit[i] += weights[i];
+        if (turns.credit[i] > turns.credit[best])
+            best = i;
+    }
+    turns.credit[best] -= total;
+    return route.destinations[best].service;
+}
+
+} // namespace teaselreach::proxy
--- /dev/null
+++ b/src/proxy/upstream_table.cpp
@@ -0,0 +1,272 @@
+/** @file upstream_table.cpp The choice of an upstream by expected loss. */
+#include "proxy/upstream_table_base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaselreach::proxy {
+
+namespace {
+
+/** Duration of an attempt, as a multiple of the expected one, from which it counts as stalled. */
+constexpr double overdueFactor = 4.0;
+/** Shortest time after which an attempt counts as stalled. */
+constexpr core::Micros overdueMinimum {core::Millis(400)};
+/** Bounds of the learned slowness of one upstream. */
+constexpr double minSlowness = 0.5;
+constexpr double maxSlowness = 12.0;
+/** Loss differences below this count as equal and are decided by chance. */
+constexpr double tieLoss = 0.01;
+/** Share of the target latency up to which an answer is surely in time, and from which late. */
+constexpr double surelyInTime = 0.5;
+constexpr double surelyLate = 1.3;
+
+double seconds(core::Micros time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+core::Micros micros(double secondsCount)
+{
+    return std::chrono::duration_cast<core::Micros>(std::chrono::duration<double>(secondsCount));
+}
+
+double decay(core::Micros age, core::Micros halfLife)
+{
+    return std::exp2(-std::max(0.0, seconds(age)) / seconds(halfLife));
+}
+
+bool countsAsFailure(AttemptEnd end)
+{
+    return end == AttemptEnd::ServerError || end == AttemptEnd::Broken
+        || end == AttemptEnd::TimedOut || end == AttemptEnd::NotSent;
+}
+
+} // namespace
+
+UpstreamTable::UpstreamTable(UpstreamTableOptions options, std::uint64_t seed)
+    : options_(std::move(options))
+    , random_(seed)
+{ }
+
+void UpstreamTable::update(core::MonoTime now, const UpstreamEntry &entry)
+{
+    Upstream &upstream = upstreams_[entry.id];
+    const bool restarted = upstream.entry.startedAt != entry.startedAt;
+    const bool moved = upstream.entry.address != entry.address || upstream.entry.port != entry.port;
+    if (upstream.entry.id.empty() || restarted || moved) {
+        auto underWay = std::move(upstream.underWay);
+        upstream = {.warmAt = now + entry.warmupLeft, .underWay = std::move(underWay)};
+    }
+    upstream.entry = entry;
+}
+
+void UpstreamTable::remove(const core::UpstreamId &id)
+{
+    upstreams_.erase(id);
+}
+
+std::vector<core::UpstreamId> UpstreamTable::ids() const
+{
+    std::vector<core::UpstreamId> all;
+    for (const auto &[id, upstream] : upstreams_)
+        all.push_back(id);
+    return all;
+}
+
+const UpstreamEntry *UpstreamTable::find(const core::UpstreamId &id) const
+{
+    const auto found = upstreams_.find(id);
+    return found == upstreams_.end() ? nullptr : &found->second.entry;
+}
+
+PlacementResult UpstreamTable::choose(core::MonoTime now, const PlacementRequest &request)
+{
+    PlacementResult result;
+    double bestLoss = 0;
+    std::uniform_real_distribution<double> chance(0, tieLoss);
+    for (const auto &[id, upstream] : upstreams_) {
+        if (upstream.entry.service != request.service || upstream.entry.draining
+            || upstream.leaving)
+            continue;
+        if (std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end())
+            continue;
+        if (result.reason == NoPlacement::NoUpstream)
+            result.reason = NoPlacement::AllBusy;
+        const double slots = std::max(1, upstream.entry.slots);
+        if (occupancyOf(now, upstream) + 1 > slots * options_.maxOccupancy)
+            continue;
+        const core::Micros duration = expectedDuration(now, upstream, request);
+        if (duration > request.timeLeft) {
+            result.reason = NoPlacement::TooLate;
+            continue;
+        }
+        const double failure = failureOf(now, upstream);
+        const double failureLoss =
+            request.idempotent ? failure * options_.repeatableFactor : failure;
+        const double loss = failureLoss + distanceLoss(upstream)
+            + latenessLoss(request.elapsed + duration, request.targetLatency) + chance(random_);
+        if (result.placement && loss >= bestLoss)
+            continue;
+        bestLoss = loss;
+        result.placement = {.upstream = id,
+                            .address = upstream.entry.address,
+                            .port = upstream.entry.port,
+                            .expectedDuration = duration,
+                            .expectedLoss = loss,
+                            .failureEstimate = failure};
+    }
+    return result;
+}
+
+void UpstreamTable::started(core::MonoTime now, const Placement &placement)
+{
+    const auto found = upstreams_.find(placement.upstream);
+    if (found == upstreams_.end())
+        return;
+    const auto patience = std::max(
+        overdueMinimum,
+        std::chrono::duration_cast<core::Micros>(overdueFactor * placement.expectedDuration));
+    found->second.underWay.push_back({.startedAt = now, .overdueAt = now + patience});
+}
+
+void UpstreamTable::finished(const AttemptRecord &record)
+{
+    const auto found = upstreams_.find(record.upstream);
+    if (found == upstreams_.end())
+        return;
+    Upstream &upstream = found->second;
+    const auto ended = std::find_if(
+        upstream.underWay.begin(), upstream.underWay.end(),
+        [&](const UnderWay &attempt) { return attempt.startedAt == record.startedAt; });
+    if (ended != upstream.underWay.end())
+        upstream.underWay.erase(ended);
+    upstream.leaving = upstream.leaving || record.leaving;
+    learnLoad(record, upstream);
+    if (record.end == AttemptEnd::CallerLeft)
+        return;
+    if (record.end == AttemptEnd::NotExecuted || record.end == AttemptEnd::Misdirected) {
+        // Without a load report, a refusal still says that the upstream is full.
+        if (!record.load) {
+            upstream.othersLoad = options_.maxOccupancy * std::max(1, upstream.entry.slots);
+            upstream.loadAt = record.endedAt;
+        }
+        return;
+    }
+    learnFailure(record.endedAt, upstream, countsAsFailure(record.end));
+    if (record.end == AttemptEnd::Answered)
+        learnDuration(record, upstream);
+}
+
+void UpstreamTable::failureReported(core::MonoTime now, const core::UpstreamId &id)
+{
+    const auto found = upstreams_.find(id);
+    if (found != upstreams_.end())
+        learnFailure(now, found->second, true);
+}
+
+core::Micros UpstreamTable::expectedWork(const core::RouteId &route,
+                                         core::Micros targetLatency) const
+{
+    const auto found = workSeconds_.find(route);
+    return found == workSeconds_.end() ? targetLatency / 3 : micros(found->second);
+}
+
+int UpstreamTable::slotsOf(const core::ServiceId &service) const
+{
+    int slots = 0;
+    for (const auto &[id, upstream] : upstreams_) {
+        if (upstream.entry.service == service && !upstream.entry.draining && !upstream.leaving)
+            slots += upstream.entry.slots;
+    }
+    return slots;
+}
+
+double UpstreamTable::failureOf(core::MonoTime now, const Upstream &upstream) const
+{
+    const double learned =
+        upstream.failure * decay(now - upstream.failureAt, options_.failureHalfLife);
+    return std::max(learned, overdueFailure(now, upstream));
+}
+
+/** @return An estimate from attempts that have been under way for too long. */
+double UpstreamTable::overdueFailure(core::MonoTime now, const Upstream &upstream) const
+{
+    int overdue = 0;
+    for (const UnderWay &attempt : upstream.underWay)
+        overdue += now > attempt.overdueAt ? 1 : 0;
+    constexpr double perAttempt = 0.5;
+    return 1 - std::pow(1 - perAttempt, overdue);
+}
+
+double UpstreamTable::occupancyOf(core::MonoTime now, const Upstream &upstream) const
+{
+    return static_cast<double>(upstream.underWay.size())
+        + upstream.othersLoad * decay(now - upstream.loadAt, options_.loadHalfLife);
+}
+
+double UpstreamTable::distanceLoss(const Upstream &upstream) const
+{
+    if (upstream.entry.availabilityZone == options_.self.availabilityZone)
+        return 0;
+    const auto region = options_.regionOfZone.find(upstream.entry.availabilityZone);
+    const bool sameRegion =
+        region != options_.regionOfZone.end() && region->second == options_.self.region;
+    return sameRegion ? options_.crossZoneLoss : options_.crossRegionLoss;
+}
+
+core::Micros UpstreamTable::expectedDuration(core::MonoTime now, const Upstream &upstream,
+                                             const PlacementRequest &request) const
+{
+    const double slots = std::max(1, upstream.entry.slots);
+    const double work = seconds(expectedWork(request.route, request.targetLatency))
+        * upstream.slowness * (now < upstream.warmAt ? options_.coldFactor : 1.0);
+    const double ahead = std::max(0.0, occupancyOf(now, upstream) + 1 - slots);
+    return micros(work * (1 + ahead / slots));
+}
+
+double UpstreamTable::latenessLoss(core::Micros finish, core::Micros target) const
+{
+    if (target <= core::Micros(0))
+        return 0;
+    const double ratio = seconds(finish) / seconds(target);
+    if (ratio <= surelyInTime)
+        return 0.1 * ratio; // Prefers the faster one of two that are both in time.
+    const double late = std::min(1.0, (ratio - surelyInTime) / (surelyLate - surelyInTime));
+    return 0.1 * surelyInTime + options_.lateLoss * late;
+}
+
+void UpstreamTable::learnFailure(core::MonoTime now, Upstream &upstream, bool failed)
+{
+    const double present =
+        upstream.failure * decay(now - upstream.failureAt, options_.failureHalfLife);
+    const double gain = failed ? options_.failureGain : options_.successGain;
+    upstream.failure = present + gain * ((failed ? 1.0 : 0.0) - present);
+    upstream.failureAt = now;
+}
+
+void UpstreamTable::learnDuration(const AttemptRecord &record, Upstream &upstream)
+{
+    const double duration = seconds(record.endedAt - record.startedAt);
+    const auto [work, isNew] = workSeconds_.try_emplace(record.route, duration);
+    // A wait at the upstream is not work: only attempts that found a free slot teach it.
+    if (static_cast<int>(upstream.underWay.size()) >= upstream.entry.slots)
+        return;
+    const double expected = std::max(1e-4, work->second);
+    const double ratio = std::clamp(duration / expected, minSlowness / 2, maxSlowness);
+    upstream.slowness += 2 * options_.durationGain * (ratio - upstream.slowness);
+    upstream.slowness = std::clamp(upstream.slowness, minSlowness, maxSlowness);
+    if (!isNew)
+        work->second += options_.durationGain * (std::min(duration, 3 * expected) - expected);
+}
+
+void UpstreamTable::learnLoad(const AttemptRecord &record, Upstream &upstream) const
+{
+    if (!record.load)
+        return;
+    const int own = static_cast<int>(upstream.underWay.size());
+    upstream.othersLoad = std::max(0, record.load->running + record.load->waiting - own);
+    upstream.loadAt = record.endedAt;
+}
+
+} // namespace teaselreach::proxy
--- /dev/null
+++ b/src/proxy/upstream_table_base.h
@@ -0,0 +1,164 @@
+/** @file upstream_table_base.h Live upstreams, what is known of each, and the choice of one. */
+#pragma once
+
+#include "proxy/proxy_type.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace teaselreach::proxy {
+
+/** Weights of the choice. A loss is a fraction of a request's full value. */
+struct UpstreamTableOptions
+{
+    core::Location self;
+    std::map<core::AvailabilityZoneId, core::RegionId> regionOfZone;
+    /** Loss by the volume price of an exchange with another zone of the region. */
+    double crossZoneLoss = 0.06;
+    /** Loss by the volume price and 40 ms of an exchange with another region. */
+    double crossRegionLoss = 0.3;
+    /** Value that is lost when an answer comes after the route's target latency. */
+    double lateLoss = 0.7;
+    /** Requests in an upstream, as a multiple of its slots, above which it is not chosen. More
+     * would wait there, out of reach of priorities and deadlines. */
+    double maxOccupancy = 2.0;
+    /** Time in which an estimate of failures fades by half when nothing new is learned. */
+    core::Micros failureHalfLife {core::Millis(2500)};
+    /** Weight of the newest outcome in the estimate of failures. */
+    double failureGain = 0.65;
+    /** Weight of a good outcome; an upstream that fails in parts must not look sound at once. */
+    double successGain = 0.4;
+    /** Part of the estimate of failures that matters for a request that may be sent again. */
+    double repeatableFactor = 0.4;
+    /** Time in which another VM's load report loses half of its weight. */
+    core::Micros loadHalfLife {core::Millis(300)};
+    /** Weight of the newest duration in the estimates of work times. */
+    double durationGain = 0.1;
+    /** Slowness of an upstream that has just started. */
+    double coldFactor = 2.0;
+};
+
+/** A request that needs an upstream. */
+struct PlacementRequest
+{
+    core::ServiceId service;
+    core::RouteId route;
+    bool idempotent = false;
+    core::Micros targetLatency {0}; ///< Of the route.
+    core::Micros elapsed {0};       ///< Since the arrival of the request.
+    core::Micros timeLeft {0};      ///< Until its deadline.
+    std::vector<core::UpstreamId> tried;
+};
+
+/** The choice for a request. */
+struct Placement
+{
+    core::UpstreamId upstream;
+    std::string address;
+    std::uint16_t port = 0;
+    core::Micros expectedDuration {0}; ///< Of the attempt, with its wait at the upstream.
+    double expectedLoss = 0;
+    double failureEstimate = 0;
+};
+
+/** Why no upstream was chosen. */
+enum class NoPlacement : std::uint8_t {
+    NoUpstream, ///< The service has no upstream that takes new work.
+    AllBusy,    ///< Each has as much work as it may have; a wait may help.
+    TooLate,    ///< None would answer before the deadline.
+};
+
+/** The outcome of a choice. */
+struct PlacementResult
+{
+    std::optional<Placement> placement;
+    NoPlacement reason = NoPlacement::NoUpstream; ///< Set if there is no placement.
+};
+
+/** The end of an attempt. */
+struct AttemptRecord
+{
+    core::UpstreamId upstream;
+    core::RouteId route;
+    AttemptEnd end = AttemptEnd::Answered;
+    core::MonoTime startedAt {};
+    core::MonoTime endedAt {};
+    std::optional<LoadReport> load;
+    bool leaving = false; ///< The answer said that the upstream is shutting down.
+};
+
+/**
+ * All decisions about upstreams on one VM: which are live, how likely each fails, how loaded and
+ * how fast it is, and which one a request goes to. Without threads, sockets or clocks.
+ */
+class UpstreamTable
+{
+public:
+    /** @param options Place of this VM and weights. @param seed For ties between equals. */
+    UpstreamTable(UpstreamTableOptions options, std::uint64_t seed);
+
+    /** Adds or replaces an entry of the list of live upstreams. */
+    void update(core::MonoTime now, const UpstreamEntry &entry);
+    /** Removes an entry. Attempts that are under way go on. */
+    void remove(const core::UpstreamId &id);
+    /** @return The ids of all entries. */
+    std::vector<core::UpstreamId> ids() const;
+    /** @return The entry of an upstream, or nullptr. */
+    const UpstreamEntry *find(const core::UpstreamId &id) const;
+
+    /** Chooses the upstream with the lowest expected loss. Call started() for the choice. */
+    PlacementResult choose(core::MonoTime now, const PlacementRequest &request);
+    /** Records that the attempt of a placement is about to be sent. */
+    void started(core::MonoTime now, const Placement &placement);
+    /** Records the end of an attempt. */
+    void finished(const AttemptRecord &record);
+    /** Takes in another VM's report that an upstream failed a request. */
+    void failureReported(core::MonoTime now, const core::UpstreamId &id);
+    /** @return Work time of a route's requests, without waits; the target's third if unknown. */
+    core::Micros expectedWork(const core::RouteId &route, core::Micros targetLatency) const;
+    /** @return Slots of all upstreams of a service that take new work. */
+    int slotsOf(const core::ServiceId &service) const;
+
+private:
+    /** An attempt that has not ended. */
+    struct UnderWay
+    {
+        core::MonoTime startedAt {};
+        core::MonoTime overdueAt {}; ///< From then on it counts as stalled.
+    };
+
+    /** One upstream and what is known of it. */
+    struct Upstream
+    {
+        UpstreamEntry entry;
+        core::MonoTime warmAt {}; ///< End of its slow start.
+        double othersLoad = 0;    ///< Requests of other VMs when it last reported.
+        core::MonoTime loadAt {};
+        double failure = 0; ///< Probability that the next request fails, at failureAt.
+        core::MonoTime failureAt {};
+        double slowness = 1;            ///< Its durations relative to those of its service.
+        std::vector<UnderWay> underWay; ///< Attempts of this VM.
+        bool leaving = false;
+    };
+
+    double failureOf(core::MonoTime now, const Upstream &upstream) const;
+    double overdueFailure(core::MonoTime now, const Upstream &upstream) const;
+    double occupancyOf(core::MonoTime now, const Upstream &upstream) const;
+    double distanceLoss(const Upstream &upstream) const;
+    core::Micros expectedDuration(core::MonoTime now, const Upstream &upstream,
+                                  const PlacementRequest &request) const;
+    double latenessLoss(core::Micros finish, core::Micros target) const;
+    void learnFailure(core::MonoTime now, Upstream &upstream, bool failed);
+    void learnDuration(const AttemptRecord &record, Upstream &upstream);
+    void learnLoad(const AttemptRecord &record, Upstream &upstream) const;
+
+    UpstreamTableOptions options_;
+    std::mt19937_64 random_;
+    std::map<core::UpstreamId, Upstream> upstreams_;
+    std::unordered_map<core::RouteId, double, core::StrongHash> workSeconds_;
+};
+
+} // namespace teaselreach::proxy
--- /dev/null
+++ b/src/proxy/wait_queue.cpp
@@ -0,0 +1,84 @@
+/** @file wait_queue.cpp Requests that wait for an upstream, in the order in which they go. */
+#include "proxy/wait_queue_base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaselreach::proxy {
+
+WaitQueue::WaitQueue(WaitQueueOptions options)
+    : options_(options)
+{ }
+
+WaitQueue::FlowKey WaitQueue::keyOf(const WaitRequest &request)
+{
+    return {request.accountPriority, request.routePriority, request.account};
+}
+
+bool WaitQueue::isTooLate(core::MonoTime now, const WaitRequest &request) const
+{
+    return now + request.expectedWork > request.deadline;
+}
+
+bool WaitQueue::enqueue(core::MonoTime now, const WaitRequest &request, double slots)
+{
+    if (requests_.size() >= options_.maxWaiting || isTooLate(now, request))
+        return false;
+    // Everyone ahead with the same or more importance goes first in the worst case.
+    std::size_t ahead = 0;
+    for (const auto &[key, flow] : flows_) {
+        if (key <= keyOf(request))
+            ahead += flow.tickets.size();
+    }
+    const auto wait = std::chrono::duration_cast<core::Micros>(
+        request.expectedWork * (static_cast<double>(ahead) / std::max(1.0, slots)));
+    if (now + wait + request.expectedWork > request.deadline)
+        return false;
+    Flow &flow = flows_[keyOf(request)];
+    if (flow.tickets.empty()) {
+        flow.stride =
+            std::pow(options_.priorityStep, request.accountPriority * 0.5 + request.routePriority);
+        flow.position = std::max(flow.position, position_);
+    }
+    flow.tickets.push_back(request.ticket);
+    requests_.emplace(request.ticket, request);
+    return true;
+}
+
+WaitTurn WaitQueue::turn(core::MonoTime now)
+{
+    WaitTurn result;
+    for (const auto &[ticket, request] : requests_) {
+        if (isTooLate(now, request))
+            result.tooLate.push_back(ticket);
+    }
+    for (const WaitTicket ticket : result.tooLate)
+        remove(ticket, false);
+    const Flow *best = nullptr;
+    for (const auto &[key, flow] : flows_) {
+        if (best == nullptr || flow.position < best->position)
+            best = &flow;
+    }
+    if (best != nullptr)
+        result.next = best->tickets.front();
+    return result;
+}
+
+void WaitQueue::remove(WaitTicket ticket, bool served)
+{
+    const auto found = requests_.find(ticket);
+    if (found == requests_.end())
+        return;
+    const auto flowFound = flows_.find(keyOf(found->second));
+    Flow &flow = flowFound->second;
+    std::erase(flow.tickets, ticket);
+    if (served) {
+        position_ = flow.position;
+        flow.position += flow.stride;
+    }
+    if (flow.tickets.empty())
+        flows_.erase(flowFound);
+    requests_.erase(found);
+}
+
+} // namespace teaselreach::proxy
