--- a/src/proxy/asio_type.h
+++ b/src/proxy/asio_type.h
@@ -1,6 +1,11 @@
 /** @file asio_type.h Boost.Asio and Boost.Beast names that the event loop uses. */
 #pragma once
 
+// Boost 1.74's awaitable.hpp needs <utility> and does not include it.
+// clang-format off
+#include <utility>
+// clang-format on
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,8 +17,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-#include <utility> // Boost 1.74's awaitable.hpp needs it and does not include it.
-
 namespace teaselreach::proxy {
 
 namespace asio = boost::asio;
