--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -284,6 +284,7 @@
     const UpstreamAnswer answer = interpretLinkResult(result, options_.names);
     const AttemptRecord record {.upstream = placement.upstream,
                                 .route = job.route->id,
+                                .attempt = placement.attempt,
                                 .end = answer.end,
                                 .startedAt = startedAt,
                                 .endedAt = now,
--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -119,15 +119,16 @@
     return result;
 }
 
-void UpstreamTable::started(core::MonoTime now, const Placement &placement)
+void UpstreamTable::started(core::MonoTime now, Placement &placement)
 {
+    placement.attempt = ++lastAttempt_;
     const auto found = upstreams_.find(placement.upstream);
     if (found == upstreams_.end())
         return;
     const auto patience = std::max(
         overdueMinimum,
         std::chrono::duration_cast<core::Micros>(overdueFactor * placement.expectedDuration));
-    found->second.underWay.push_back({.startedAt = now, .overdueAt = now + patience});
+    found->second.underWay.push_back({.number = placement.attempt, .overdueAt = now + patience});
 }
 
 void UpstreamTable::finished(const AttemptRecord &record)
@@ -138,7 +139,7 @@
     Upstream &upstream = found->second;
     const auto ended = std::find_if(
         upstream.underWay.begin(), upstream.underWay.end(),
-        [&](const UnderWay &attempt) { return attempt.startedAt == record.startedAt; });
+        [&](const UnderWay &attempt) { return attempt.number == record.attempt; });
     if (ended != upstream.underWay.end())
         upstream.underWay.erase(ended);
     upstream.leaving = upstream.leaving || record.leaving;
@@ -153,16 +154,24 @@
         }
         return;
     }
-    learnFailure(record.endedAt, upstream, countsAsFailure(record.end));
+    const bool failed = countsAsFailure(record.end);
+    // A failed connection may concern this VM's path only. A good outcome is news to others only
+    // if the upstream was taken for sick.
+    constexpr double suspected = 0.4;
+    const bool isNews = failed ? record.end != AttemptEnd::NotSent
+                               : sickAt(record.endedAt, upstream) > suspected;
+    if (isNews)
+        reports_.push_back({.upstream = record.upstream, .failed = failed});
+    learnOutcome(record.endedAt, upstream, failed, options_.soundFailure);
     if (record.end == AttemptEnd::Answered)
         learnDuration(record, upstream);
 }
 
-void UpstreamTable::failureReported(core::MonoTime now, const core::UpstreamId &id)
+void UpstreamTable::outcomeReported(core::MonoTime now, const OutcomeReport &report)
 {
-    const auto found = upstreams_.find(id);
+    const auto found = upstreams_.find(report.upstream);
     if (found != upstreams_.end())
-        learnFailure(now, found->second, true);
+        learnOutcome(now, found->second, report.failed, options_.reportedSoundFailure);
 }
 
 core::Micros UpstreamTable::expectedWork(const core::RouteId &route,
@@ -182,10 +191,17 @@
     return slots;
 }
 
+double UpstreamTable::sickAt(core::MonoTime now, const Upstream &upstream) const
+{
+    const double age = std::max(0.0, seconds(now - upstream.sickAt));
+    return options_.sickPrior
+        + (upstream.sick - options_.sickPrior) * std::exp(-age / seconds(options_.sickSpell));
+}
+
 double UpstreamTable::failureOf(core::MonoTime now, const Upstream &upstream) const
 {
-    const double learned =
-        upstream.failure * decay(now - upstream.failureAt, options_.failureHalfLife);
+    const double sick = sickAt(now, upstream);
+    const double learned = sick * options_.sickFailure + (1 - sick) * options_.soundFailure;
     return std::max(learned, overdueFailure(now, upstream));
 }
 
@@ -236,13 +252,15 @@
     return 0.1 * surelyInTime + options_.lateLoss * late;
 }
 
-void UpstreamTable::learnFailure(core::MonoTime now, Upstream &upstream, bool failed)
+/** Bayes' rule on whether the upstream is sick, given one more outcome. */
+void UpstreamTable::learnOutcome(core::MonoTime now, Upstream &upstream, bool failed,
+                                 double soundFailure)
 {
-    const double present =
-        upstream.failure * decay(now - upstream.failureAt, options_.failureHalfLife);
-    const double gain = failed ? options_.failureGain : options_.successGain;
-    upstream.failure = present + gain * ((failed ? 1.0 : 0.0) - present);
-    upstream.failureAt = now;
+    const double sick = sickAt(now, upstream);
+    const double ifSick = failed ? options_.sickFailure : 1 - options_.sickFailure;
+    const double ifSound = failed ? soundFailure : 1 - soundFailure;
+    upstream.sick = sick * ifSick / (sick * ifSick + (1 - sick) * ifSound);
+    upstream.sickAt = now;
 }
 
 void UpstreamTable::learnDuration(const AttemptRecord &record, Upstream &upstream)
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <random>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace teaselreach::proxy {
@@ -25,12 +26,16 @@
     /** Requests in an upstream, as a multiple of its slots, above which it is not chosen. More
      * would wait there, out of reach of priorities and deadlines. */
     double maxOccupancy = 2.0;
-    /** Time in which an estimate of failures fades by half when nothing new is learned. */
-    core::Micros failureHalfLife {core::Millis(2500)};
-    /** Weight of the newest outcome in the estimate of failures. */
-    double failureGain = 0.65;
-    /** Weight of a good outcome; an upstream that fails in parts must not look sound at once. */
-    double successGain = 0.4;
+    /** Probability that an upstream is sick when nothing is known of it. */
+    double sickPrior = 0.08;
+    /** Mean length of a sick spell: older evidence fades towards the prior with this time. */
+    core::Micros sickSpell {core::Seconds(10)};
+    /** Probability that a sick and that a sound upstream fails a request. A sick one may fail
+     * nearly all requests or half of them. */
+    double sickFailure = 0.75;
+    double soundFailure = 0.015;
+    /** The same for a failure that another VM saw: it may concern only its own path. */
+    double reportedSoundFailure = 0.06;
     /** Part of the estimate of failures that matters for a request that may be sent again. */
     double repeatableFactor = 0.4;
     /** Time in which another VM's load report loses half of its weight. */
@@ -62,6 +67,7 @@
     core::Micros expectedDuration {0}; ///< Of the attempt, with its wait at the upstream.
     double expectedLoss = 0;
     double failureEstimate = 0;
+    std::uint64_t attempt = 0; ///< Names the attempt in its record; set by started().
 };
 
 /** Why no upstream was chosen. */
@@ -83,6 +89,7 @@
 {
     core::UpstreamId upstream;
     core::RouteId route;
+    std::uint64_t attempt = 0; ///< Placement::attempt.
     AttemptEnd end = AttemptEnd::Answered;
     core::MonoTime startedAt {};
     core::MonoTime endedAt {};
@@ -90,6 +97,13 @@
     bool leaving = false; ///< The answer said that the upstream is shutting down.
 };
 
+/** An outcome that VMs tell each other. */
+struct OutcomeReport
+{
+    core::UpstreamId upstream;
+    bool failed = false;
+};
+
 /**
  * All decisions about upstreams on one VM: which are live, how likely each fails, how loaded and
  * how fast it is, and which one a request goes to. Without threads, sockets or clocks.
@@ -111,12 +125,14 @@
 
     /** Chooses the upstream with the lowest expected loss. Call started() for the choice. */
     PlacementResult choose(core::MonoTime now, const PlacementRequest &request);
-    /** Records that the attempt of a placement is about to be sent. */
-    void started(core::MonoTime now, const Placement &placement);
+    /** Records that the attempt of a placement is about to be sent, and numbers it. */
+    void started(core::MonoTime now, Placement &placement);
     /** Records the end of an attempt. */
     void finished(const AttemptRecord &record);
-    /** Takes in another VM's report that an upstream failed a request. */
-    void failureReported(core::MonoTime now, const core::UpstreamId &id);
+    /** Takes in another VM's report of an outcome that changes what is believed of an upstream. */
+    void outcomeReported(core::MonoTime now, const OutcomeReport &report);
+    /** @return What other VMs should know since the last call. */
+    std::vector<OutcomeReport> takeReports() { return std::exchange(reports_, {}); }
     /** @return Work time of a route's requests, without waits; the target's third if unknown. */
     core::Micros expectedWork(const core::RouteId &route, core::Micros targetLatency) const;
     /** @return Slots of all upstreams of a service that take new work. */
@@ -126,7 +142,7 @@
     /** An attempt that has not ended. */
     struct UnderWay
     {
-        core::MonoTime startedAt {};
+        std::uint64_t number = 0;
         core::MonoTime overdueAt {}; ///< From then on it counts as stalled.
     };
 
@@ -137,13 +153,14 @@
         core::MonoTime warmAt {}; ///< End of its slow start.
         double othersLoad = 0;    ///< Requests of other VMs when it last reported.
         core::MonoTime loadAt {};
-        double failure = 0; ///< Probability that the next request fails, at failureAt.
-        core::MonoTime failureAt {};
+        double sick = 0; ///< Probability that it is sick, at sickAt.
+        core::MonoTime sickAt {};
         double slowness = 1;            ///< Its durations relative to those of its service.
         std::vector<UnderWay> underWay; ///< Attempts of this VM.
         bool leaving = false;
     };
 
+    double sickAt(core::MonoTime now, const Upstream &upstream) const;
     double failureOf(core::MonoTime now, const Upstream &upstream) const;
     double overdueFailure(core::MonoTime now, const Upstream &upstream) const;
     double occupancyOf(core::MonoTime now, const Upstream &upstream) const;
@@ -151,7 +168,7 @@
     core::Micros expectedDuration(core::MonoTime now, const Upstream &upstream,
                                   const PlacementRequest &request) const;
     double latenessLoss(core::Micros finish, core::Micros target) const;
-    void learnFailure(core::MonoTime now, Upstream &upstream, bool failed);
+    void learnOutcome(core::MonoTime now, Upstream &upstream, bool failed, double soundFailure);
     void learnDuration(const AttemptRecord &record, Upstream &upstream);
     void learnLoad(const AttemptRecord &record, Upstream &upstream) const;
 
@@ -159,6 +176,8 @@
     std::mt19937_64 random_;
     std::map<core::UpstreamId, Upstream> upstreams_;
     std::unordered_map<core::RouteId, double, core::StrongHash> workSeconds_;
+    std::vector<OutcomeReport> reports_;
+    std::uint64_t lastAttempt_ = 0;
 };
 
 } // namespace teaselreach::proxy
