--- a/src/proxy/account_share.cpp
+++ b/src/proxy/account_share.cpp
@@ -9,14 +9,20 @@
     : options_(options)
 { }
 
-void AccountShare::setPart(core::MonoTime, double part)
+void AccountShare::setPart(core::MonoTime now, double part)
 {
+    if (!startedAt_)
+        startedAt_ = now;
     part_ = std::clamp(part, 0.0, 1.0);
 }
 
 double AccountShare::burstOf(const Account &account) const
 {
-    return std::max(options_.minimumBurst, account.burst * part_);
+    const double window = std::chrono::duration<double>(options_.window).count();
+    const double overrun = options_.overrunRatio * (account.ratePerSecond * window + account.burst)
+        + options_.overrunRequests;
+    return std::max(options_.minimumBurst,
+                    (account.burst + options_.overrunUsed * overrun) * part_);
 }
 
 AccountShare::Bucket &AccountShare::refill(core::MonoTime now, const Account &account)
--- a/src/proxy/account_share_base.h
+++ b/src/proxy/account_share_base.h
@@ -3,6 +3,7 @@
 
 #include "proxy/proxy_type.h"
 
+#include <optional>
 #include <unordered_map>
 
 namespace teaselreach::proxy {
@@ -10,11 +11,16 @@
 /** How a limit is divided between VMs. */
 struct AccountShareOptions
 {
-    /** Part of the rate at which a bucket of a VM that has just started is filled: none of the
-     * tokens that the process before it may have used are given out again. */
-    double initialLevel = 0.25;
     /** Smallest bucket of a VM, in requests, so that a small part still lets single requests in. */
     double minimumBurst = 1;
+    /** What the operators allow beyond rate and burst in a window, over all VMs: a ratio and a
+     * number of requests. It widens the buckets, since parts of a small burst would refuse requests
+     * that a single bucket for the fleet lets in. */
+    double overrunRatio = 0;
+    double overrunRequests = 0;
+    core::Micros window {core::Seconds(5)};
+    /** Part of the allowed overrun that is used. The rest covers requests under way. */
+    double overrunUsed = 0.6;
 };
 
 /**
@@ -51,6 +57,7 @@
 
     AccountShareOptions options_;
     double part_ = 0;
+    std::optional<core::MonoTime> startedAt_; ///< When this VM first had a part.
     std::unordered_map<core::ClientAccountId, Bucket, core::StrongHash> buckets_;
 };
 
--- a/src/proxy/entry_choice.cpp
+++ b/src/proxy/entry_choice.cpp
@@ -78,6 +78,26 @@
                        [&](const EntryMember *member) { return member->id == id; });
 }
 
+std::vector<std::string> EntryChoice::peersOf(const core::VmId &id) const
+{
+    std::vector<std::string> peers;
+    const auto self = members_.find(id);
+    if (self == members_.end())
+        return peers;
+    std::set<core::AvailabilityZoneId> zones;
+    for (const auto &[memberId, member] : members_) {
+        if (member.location.region == self->second.location.region)
+            zones.insert(member.location.availabilityZone);
+    }
+    for (const core::AvailabilityZoneId &zone : zones) {
+        for (const EntryMember *member : activeOf(zone)) {
+            if (member->id != id)
+                peers.push_back(member->peerAddress);
+        }
+    }
+    return peers;
+}
+
 double EntryChoice::partOf(core::MonoTime now, const core::VmId &id)
 {
     std::erase_if(departed_,
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -3,6 +3,7 @@
 
 #include "metrics/registry_base.h"
 #include "proxy/fleet_sync_base.h"
+#include "proxy/peer_messenger_base.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -34,7 +35,9 @@
     ListenAddress callers;
     ListenAddress readiness;
     ListenAddress directory;
+    ListenAddress peers; ///< For messages between VMs, over UDP.
     std::optional<ListenAddress> metrics;
+    AccountShareOptions shares;
     RequestFlowOptions flow;
     ShutdownOptions shutdown;
     std::uint64_t seed = 0; ///< For all choices by chance; differs between processes.
@@ -72,7 +75,7 @@
         , options_(std::move(options))
         , upstreams_({.self = options_.self.location, .regionOfZone = options_.regionOfZone},
                      options_.seed)
-        , shares_({})
+        , shares_(options_.shares)
         , entries_({})
         , flow_({.context = context,
                  .upstreams = upstreams_,
@@ -83,6 +86,8 @@
                  options_.self.id)
         , sync_({.context = context, .store = store, .state = state_}, {.self = options_.self},
                 options_.seed)
+        , peers_(context, options_.peers.address, options_.peers.port,
+                 [this](const std::vector<OutcomeReport> &reports) { takeReports(reports); })
         , callers_(context, options_.callers.address, options_.callers.port, callerHandlers())
         , readiness_(
               context, options_.readiness.address, options_.readiness.port,
@@ -206,6 +211,7 @@
             co_await timer.async_wait(storeError(ignored));
             const core::MonoTime now = core::MonoClock::now();
             flow_.pump(now);
+            sendReports();
             if (count % staleEvery == 0)
                 tidy(now);
             if (leavingSince_)
@@ -213,6 +219,23 @@
         }
     }
 
+    /** Tells the VMs that use the same upstreams what was learned of them. */
+    void sendReports()
+    {
+        const std::vector<OutcomeReport> reports = upstreams_.takeReports();
+        if (reports.empty())
+            return;
+        for (const std::string &peer : entries_.peersOf(options_.self.id))
+            peers_.send(peer, reports);
+    }
+
+    void takeReports(const std::vector<OutcomeReport> &reports)
+    {
+        const core::MonoTime now = core::MonoClock::now();
+        for (const OutcomeReport &report : reports)
+            upstreams_.outcomeReported(now, report);
+    }
+
     void tidy(core::MonoTime now)
     {
         state_.tick(now);
@@ -255,6 +278,7 @@
     RequestFlow flow_;
     FleetState state_;
     FleetSync<Store> sync_;
+    PeerMessenger peers_;
     CallerServer callers_;
     CallerServer readiness_;
     CallerServer directoryServer_;
--- /dev/null
+++ b/src/proxy/peer_messenger.cpp
@@ -0,0 +1,95 @@
+/** @file peer_messenger.cpp Messages between VMs on what they learned of upstreams. */
+#include "core/log_func.h"
+#include "http/server_base.h"
+#include "proxy/peer_messenger_base.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace teaselreach::proxy {
+
+namespace {
+
+/** Reports in one datagram, so that it fits into one packet. */
+constexpr std::size_t maxReports = 40;
+
+} // namespace
+
+std::string encodeReports(const std::vector<OutcomeReport> &reports)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const OutcomeReport &report : reports) {
+        if (list.size() == maxReports)
+            break;
+        list.push_back({report.upstream.str(), report.failed});
+    }
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(list);
+    return {bytes.begin(), bytes.end()};
+}
+
+std::vector<OutcomeReport> decodeReports(std::string_view datagram)
+{
+    std::vector<OutcomeReport> reports;
+    try {
+        for (const nlohmann::json &entry :
+             nlohmann::json::from_msgpack(datagram.begin(), datagram.end())) {
+            reports.push_back({.upstream = core::UpstreamId(entry.at(0).get<std::string>()),
+                               .failed = entry.at(1).get<bool>()});
+        }
+    } catch (const nlohmann::json::exception &error) {
+        core::logEvent(core::LogLevel::Warn, "peer_message_malformed", {{"detail", error.what()}});
+        reports.clear();
+    }
+    return reports;
+}
+
+PeerMessenger::PeerMessenger(asio::io_context &context, const std::string &address,
+                             std::uint16_t port, Receiver receiver)
+    : socket_(context)
+    , receiver_(std::move(receiver))
+{
+    ErrorCode error;
+    const auto number = asio::ip::make_address_v4(address, error);
+    if (!error)
+        socket_.open(asio::ip::udp::v4(), error);
+    if (!error)
+        socket_.bind({number, port}, error);
+    if (!error)
+        socket_.non_blocking(true, error);
+    if (error)
+        throw http::ServerUnavailable(address + ":" + std::to_string(port)
+                                      + "/udp: " + error.message());
+    asio::co_spawn(
+        context, [this]() { return receiveAll(); }, asio::detached);
+}
+
+void PeerMessenger::send(const std::string &peer, const std::vector<OutcomeReport> &reports)
+{
+    const std::size_t colon = peer.find(':');
+    std::uint16_t port = 0;
+    ErrorCode error;
+    if (colon != std::string::npos)
+        std::from_chars(peer.data() + colon + 1, peer.data() + peer.size(), port);
+    const auto number = asio::ip::make_address_v4(peer.substr(0, colon), error);
+    if (!error)
+        socket_.send_to(asio::buffer(encodeReports(reports)), {number, port}, 0, error);
+    if (error)
+        core::logEvent(core::LogLevel::Debug, "peer_message_not_sent",
+                       {{"peer", peer}, {"detail", error.message()}});
+}
+
+asio::awaitable<void> PeerMessenger::receiveAll()
+{
+    while (socket_.is_open()) {
+        asio::ip::udp::endpoint sender;
+        ErrorCode error;
+        const std::size_t size =
+            co_await socket_.async_receive_from(asio::buffer(buffer_), sender, storeError(error));
+        // An error of one datagram, such as an unreachable peer, says nothing of the next.
+        if (!error)
+            receiver_(decodeReports({buffer_.data(), size}));
+    }
+}
+
+} // namespace teaselreach::proxy
--- a/src/proxy/proxy_type.h
+++ b/src/proxy/proxy_type.h
@@ -85,6 +85,7 @@
     core::VmId id;
     core::Location location;
     std::string callerAddress; ///< IPv4 number and port, as callers use it.
+    std::string peerAddress;   ///< IPv4 number and port for messages of other VMs.
     bool accepting = true;     ///< False once it shuts down.
 
     bool operator==(const EntryMember &) const = default;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -165,7 +165,7 @@
     const std::shared_ptr<ServiceQueue> queue = (queueOf(job.service), queues_.at(job.service));
     const core::MonoTime now = core::MonoClock::now();
     if (queue->order.size() == 0) {
-        const PlacementResult result = parts_.upstreams.choose(now, placementRequest(job, now));
+        PlacementResult result = parts_.upstreams.choose(now, placementRequest(job, now));
         if (result.placement) {
             parts_.upstreams.started(now, *result.placement);
             co_return result;
--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -137,9 +137,9 @@
     if (found == upstreams_.end())
         return;
     Upstream &upstream = found->second;
-    const auto ended = std::find_if(
-        upstream.underWay.begin(), upstream.underWay.end(),
-        [&](const UnderWay &attempt) { return attempt.number == record.attempt; });
+    const auto ended =
+        std::find_if(upstream.underWay.begin(), upstream.underWay.end(),
+                     [&](const UnderWay &attempt) { return attempt.number == record.attempt; });
     if (ended != upstream.underWay.end())
         upstream.underWay.erase(ended);
     upstream.leaving = upstream.leaving || record.leaving;
@@ -158,8 +158,8 @@
     // A failed connection may concern this VM's path only. A good outcome is news to others only
     // if the upstream was taken for sick.
     constexpr double suspected = 0.4;
-    const bool isNews = failed ? record.end != AttemptEnd::NotSent
-                               : sickAt(record.endedAt, upstream) > suspected;
+    const bool isNews =
+        failed ? record.end != AttemptEnd::NotSent : sickAt(record.endedAt, upstream) > suspected;
     if (isNews)
         reports_.push_back({.upstream = record.upstream, .failed = failed});
     learnOutcome(record.endedAt, upstream, failed, options_.soundFailure);
