--- a/src/proxy/account_share.cpp
+++ b/src/proxy/account_share.cpp
@@ -29,9 +29,10 @@
 {
     auto [found, isNew] = buckets_.try_emplace(account.id);
     Bucket &bucket = found->second;
+    // Filled from the start of this process on: what the process before it gave out is not given
+    // out again.
     if (isNew)
-        bucket = {.level = std::max(1.0, options_.initialLevel * burstOf(account)),
-                  .filledAt = now};
+        bucket = {.level = 1, .filledAt = startedAt_.value_or(now)};
     const double seconds = std::chrono::duration<double>(now - bucket.filledAt).count();
     bucket.level = std::min(burstOf(account),
                             bucket.level + std::max(0.0, seconds) * account.ratePerSecond * part_);
