--- a/src/proxy/fleet_state.cpp
+++ b/src/proxy/fleet_state.cpp
@@ -3,6 +3,7 @@
 #include "proxy/fleet_state_base.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace teaselreach::proxy {
 
@@ -22,6 +23,24 @@
                     {"version_before", before.count()},
                     {"routes", static_cast<std::int64_t>(configuration.routes.size())},
                     {"accounts", static_cast<std::int64_t>(configuration.accounts.size())}});
+    for (const Account &account : configuration.accounts) {
+        const Account *old = nullptr;
+        if (present) {
+            const auto &accounts = present->configuration().accounts;
+            const auto found =
+                std::find_if(accounts.begin(), accounts.end(),
+                             [&](const Account &candidate) { return candidate.id == account.id; });
+            old = found == accounts.end() ? nullptr : &*found;
+        }
+        if (old != nullptr && old->ratePerSecond == account.ratePerSecond
+            && old->burst == account.burst)
+            continue;
+        core::logEvent(core::LogLevel::Info, "limit_changed",
+                       {{"account", account.id.str()},
+                        {"version", configuration.version.count()},
+                        {"rate_per_s", std::llround(account.ratePerSecond)},
+                        {"burst", std::llround(account.burst)}});
+    }
     parts_.flow.configure(std::make_shared<const RouteTable>(std::move(configuration)));
 }
 
