--- a/src/proxy/account_share.cpp
+++ b/src/proxy/account_share.cpp
@@ -1,7 +1,8 @@
-/** @file account_share.cpp This VM's part of each client account's rate and burst. */
+/** @file account_share.cpp This VM's part of each client account's limit. */
 #include "proxy/account_share_base.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace teaselreach::proxy {
 
@@ -9,64 +10,82 @@
     : options_(options)
 { }
 
-void AccountShare::setPart(core::MonoTime now, double part)
+void AccountShare::setPart(double part)
 {
-    if (!startedAt_)
-        startedAt_ = now;
     part_ = std::clamp(part, 0.0, 1.0);
 }
 
-double AccountShare::burstOf(const Account &account) const
+AccountShare::Window &AccountShare::windowOf(core::MonoTime now,
+                                             const core::ClientAccountId &account)
 {
-    const double window = std::chrono::duration<double>(options_.window).count();
-    const double overrun = options_.overrunRatio * (account.ratePerSecond * window + account.burst)
-        + options_.overrunRequests;
-    return std::max(options_.minimumBurst,
-                    (account.burst + options_.overrunUsed * overrun) * part_);
+    Window &window = windows_[account];
+    while (!window.empty() && now - window.front() > options_.window)
+        window.pop_front();
+    return window;
 }
 
-AccountShare::Bucket &AccountShare::refill(core::MonoTime now, const Account &account)
+std::size_t AccountShare::limitOf(core::MonoTime now, const Account &account) const
 {
-    auto [found, isNew] = buckets_.try_emplace(account.id);
-    Bucket &bucket = found->second;
-    // Filled from the start of this process on: what the process before it gave out is not given
-    // out again.
-    if (isNew)
-        bucket = {.level = 1, .filledAt = startedAt_.value_or(now)};
-    const double seconds = std::chrono::duration<double>(now - bucket.filledAt).count();
-    bucket.level = std::min(burstOf(account),
-                            bucket.level + std::max(0.0, seconds) * account.ratePerSecond * part_);
-    bucket.filledAt = now;
-    return bucket;
+    const double seconds = std::chrono::duration<double>(options_.window).count();
+    const double plain = account.ratePerSecond * seconds + account.burst;
+    const double allowed = plain * (1 + options_.overrunRatio) + options_.overrunRequests;
+    double limit = std::max(plain, allowed * options_.used) * part_;
+    if (restartedAt_) {
+        const double age = std::chrono::duration<double>(now - *restartedAt_).count();
+        limit *= std::min(
+            1.0, options_.partAfterRestart + (1 - options_.partAfterRestart) * age / seconds);
+    }
+    // Even the smallest part lets a single request in.
+    return static_cast<std::size_t>(std::max(1.0, std::floor(limit)));
 }
 
 bool AccountShare::admit(core::MonoTime now, const Account &account)
 {
     if (account.ratePerSecond <= 0)
         return true;
-    Bucket &bucket = refill(now, account);
-    if (bucket.level < 1)
+    Window &window = windowOf(now, account.id);
+    if (window.size() >= limitOf(now, account))
         return false;
-    bucket.level -= 1;
+    window.push_back(now);
+    ++unreported_[account.id];
     return true;
 }
 
-core::Micros AccountShare::timeToToken(core::MonoTime now, const Account &account)
+core::Micros AccountShare::timeToRoom(core::MonoTime now, const Account &account)
 {
-    const double rate = account.ratePerSecond * part_;
-    const double missing = 1 - refill(now, account).level;
-    if (missing <= 0)
+    const Window &window = windowOf(now, account.id);
+    const std::size_t limit = limitOf(now, account);
+    if (window.size() < limit)
         return core::Micros(0);
-    constexpr double longest = 60; // Seconds; a VM without a part has no better answer.
-    const double seconds = rate > 0 ? std::min(longest, missing / rate) : longest;
-    return std::chrono::duration_cast<core::Micros>(std::chrono::duration<double>(seconds));
+    // Room comes when all but limit - 1 of the counted requests have left the window.
+    return window[window.size() - limit] + options_.window - now;
 }
 
 void AccountShare::giveBack(const Account &account)
 {
-    const auto found = buckets_.find(account.id);
-    if (found != buckets_.end())
-        found->second.level = std::min(burstOf(account), found->second.level + 1);
+    const auto found = windows_.find(account.id);
+    if (found == windows_.end() || found->second.empty())
+        return;
+    found->second.pop_back();
+    --unreported_[account.id];
+}
+
+void AccountShare::reported(core::MonoTime now, const AccountUsage &usage)
+{
+    Window &window = windowOf(now, usage.account);
+    for (int i = 0; i < usage.requests; ++i)
+        window.push_back(now);
+}
+
+std::vector<AccountUsage> AccountShare::takeUsage()
+{
+    std::vector<AccountUsage> usage;
+    for (const auto &[account, requests] : unreported_) {
+        if (requests > 0)
+            usage.push_back({.account = account, .requests = requests});
+    }
+    unreported_.clear();
+    return usage;
 }
 
 } // namespace teaselreach::proxy
--- a/src/proxy/account_share_base.h
+++ b/src/proxy/account_share_base.h
@@ -1,64 +1,78 @@
-/** @file account_share_base.h This VM's part of each client account's rate and burst. */
+/** @file account_share_base.h This VM's part of each client account's limit. */
 #pragma once
 
 #include "proxy/proxy_type.h"
 
+#include <deque>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace teaselreach::proxy {
 
-/** How a limit is divided between VMs. */
+/** How a limit is counted. */
 struct AccountShareOptions
 {
-    /** Smallest bucket of a VM, in requests, so that a small part still lets single requests in. */
-    double minimumBurst = 1;
+    /** Length of the window in which requests are counted. */
+    core::Micros window {core::Seconds(5)};
     /** What the operators allow beyond rate and burst in a window, over all VMs: a ratio and a
-     * number of requests. It widens the buckets, since parts of a small burst would refuse requests
-     * that a single bucket for the fleet lets in. */
+     * number of requests. */
     double overrunRatio = 0;
     double overrunRequests = 0;
-    core::Micros window {core::Seconds(5)};
-    /** Part of the allowed overrun that is used. The rest covers requests under way. */
-    double overrunUsed = 0.6;
+    /** Part of the allowance that is given out when an overrun is allowed. The rest covers what
+     * VMs admit before they hear of each other. */
+    double used = 0.92;
+    /** Part of the limit that a restarted process gives out at once; the rest follows over one
+     * window. What the process before it admitted is not known. */
+    double partAfterRestart = 0.35;
+};
+
+/** Requests of an account that a VM admitted. */
+struct AccountUsage
+{
+    core::ClientAccountId account;
+    int requests = 0;
 };
 
 /**
- * Token buckets that hold a fixed part of each account's limit. The parts of all VMs add up to at
- * most one, so the sum over the fleet stays within the limit without messages.
+ * Counts the admitted requests of each account in a sliding window, own ones and those that other
+ * VMs of the same pool report, against the pool's part of the limit. The parts of all pools add up
+ * to at most one, so the sum over the fleet stays within the limit without a message between pools.
  */
 class AccountShare
 {
 public:
-    /** @param options How limits are divided. */
+    /** @param options How a limit is counted. */
     explicit AccountShare(AccountShareOptions options);
 
-    /** @param part This VM's part of every limit, 0 to 1. */
-    void setPart(core::MonoTime now, double part);
-    /** @return Whether a request of the account is within this VM's part; takes a token if so. */
+    /** Records that this process follows an earlier one. */
+    void restarted(core::MonoTime now) { restartedAt_ = now; }
+    /** @param part The pool's part of every limit, 0 to 1. */
+    void setPart(double part);
+    /** @return Whether a request of the account is within the limit; counts it if so. */
     bool admit(core::MonoTime now, const Account &account);
     /** @return Time until admit() may succeed for the account. */
-    core::Micros timeToToken(core::MonoTime now, const Account &account);
-    /** Gives back the token of a request that was not passed on to an upstream. */
+    core::Micros timeToRoom(core::MonoTime now, const Account &account);
+    /** Takes back the count of a request that was not passed on to an upstream. */
     void giveBack(const Account &account);
-    /** @return Present part. */
+    /** Counts what another VM of the pool admitted. */
+    void reported(core::MonoTime now, const AccountUsage &usage);
+    /** @return What this VM admitted since the last call. */
+    std::vector<AccountUsage> takeUsage();
+    /** @return The pool's part. */
     double part() const { return part_; }
 
 private:
-    /** One account's tokens on this VM. */
-    struct Bucket
-    {
-        double level = 0;
-        core::MonoTime filledAt {};
-    };
+    using Window = std::deque<core::MonoTime>;
 
-    double burstOf(const Account &account) const;
-    Bucket &refill(core::MonoTime now, const Account &account);
+    Window &windowOf(core::MonoTime now, const core::ClientAccountId &account);
+    std::size_t limitOf(core::MonoTime now, const Account &account) const;
 
     AccountShareOptions options_;
     double part_ = 0;
-    std::optional<core::MonoTime> startedAt_; ///< When this VM first had a part.
-    std::unordered_map<core::ClientAccountId, Bucket, core::StrongHash> buckets_;
+    std::optional<core::MonoTime> restartedAt_;
+    std::unordered_map<core::ClientAccountId, Window, core::StrongHash> windows_;
+    std::unordered_map<core::ClientAccountId, int, core::StrongHash> unreported_;
 };
 
 } // namespace teaselreach::proxy
--- a/src/proxy/entry_choice.cpp
+++ b/src/proxy/entry_choice.cpp
@@ -78,9 +78,9 @@
                        [&](const EntryMember *member) { return member->id == id; });
 }
 
-std::vector<std::string> EntryChoice::peersOf(const core::VmId &id) const
+std::vector<EntryMember> EntryChoice::peersOf(const core::VmId &id) const
 {
-    std::vector<std::string> peers;
+    std::vector<EntryMember> peers;
     const auto self = members_.find(id);
     if (self == members_.end())
         return peers;
@@ -92,7 +92,7 @@
     for (const core::AvailabilityZoneId &zone : zones) {
         for (const EntryMember *member : activeOf(zone)) {
             if (member->id != id)
-                peers.push_back(member->peerAddress);
+                peers.push_back(*member);
         }
     }
     return peers;
--- a/src/proxy/entry_choice_base.h
+++ b/src/proxy/entry_choice_base.h
@@ -43,8 +43,8 @@
     double partOf(core::MonoTime now, const core::VmId &id);
     /** @return Whether callers are sent to a VM. */
     bool isActive(const core::VmId &id) const;
-    /** @return Addresses for messages to the other active VMs of a VM's region. */
-    std::vector<std::string> peersOf(const core::VmId &id) const;
+    /** @return The other active VMs of a VM's region: its pool. */
+    std::vector<EntryMember> peersOf(const core::VmId &id) const;
     /** @return Registered VMs. */
     std::size_t size() const { return members_.size(); }
 
--- a/src/proxy/fleet_state.cpp
+++ b/src/proxy/fleet_state.cpp
@@ -91,7 +91,6 @@
 {
     for (const core::UpstreamId &id : removals_.takeFinal(now))
         drop(id, "missing_after_store_outage");
-    parts_.shares.setPart(now, parts_.entries.partOf(now, self_));
 }
 
 bool FleetState::ready() const
--- a/src/proxy/fleet_state_base.h
+++ b/src/proxy/fleet_state_base.h
@@ -1,7 +1,6 @@
 /** @file fleet_state_base.h What this VM believes of configuration, upstreams and members. */
 #pragma once
 
-#include "proxy/account_share_base.h"
 #include "proxy/entry_choice_base.h"
 #include "proxy/fleet_store_type.h"
 #include "proxy/removal_hold_base.h"
@@ -22,7 +21,6 @@
         RequestFlow &flow;
         UpstreamTable &upstreams;
         EntryChoice &entries;
-        AccountShare &shares;
     };
 
     /** @param parts Collaborators. @param self This VM. */
@@ -42,7 +40,7 @@
     void keepOnly(core::MonoTime now, const std::vector<core::UpstreamId> &present);
     /** Records that the store answered after it had not. */
     void storeReturned(core::MonoTime now) { removals_.storeReturned(now); }
-    /** Applies held removals and this VM's part of limits; call it several times a second. */
+    /** Applies held removals; call it several times a second. */
     void tick(core::MonoTime now);
     /** @return Whether requests can be served. */
     bool ready() const;
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -40,6 +40,7 @@
     AccountShareOptions shares;
     RequestFlowOptions flow;
     ShutdownOptions shutdown;
+    bool firstStart = true; ///< Of the whole fleet; otherwise an earlier process may have run.
     std::uint64_t seed = 0; ///< For all choices by chance; differs between processes.
 };
 
@@ -82,12 +83,11 @@
                  .shares = shares_,
                  .registry = registry_},
                 options_.flow, options_.seed)
-        , state_({.flow = flow_, .upstreams = upstreams_, .entries = entries_, .shares = shares_},
-                 options_.self.id)
+        , state_({.flow = flow_, .upstreams = upstreams_, .entries = entries_}, options_.self.id)
         , sync_({.context = context, .store = store, .state = state_}, {.self = options_.self},
                 options_.seed)
         , peers_(context, options_.peers.address, options_.peers.port,
-                 [this](const std::vector<OutcomeReport> &reports) { takeReports(reports); })
+                 [this](const PeerMessage &message) { takeMessage(message); })
         , callers_(context, options_.callers.address, options_.callers.port, callerHandlers())
         , readiness_(
               context, options_.readiness.address, options_.readiness.port,
@@ -96,6 +96,8 @@
               context, options_.directory.address, options_.directory.port,
               plainHandlers([this](const HttpRequest &request) { return answerEntry(request); }))
     {
+        if (!options_.firstStart)
+            shares_.restarted(core::MonoClock::now());
         if (options_.metrics)
             metricsServer_.emplace(
                 context, options_.metrics->address, options_.metrics->port,
@@ -128,6 +130,12 @@
     static constexpr core::Millis tickInterval {25};
     /** Ticks between two searches for stale connections. */
     static constexpr int staleEvery = 10;
+    /** Ticks between two messages to the pool, if there is something to tell. */
+    static constexpr int messageEvery = 2;
+    /** Longest time without a message to the pool, and without one from a member of it before its
+     * part of the limits is no longer counted with ours. */
+    static constexpr core::Millis messageInterval {400};
+    static constexpr core::Millis peerTimeout {1300};
 
     CallerHandlers callerHandlers()
     {
@@ -211,7 +219,8 @@
             co_await timer.async_wait(storeError(ignored));
             const core::MonoTime now = core::MonoClock::now();
             flow_.pump(now);
-            sendReports();
+            if (count % messageEvery == 0)
+                sendMessages(now);
             if (count % staleEvery == 0)
                 tidy(now);
             if (leavingSince_)
@@ -219,26 +228,54 @@
         }
     }
 
-    /** Tells the VMs that use the same upstreams what was learned of them. */
-    void sendReports()
+    /** Tells the pool what was learned of upstreams and admitted of limits. */
+    void sendMessages(core::MonoTime now)
     {
-        const std::vector<OutcomeReport> reports = upstreams_.takeReports();
-        if (reports.empty())
+        PeerMessage message {.sender = options_.self.id,
+                             .outcomes = upstreams_.takeReports(),
+                             .usage = shares_.takeUsage()};
+        const bool due = now - messageSentAt_ > messageInterval;
+        if (message.outcomes.empty() && message.usage.empty() && !due)
             return;
-        for (const std::string &peer : entries_.peersOf(options_.self.id))
-            peers_.send(peer, reports);
+        if (!entries_.isActive(options_.self.id))
+            message.usage.clear(); // Counted against a part of its own.
+        messageSentAt_ = now;
+        for (const EntryMember &peer : entries_.peersOf(options_.self.id))
+            peers_.send(peer.peerAddress, message);
     }
 
-    void takeReports(const std::vector<OutcomeReport> &reports)
+    void takeMessage(const PeerMessage &message)
     {
         const core::MonoTime now = core::MonoClock::now();
-        for (const OutcomeReport &report : reports)
+        heardAt_[message.sender] = now;
+        for (const OutcomeReport &report : message.outcomes)
             upstreams_.outcomeReported(now, report);
+        if (!entries_.isActive(options_.self.id))
+            return;
+        for (const AccountUsage &usage : message.usage)
+            shares_.reported(now, usage);
+    }
+
+    /** Sets the parts of limits: of this VM, and of the members of its pool that are heard. */
+    void updateParts(core::MonoTime now)
+    {
+        const double own = entries_.partOf(now, options_.self.id);
+        flow_.setRetryPart(own);
+        double pool = own;
+        if (entries_.isActive(options_.self.id)) {
+            for (const EntryMember &peer : entries_.peersOf(options_.self.id)) {
+                const auto heard = heardAt_.find(peer.id);
+                if (heard != heardAt_.end() && now - heard->second < peerTimeout)
+                    pool += entries_.partOf(now, peer.id);
+            }
+        }
+        shares_.setPart(pool);
     }
 
     void tidy(core::MonoTime now)
     {
         state_.tick(now);
+        updateParts(now);
         flow_.closeStaleLinks(now);
         callers_.closeStale(now);
         readiness_.closeStale(now);
@@ -284,6 +321,8 @@
     CallerServer directoryServer_;
     std::optional<CallerServer> metricsServer_;
     std::optional<core::MonoTime> leavingSince_;
+    core::MonoTime messageSentAt_ {};
+    std::map<core::VmId, core::MonoTime> heardAt_;
 };
 
 } // namespace teaselreach::proxy
--- a/src/proxy/peer_messenger.cpp
+++ b/src/proxy/peer_messenger.cpp
@@ -1,4 +1,4 @@
-/** @file peer_messenger.cpp Messages between VMs on what they learned of upstreams. */
+/** @file peer_messenger.cpp Messages between the VMs of a pool. */
 #include "core/log_func.h"
 #include "http/server_base.h"
 #include "proxy/peer_messenger_base.h"
@@ -11,37 +11,48 @@
 
 namespace {
 
-/** Reports in one datagram, so that it fits into one packet. */
-constexpr std::size_t maxReports = 40;
+/** Entries of each list in one datagram, so that it fits into one packet. */
+constexpr std::size_t maxEntries = 40;
 
 } // namespace
 
-std::string encodeReports(const std::vector<OutcomeReport> &reports)
+std::string encodeMessage(const PeerMessage &message)
 {
-    nlohmann::json list = nlohmann::json::array();
-    for (const OutcomeReport &report : reports) {
-        if (list.size() == maxReports)
-            break;
-        list.push_back({report.upstream.str(), report.failed});
+    nlohmann::json outcomes = nlohmann::json::array();
+    for (const OutcomeReport &report : message.outcomes) {
+        if (outcomes.size() < maxEntries)
+            outcomes.push_back({report.upstream.str(), report.failed});
     }
-    const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(list);
+    nlohmann::json usage = nlohmann::json::array();
+    for (const AccountUsage &entry : message.usage) {
+        if (usage.size() < maxEntries)
+            usage.push_back({entry.account.str(), entry.requests});
+    }
+    const std::vector<std::uint8_t> bytes =
+        nlohmann::json::to_msgpack({message.sender.str(), std::move(outcomes), std::move(usage)});
     return {bytes.begin(), bytes.end()};
 }
 
-std::vector<OutcomeReport> decodeReports(std::string_view datagram)
+std::optional<PeerMessage> decodeMessage(std::string_view datagram)
 {
-    std::vector<OutcomeReport> reports;
     try {
-        for (const nlohmann::json &entry :
-             nlohmann::json::from_msgpack(datagram.begin(), datagram.end())) {
-            reports.push_back({.upstream = core::UpstreamId(entry.at(0).get<std::string>()),
-                               .failed = entry.at(1).get<bool>()});
+        const nlohmann::json body = nlohmann::json::from_msgpack(datagram.begin(), datagram.end());
+        PeerMessage message {.sender = core::VmId(body.at(0).get<std::string>())};
+        for (const nlohmann::json &entry : body.at(1)) {
+            message.outcomes.push_back(
+                {.upstream = core::UpstreamId(entry.at(0).get<std::string>()),
+                 .failed = entry.at(1).get<bool>()});
+        }
+        for (const nlohmann::json &entry : body.at(2)) {
+            message.usage.push_back(
+                {.account = core::ClientAccountId(entry.at(0).get<std::string>()),
+                 .requests = entry.at(1).get<int>()});
         }
+        return message;
     } catch (const nlohmann::json::exception &error) {
         core::logEvent(core::LogLevel::Warn, "peer_message_malformed", {{"detail", error.what()}});
-        reports.clear();
+        return std::nullopt;
     }
-    return reports;
 }
 
 PeerMessenger::PeerMessenger(asio::io_context &context, const std::string &address,
@@ -64,7 +75,7 @@
         context, [this]() { return receiveAll(); }, asio::detached);
 }
 
-void PeerMessenger::send(const std::string &peer, const std::vector<OutcomeReport> &reports)
+void PeerMessenger::send(const std::string &peer, const PeerMessage &message)
 {
     const std::size_t colon = peer.find(':');
     std::uint16_t port = 0;
@@ -73,7 +84,7 @@
         std::from_chars(peer.data() + colon + 1, peer.data() + peer.size(), port);
     const auto number = asio::ip::make_address_v4(peer.substr(0, colon), error);
     if (!error)
-        socket_.send_to(asio::buffer(encodeReports(reports)), {number, port}, 0, error);
+        socket_.send_to(asio::buffer(encodeMessage(message)), {number, port}, 0, error);
     if (error)
         core::logEvent(core::LogLevel::Debug, "peer_message_not_sent",
                        {{"peer", peer}, {"detail", error.message()}});
@@ -87,8 +98,10 @@
         const std::size_t size =
             co_await socket_.async_receive_from(asio::buffer(buffer_), sender, storeError(error));
         // An error of one datagram, such as an unreachable peer, says nothing of the next.
-        if (!error)
-            receiver_(decodeReports({buffer_.data(), size}));
+        if (error)
+            continue;
+        if (const auto message = decodeMessage({buffer_.data(), size}))
+            receiver_(*message);
     }
 }
 
--- a/src/proxy/peer_messenger_base.h
+++ b/src/proxy/peer_messenger_base.h
@@ -1,6 +1,7 @@
-/** @file peer_messenger_base.h Messages between VMs on what they learned of upstreams. */
+/** @file peer_messenger_base.h Messages between the VMs of a pool. */
 #pragma once
 
+#include "proxy/account_share_base.h"
 #include "proxy/asio_type.h"
 #include "proxy/upstream_table_base.h"
 
@@ -8,15 +9,24 @@
 
 #include <array>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace teaselreach::proxy {
 
-/** @return Reports as one datagram (MessagePack). */
-std::string encodeReports(const std::vector<OutcomeReport> &reports);
-/** @return The reports of a datagram; none if it cannot be read. */
-std::vector<OutcomeReport> decodeReports(std::string_view datagram);
+/** What a VM tells the others of its pool. */
+struct PeerMessage
+{
+    core::VmId sender;
+    std::vector<OutcomeReport> outcomes;
+    std::vector<AccountUsage> usage;
+};
+
+/** @return A message as one datagram (MessagePack). */
+std::string encodeMessage(const PeerMessage &message);
+/** @return The message of a datagram, or nothing if it cannot be read. */
+std::optional<PeerMessage> decodeMessage(std::string_view datagram);
 
 /**
  * Sends and receives datagrams. A lost one costs a later detection at one VM and nothing else, so
@@ -25,7 +35,7 @@
 class PeerMessenger
 {
 public:
-    using Receiver = std::function<void(const std::vector<OutcomeReport> &)>;
+    using Receiver = std::function<void(const PeerMessage &)>;
 
     /**
      * @param address IPv4 number. @param port Port. @param receiver Called for each datagram.
@@ -35,7 +45,7 @@
                   Receiver receiver);
 
     /** @param peer Address and port of another VM. */
-    void send(const std::string &peer, const std::vector<OutcomeReport> &reports);
+    void send(const std::string &peer, const PeerMessage &message);
 
 private:
     asio::awaitable<void> receiveAll();
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -141,7 +141,7 @@
         refuse(job,
                {.status = beasthttp::status::too_many_requests,
                 .code = "rate_limited",
-                .retryAfter = parts_.shares.timeToToken(now, *job.account)});
+                .retryAfter = parts_.shares.timeToRoom(now, *job.account)});
         return false;
     }
     job.service = splits_.select(*job.route);
@@ -245,8 +245,7 @@
     if (now + options.softTimeout >= job.deadline)
         options.softTimeout = core::Micros(0);
     options.mayAbandon = [this, &job] {
-        job.repeatGranted =
-            retriesOf(job.service).take(core::MonoClock::now(), parts_.shares.part());
+        job.repeatGranted = retriesOf(job.service).take(core::MonoClock::now(), retryPart_);
         return job.repeatGranted;
     };
     return options;
@@ -329,7 +328,7 @@
         return false;
     if (job.repeatGranted)
         return true;
-    return retriesOf(job.service).take(now, parts_.shares.part());
+    return retriesOf(job.service).take(now, retryPart_);
 }
 
 void RequestFlow::refuse(Job &job, const Refusal &refusal)
