--- a/src/proxy/fleet_sync_base.h
+++ b/src/proxy/fleet_sync_base.h
@@ -13,9 +13,13 @@
 struct FleetSyncOptions
 {
     EntryMember self;
-    /** Longest wait of one watch call. A connection may go silent without a reset: this bounds how
-     * long that goes unnoticed, against the price of a call. */
-    core::Micros watchWait {core::Seconds(3)};
+    /** Longest wait of one watch call. */
+    core::Micros watchWait {core::Seconds(8)};
+    /** The same after a failure: the changes that were missed are to be known at once. */
+    core::Micros watchWaitAfterFailure {core::Millis(100)};
+    /** Shortest loss of the store in which entries of live upstreams may lapse. They are renewed
+     * every 1.5 s and lapse after three intervals, one of which may have passed before. */
+    core::Micros shortestLapse {core::Seconds(1)};
     /** Pause between two watch calls, so that changes in a row share one answer. */
     core::Micros watchPause {core::Millis(150)};
     /** Lifetime of the registration, and the time between renewals. */
@@ -83,6 +87,8 @@
     void storeFailed(const core::Error &error)
     {
         ++failures_;
+        if (failures_ == 1)
+            lostAt_ = core::MonoClock::now();
         if (failures_ == 1)
             core::logEvent(core::LogLevel::Warn, "store_lost",
                            {{"code", error.code()}, {"detail", error.what()}});
@@ -92,9 +98,14 @@
     {
         if (failures_ == 0)
             return;
-        core::logEvent(core::LogLevel::Info, "store_regained", {{"failures", failures_}});
+        const core::MonoTime now = core::MonoClock::now();
+        core::logEvent(
+            core::LogLevel::Info, "store_regained",
+            {{"failures", failures_},
+             {"lost_ms", std::chrono::duration_cast<core::Millis>(now - lostAt_).count()}});
         failures_ = 0;
-        parts_.state.storeReturned(core::MonoClock::now());
+        if (now - lostAt_ >= options_.shortestLapse)
+            parts_.state.storeReturned(now);
     }
 
     asio::awaitable<void> follow()
@@ -137,7 +148,8 @@
 
     asio::awaitable<void> watchOnce()
     {
-        const FleetContents changes = co_await parts_.store.watch(revision_, options_.watchWait);
+        const FleetContents changes = co_await parts_.store.watch(
+            revision_, failures_ == 0 ? options_.watchWait : options_.watchWaitAfterFailure);
         storeAnswered();
         const core::MonoTime now = core::MonoClock::now();
         for (const FleetItem &item : changes.items)
@@ -225,6 +237,7 @@
     std::mt19937_64 random_;
     StoreRevision revision_;
     int failures_ = 0;
+    core::MonoTime lostAt_ {}; ///< Time of the first of the failures.
     bool leaving_ = false;
 };
 
--- a/src/proxy/http_link.cpp
+++ b/src/proxy/http_link.cpp
@@ -2,7 +2,8 @@
 #include "proxy/http_link_base.h"
 
 #include <charconv>
-#include <limits>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace teaselreach::proxy {
@@ -20,6 +21,30 @@
 /** Taken off the idle time that a server states, for the way of a request and slow timers. */
 constexpr core::Micros keepAliveMargin {core::Millis(1500)};
 
+/** Seconds without traffic after which the other side is asked for a sign of life. */
+constexpr int keepAliveIdle = 1;
+/** Seconds until a question without an answer ends the connection. */
+constexpr int keepAliveInterval = 1;
+/** Milliseconds for which sent bytes may stay unacknowledged. */
+constexpr int unacknowledgedLimit = 2000;
+
+/**
+ * Lets the kernel end a connection whose other side is silent. A connection may be cut without a
+ * reset, and a watch on it would wait in vain.
+ */
+void detectSilence(int socket)
+{
+    const int on = 1;
+    const int probes = 1;
+    // Without an option, the time-outs of the exchanges remain.
+    setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveIdle, sizeof(keepAliveIdle));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveInterval, sizeof(keepAliveInterval));
+    setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedLimit,
+               sizeof(unacknowledgedLimit));
+}
+
 /** Closes a socket at a time, unless it is disarmed before. */
 class CloseTimer
 {
@@ -128,6 +153,7 @@
         co_return;
     ErrorCode ignored; // Delay is only a matter of speed.
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    detectSilence(socket_.native_handle());
 }
 
 asio::awaitable<LinkResult> HttpLink::exchange(const HttpRequest &request,
