--- a/src/proxy/fleet_sync_base.h
+++ b/src/proxy/fleet_sync_base.h
@@ -27,7 +27,7 @@
     core::Micros renewEvery {core::Millis(1500)};
     /** Pause after a failed call, doubled up to the longest, with jitter. */
     core::Micros retryPause {core::Millis(100)};
-    core::Micros longestRetryPause {core::Millis(600)};
+    core::Micros longestRetryPause {core::Millis(400)};
 };
 
 /** Follows the store and renews the registration; runs until the process ends. */
@@ -120,10 +120,12 @@
                     co_await watchOnce();
                 wholeNeeded = false;
             } catch (const StoreHistoryLost &error) {
+                storeAnswered();
                 core::logEvent(core::LogLevel::Warn, "store_history_lost",
                                {{"after", static_cast<std::int64_t>(revision_.count())}});
                 wholeNeeded = true;
             } catch (const core::Error &error) {
+                behind_ = true;
                 storeFailed(error);
                 wait = nextPause();
             }
@@ -149,7 +151,8 @@
     asio::awaitable<void> watchOnce()
     {
         const FleetContents changes = co_await parts_.store.watch(
-            revision_, failures_ == 0 ? options_.watchWait : options_.watchWaitAfterFailure);
+            revision_, behind_ ? options_.watchWaitAfterFailure : options_.watchWait);
+        behind_ = false;
         storeAnswered();
         const core::MonoTime now = core::MonoClock::now();
         for (const FleetItem &item : changes.items)
@@ -203,12 +206,14 @@
             try {
                 if (lease) {
                     co_await parts_.store.keepLease(*lease);
+                    storeAnswered();
                 } else {
                     const StoreLease granted = co_await parts_.store.grantLease(options_.leaseTime);
                     co_await parts_.store.registerMember(options_.self, granted);
                     lease = granted;
                 }
             } catch (const StoreLeaseLost &error) {
+                storeAnswered();
                 core::logEvent(core::LogLevel::Warn, "registration_lapsed", {});
                 lease.reset();
                 wait = options_.retryPause;
@@ -236,7 +241,8 @@
     FleetSyncOptions options_;
     std::mt19937_64 random_;
     StoreRevision revision_;
-    int failures_ = 0;
+    bool behind_ = false;      ///< The last reading failed.
+    int failures_ = 0;         ///< Since the last answer of any call.
     core::MonoTime lostAt_ {}; ///< Time of the first of the failures.
     bool leaving_ = false;
 };
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -218,6 +218,7 @@
             ErrorCode ignored; // Nothing cancels the timer.
             co_await timer.async_wait(storeError(ignored));
             const core::MonoTime now = core::MonoClock::now();
+            state_.tick(now);
             flow_.pump(now);
             if (count % messageEvery == 0)
                 sendMessages(now);
@@ -274,7 +275,6 @@
 
     void tidy(core::MonoTime now)
     {
-        state_.tick(now);
         updateParts(now);
         flow_.closeStaleLinks(now);
         callers_.closeStale(now);
--- a/src/proxy/removal_hold_base.h
+++ b/src/proxy/removal_hold_base.h
@@ -18,7 +18,7 @@
 {
 public:
     /** Time in which lapsed entries are written again after the store's return, and a margin. */
-    static constexpr core::Micros holdTime {core::Millis(2200)};
+    static constexpr core::Micros holdTime {core::Millis(2100)};
 
     /** Records that the store answered after it had not. */
     void storeReturned(core::MonoTime now) { returnedAt_ = now; }
