Fix: [Proxy] A 421 without an attempt id is an answer; placement spreads to unproven upstreams; tests

Tests of the request path on real sockets and of placement and waits. Failed first: an upstream that joined or had recovered got nothing (fixed: nobody counts as sounder than an unknown one), and a 421 without the id was skipped until the time was over.

--- a/src/proxy/caller_session_base.h
+++ b/src/proxy/caller_session_base.h
@@ -112,6 +112,8 @@
     void closeIdle();
     /** @return Requests under way. */
     std::size_t pending() const;
+    /** @return The port that is bound, also if 0 was asked for. */
+    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
     /** @return Open connections. */
     std::size_t size() const { return sessions_.size(); }
 
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -274,8 +274,11 @@
     job.repeatGranted = false;
     const AnswerFilter filter = [this, &attemptId](const HttpResponse &response) {
         const std::string_view id = fieldValue(response, options_.names.attemptId);
-        return id == attemptId
-            || (id.empty() && !fieldValue(response, options_.names.notExecuted).empty());
+        if (!id.empty())
+            return id == attemptId;
+        // Refusals come without the id; no other answer is believed without it.
+        return response.result() == beasthttp::status::misdirected_request
+            || !fieldValue(response, options_.names.notExecuted).empty();
     };
     const LinkOptions times = linkOptions(job, placement, startedAt);
     LinkResult result = co_await link->exchange(forwarded, times, canceller, filter);
--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -16,7 +16,7 @@
 constexpr double minSlowness = 0.5;
 constexpr double maxSlowness = 12.0;
 /** Loss differences below this count as equal and are decided by chance. */
-constexpr double tieLoss = 0.01;
+constexpr double tieLoss = 0.02;
 /** Share of the target latency up to which an answer is surely in time, and from which late. */
 constexpr double surelyInTime = 0.5;
 constexpr double surelyLate = 1.3;
@@ -193,14 +193,16 @@
 
 double UpstreamTable::sickAt(core::MonoTime now, const Upstream &upstream) const
 {
-    const double age = std::max(0.0, seconds(now - upstream.sickAt));
-    return options_.sickPrior
-        + (upstream.sick - options_.sickPrior) * std::exp(-age / seconds(options_.sickSpell));
+    // Spells have a typical length: evidence holds for most of it and is soon worth little after.
+    const double age = std::max(0.0, seconds(now - upstream.sickAt)) / seconds(options_.sickSpell);
+    return options_.sickPrior + (upstream.sick - options_.sickPrior) * std::exp(-age * age);
 }
 
 double UpstreamTable::failureOf(core::MonoTime now, const Upstream &upstream) const
 {
-    const double sick = sickAt(now, upstream);
+    // Nobody counts as sounder than an upstream of which nothing is known: those in use would keep
+    // all traffic, and new ones and those whose spell is over would get none.
+    const double sick = std::max(options_.sickPrior, sickAt(now, upstream));
     const double learned = sick * options_.sickFailure + (1 - sick) * options_.soundFailure;
     return std::max(learned, overdueFailure(now, upstream));
 }
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -28,8 +28,8 @@
     double maxOccupancy = 2.0;
     /** Probability that an upstream is sick when nothing is known of it. */
     double sickPrior = 0.08;
-    /** Mean length of a sick spell: older evidence fades towards the prior with this time. */
-    core::Micros sickSpell {core::Seconds(10)};
+    /** Typical length of a sick spell: older evidence fades towards the prior. */
+    core::Micros sickSpell {core::Seconds(8)};
     /** Probability that a sick and that a sound upstream fails a request. A sick one may fail
      * nearly all requests or half of them. */
     double sickFailure = 0.75;
--- /dev/null
+++ b/tests/proxy/flow_fixture.h
@@ -0,0 +1,216 @@
+/** @file flow_fixture.h The request path on an event loop of its own, before scripted upstreams. */
+#pragma once
+
+#include "proxy/request_flow_base.h"
+#include "standins/raw_server.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <doctest/doctest.h>
+
+#include <future>
+#include <string>
+#include <thread>
+
+namespace teaselreach::proxytest {
+
+using namespace teaselreach::proxy;
+
+inline const core::ServiceId service("slot");
+
+/** Header names of the tests; nothing in the proxy depends on them. */
+inline HeaderNames testNames()
+{
+    return {.attemptId = "X-Attempt",
+            .deadlineMs = "X-Deadline",
+            .seal = "X-Seal",
+            .account = "X-Account",
+            .targetUpstream = "X-Target",
+            .load = "X-Load",
+            .notExecuted = "X-Not-Run",
+            .upstreamId = "X-Upstream",
+            .keyScheme = "Bearer"};
+}
+
+/** A route "/read/" that may be repeated, "/book/" that may not, an account with key "k1". */
+inline Configuration testConfiguration(core::Micros timeout = core::Millis(1000))
+{
+    const auto route = [&](const char *id, const char *prefix, bool idempotent) {
+        return Route {.id = core::RouteId(id),
+                      .host = "shop.example",
+                      .pathPrefix = prefix,
+                      .idempotent = idempotent,
+                      .timeout = timeout,
+                      .targetLatency = timeout / 2,
+                      .maxAttempts = 2,
+                      .destinations = {{.service = service}}};
+    };
+    return {.version = ConfigVersion(1),
+            .routes = {route("read", "/read/", true), route("book", "/book/", false)},
+            .accounts = {{.id = core::ClientAccountId("bakery"),
+                          .keys = {"k1"},
+                          .ratePerSecond = 1000,
+                          .burst = 1000}}};
+}
+
+/** A value of a header field in raw text, empty if there is none. */
+inline std::string headerOf(const std::string &head, const std::string &name)
+{
+    const std::string field = "\r\n" + name + ": ";
+    const std::size_t at = head.find(field);
+    if (at == std::string::npos)
+        return "";
+    const std::size_t begin = at + field.size();
+    return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
+/** A success with proof of origin, as an upstream of the tests sends it. */
+inline std::string sealedReply(const standins::RawRequest &request, const std::string &body)
+{
+    return standins::okReply(
+        body, "X-Attempt: " + headerOf(request.head, "X-Attempt") + "\r\nX-Seal: s1\r\n");
+}
+
+/** Text of a caller's request. */
+inline std::string callerRequest(const std::string &method, const std::string &path,
+                                 const std::string &id, const std::string &fields = "",
+                                 const std::string &body = "")
+{
+    return method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Attempt: " + id
+        + "\r\nAuthorization: Bearer k1\r\n" + fields
+        + (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n"
+        + body;
+}
+
+/** The request path with one caller server. */
+class FlowFixture
+{
+public:
+    explicit FlowFixture(Configuration configuration = testConfiguration())
+        : upstreams_({.self = {core::AvailabilityZoneId("here"), core::RegionId("west")},
+                      .regionOfZone = {{core::AvailabilityZoneId("here"), core::RegionId("west")}}},
+                     1)
+        , shares_({})
+        , flow_({.context = context_,
+                 .upstreams = upstreams_,
+                 .shares = shares_,
+                 .registry = registry_},
+                {.names = testNames()}, 1)
+        , server_(context_, "127.0.0.1", 0,
+                  {.serve =
+                       [this](std::shared_ptr<CallerExchange> exchange) {
+                           return flow_.serve(std::move(exchange));
+                       },
+                   .limits =
+                       [this] {
+                           return SessionLimits {.maxHeaderBytes = 4096,
+                                                 .maxBodyBytes = 10000,
+                                                 .headerTimeout = core::Millis(300),
+                                                 .idleTimeout = core::Seconds(5)};
+                       },
+                   .closing = [this] { return flow_.phase() != FlowPhase::Serving; }})
+        , work_(context_.get_executor())
+    {
+        shares_.setPart(1);
+        flow_.setRetryPart(1);
+        flow_.configure(std::make_shared<const RouteTable>(std::move(configuration)));
+        port_ = server_.port();
+        asio::co_spawn(
+            context_, [this]() { return tick(); }, asio::detached);
+        thread_ = std::thread([this] { context_.run(); });
+    }
+
+    ~FlowFixture()
+    {
+        context_.stop();
+        thread_.join();
+    }
+    FlowFixture(const FlowFixture &) = delete;
+    FlowFixture &operator=(const FlowFixture &) = delete;
+
+    /** Runs a function on the event loop and waits for it. */
+    void onLoop(std::function<void()> function)
+    {
+        std::promise<void> done;
+        asio::post(context_, [&] {
+            function();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    /** Lists a scripted server as an upstream. */
+    void addUpstream(const std::string &id, const standins::RawServer &server)
+    {
+        addUpstreamAt(id, server.address(), server.port());
+    }
+
+    /** Lists a server at an address as an upstream. */
+    void addUpstreamAt(const std::string &id, const std::string &address, std::uint16_t port)
+    {
+        onLoop([&] {
+            upstreams_.update(core::MonoClock::now(),
+                              {.id = core::UpstreamId(id),
+                               .service = service,
+                               .address = address,
+                               .port = port,
+                               .availabilityZone = core::AvailabilityZoneId("here"),
+                               .slots = 4});
+        });
+    }
+
+    /** @return A connection of a caller. */
+    int connect() const { return standins::connectTo("127.0.0.1", port_); }
+
+    /** Sends a request on a connection of its own. @return All bytes of the answer. */
+    std::string ask(const std::string &request) const
+    {
+        const int fd = connect();
+        std::string text = request;
+        text.insert(text.find("\r\n") + 2, "Connection: close\r\n");
+        standins::sendAll(fd, text);
+        const std::string answer = standins::readAll(fd);
+        ::close(fd);
+        return answer;
+    }
+
+    RequestFlow &flow() { return flow_; }
+    AccountShare &shares() { return shares_; }
+
+private:
+    asio::awaitable<void> tick()
+    {
+        asio::steady_timer timer(context_);
+        while (true) {
+            timer.expires_after(core::Millis(20));
+            ErrorCode ignored; // Nothing cancels the timer.
+            co_await timer.async_wait(storeError(ignored));
+            flow_.pump(core::MonoClock::now());
+            server_.closeStale(core::MonoClock::now());
+        }
+    }
+
+    asio::io_context context_ {1};
+    metrics::Registry registry_;
+    UpstreamTable upstreams_;
+    AccountShare shares_;
+    RequestFlow flow_;
+    CallerServer server_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    std::uint16_t port_ = 0;
+    std::thread thread_;
+};
+
+/** Waits until a condition holds. @return Whether it did within three seconds. */
+inline bool eventually(const std::function<bool()> &condition)
+{
+    const core::MonoTime end = core::MonoClock::now() + core::Seconds(3);
+    while (core::MonoClock::now() < end) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(core::Millis(5));
+    }
+    return condition();
+}
+
+} // namespace teaselreach::proxytest
--- /dev/null
+++ b/tests/proxy/flow_test.cpp
@@ -0,0 +1,357 @@
+/** @file flow_test.cpp The request path before upstreams that answer badly, late or not at all. */
+#include "flow_fixture.h"
+
+#include <atomic>
+
+using namespace teaselreach;
+using namespace teaselreach::proxytest;
+using standins::okReply;
+using standins::RawReply;
+using standins::RawRequest;
+using standins::RawServer;
+
+namespace {
+
+/** An upstream that sees whether its caller closes the connection while it works. */
+class HangingUpstream
+{
+public:
+    HangingUpstream()
+        : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in local {.sin_family = AF_INET};
+        inet_pton(AF_INET, "127.0.0.1", &local.sin_addr);
+        ::bind(listener_, reinterpret_cast<sockaddr *>(&local), sizeof local);
+        ::listen(listener_, 8);
+        socklen_t size = sizeof local;
+        ::getsockname(listener_, reinterpret_cast<sockaddr *>(&local), &size);
+        port_ = ntohs(local.sin_port);
+        thread_ = std::thread([this] {
+            const int fd = ::accept(listener_, nullptr, nullptr);
+            received_ = fd >= 0;
+            standins::readAll(fd); // Returns when the other side closes.
+            closed_ = true;
+            ::close(fd);
+        });
+    }
+    ~HangingUpstream()
+    {
+        ::shutdown(listener_, SHUT_RDWR);
+        thread_.join();
+        ::close(listener_);
+    }
+    HangingUpstream(const HangingUpstream &) = delete;
+    HangingUpstream &operator=(const HangingUpstream &) = delete;
+
+    std::string address() const { return "127.0.0.1"; }
+    std::uint16_t port() const { return port_; }
+    bool received() const { return received_; }
+    bool closed() const { return closed_; }
+
+private:
+    int listener_;
+    std::uint16_t port_ = 0;
+    std::atomic<bool> received_ {false};
+    std::atomic<bool> closed_ {false};
+    std::thread thread_;
+};
+
+std::string statusOf(const std::string &answer)
+{
+    return answer.size() < 12 ? answer : answer.substr(9, 3);
+}
+
+std::string bodyOf(const std::string &answer)
+{
+    const std::size_t end = answer.find("\r\n\r\n");
+    return end == std::string::npos ? "" : answer.substr(end + 4);
+}
+
+} // namespace
+
+TEST_CASE("the upstream gets the account and the time left, and neither the key nor forged fields")
+{
+    std::string head;
+    RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+        head = request.head;
+        return RawReply {sealedReply(request, "hello")};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    const std::string answer = fixture.ask(callerRequest(
+        "GET", "/read/x?y=1", "a1",
+        "X-Account: forged\r\nX-Target: forged\r\nX-Deadline: 700\r\nX-Other: kept\r\n"));
+    CHECK(statusOf(answer) == "200");
+    CHECK(bodyOf(answer) == "hello");
+    CHECK(headerOf(answer, "X-Seal") == "s1");
+    CHECK(head.starts_with("GET /read/x?y=1 HTTP/1.1\r\n"));
+    CHECK(headerOf(head, "X-Account") == "bakery");
+    CHECK(headerOf(head, "X-Target") == "i-1");
+    CHECK(headerOf(head, "X-Attempt") == "a1");
+    CHECK(headerOf(head, "X-Other") == "kept");
+    CHECK(headerOf(head, "Authorization").empty());
+    CHECK(std::stoi(headerOf(head, "X-Deadline")) <= 700);
+    CHECK(std::stoi(headerOf(head, "X-Deadline")) > 600);
+}
+
+TEST_CASE("unknown routes, unknown keys and accounts over their limit are told apart")
+{
+    RawServer upstream(
+        "127.0.0.1", [](const RawRequest &request) { return RawReply {sealedReply(request, "")}; });
+    Configuration configuration = testConfiguration();
+    configuration.accounts.front().ratePerSecond = 0.2;
+    configuration.accounts.front().burst = 0;
+    FlowFixture fixture(configuration);
+    fixture.addUpstream("i-1", upstream);
+    CHECK(statusOf(fixture.ask(callerRequest("GET", "/other/", "a1"))) == "404");
+    std::string wrongKey = callerRequest("GET", "/read/", "a2");
+    wrongKey.replace(wrongKey.find("k1"), 2, "k2");
+    CHECK(statusOf(fixture.ask(wrongKey)) == "401");
+    CHECK(statusOf(fixture.ask(callerRequest("GET", "/read/", "a3"))) == "200");
+    const std::string refused = fixture.ask(callerRequest("GET", "/read/", "a4"));
+    CHECK(statusOf(refused) == "429");
+    CHECK(std::stod(headerOf(refused, "Retry-After")) > 1);
+    CHECK(upstream.requests() == 1);
+}
+
+TEST_CASE("an answer to an earlier request is never taken for the next one")
+{
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        if (request.number == 1)
+            return RawReply {sealedReply(request, "first")};
+        // The late second answer to the first request arrives where the next one is expected.
+        return RawReply {okReply("stale", "X-Attempt: a1\r\nX-Seal: s1\r\n")
+                         + sealedReply(request, "second")};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    CHECK(bodyOf(fixture.ask(callerRequest("GET", "/read/", "a1"))) == "first");
+    CHECK(bodyOf(fixture.ask(callerRequest("GET", "/read/", "a2"))) == "second");
+}
+
+TEST_CASE("a connection with bytes beyond the answer is not used again")
+{
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        return RawReply {sealedReply(request, "whole") + "HTTP/1.1 200 OK\r\n"};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    for (int i = 0; i < 3; ++i)
+        CHECK(bodyOf(fixture.ask(callerRequest("GET", "/read/", "a" + std::to_string(i))))
+              == "whole");
+    CHECK(upstream.connections() == 3);
+}
+
+TEST_CASE("a broken answer to a request that may not be repeated is never a refusal or a success")
+{
+    const std::string sealed = "HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Seal: s1\r\n";
+    for (const std::string &bytes :
+         {sealed + "Content-Length: 10\r\n\r\nhalf", std::string("garbage\r\n\r\n"), std::string(),
+          std::string("HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nContent-Length: 2\r\n\r\nok"),
+          sealed + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"}) {
+        RawServer upstream("127.0.0.1", [&](const RawRequest &) { return RawReply {bytes, true}; });
+        FlowFixture fixture;
+        fixture.addUpstream("i-1", upstream);
+        const std::string answer =
+            fixture.ask(callerRequest("POST", "/book/", "a1", "", "one crew"));
+        CHECK(statusOf(answer) == "502");
+        CHECK(upstream.requests() == 1);
+    }
+}
+
+TEST_CASE("a request that may be repeated goes to another upstream after a failure")
+{
+    RawServer sick("127.0.0.1", [](const RawRequest &request) {
+        return RawReply {okReply("", "X-Attempt: " + headerOf(request.head, "X-Attempt") + "\r\n",
+                                 "500 Broken")};
+    });
+    RawServer sound("127.0.0.2", [](const RawRequest &request) {
+        return RawReply {sealedReply(request, "good")};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", sick);
+    fixture.addUpstream("i-2", sound);
+    for (int i = 0; i < 5; ++i)
+        CHECK(bodyOf(fixture.ask(callerRequest("GET", "/read/", "a" + std::to_string(i))))
+              == "good");
+    CHECK(sick.requests() <= 1);
+}
+
+TEST_CASE("an upstream's own failure is returned unchanged if the request may not be repeated")
+{
+    RawServer sick("127.0.0.1", [](const RawRequest &) {
+        return RawReply {okReply("why", "X-Attempt: a1\r\nX-Seal: s1\r\n", "500 Broken")};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", sick);
+    const std::string answer = fixture.ask(callerRequest("POST", "/book/", "a1", "", "x"));
+    CHECK(statusOf(answer) == "500");
+    CHECK(bodyOf(answer) == "why");
+    CHECK(headerOf(answer, "X-Seal") == "s1");
+}
+
+TEST_CASE("an upstream that did not run a request lets it go elsewhere, whatever its kind")
+{
+    RawServer full("127.0.0.1", [](const RawRequest &) {
+        return RawReply {okReply("", "X-Not-Run: 1\r\n", "503 Full")};
+    });
+    RawServer sound("127.0.0.2", [](const RawRequest &request) {
+        return RawReply {sealedReply(request, "booked")};
+    });
+    FlowFixture alone;
+    alone.addUpstream("i-1", full);
+    const std::string refused = alone.ask(callerRequest("POST", "/book/", "a1", "", "x"));
+    CHECK(statusOf(refused) == "503");
+    CHECK(!headerOf(refused, "Retry-After").empty());
+    FlowFixture both;
+    both.addUpstream("i-1", full);
+    both.addUpstream("i-2", sound);
+    for (int i = 0; i < 4; ++i)
+        CHECK(bodyOf(both.ask(callerRequest("POST", "/book/", "b" + std::to_string(i), "", "x")))
+              == "booked");
+}
+
+TEST_CASE("another upstream at a known address refuses, and the request goes elsewhere")
+{
+    RawServer other("127.0.0.1", [](const RawRequest &) {
+        return RawReply {okReply("", "X-Upstream: i-9\r\n", "421 Misdirected Request")};
+    });
+    RawServer sound("127.0.0.2", [](const RawRequest &request) {
+        return RawReply {sealedReply(request, "booked")};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", other);
+    fixture.addUpstream("i-2", sound);
+    for (int i = 0; i < 3; ++i)
+        CHECK(bodyOf(fixture.ask(callerRequest("POST", "/book/", "b" + std::to_string(i), "", "x")))
+              == "booked");
+}
+
+TEST_CASE("an answer without a length ends with its connection and is whole")
+{
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        return RawReply {"HTTP/1.1 200 OK\r\nX-Seal: s1\r\nX-Attempt: "
+                             + headerOf(request.head, "X-Attempt") + "\r\n\r\nall of it",
+                         true};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    const std::string answer = fixture.ask(callerRequest("GET", "/read/", "a1"));
+    CHECK(bodyOf(answer) == "all of it");
+    CHECK(headerOf(answer, "Content-Length") == "9");
+}
+
+TEST_CASE("pipelined requests are worked on together and answered in order")
+{
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        const bool slow = request.head.starts_with("GET /read/slow");
+        std::this_thread::sleep_for(core::Millis(slow ? 200 : 100));
+        return RawReply {sealedReply(request, slow ? "[slow]" : "[fast]")};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    const int fd = fixture.connect();
+    const core::MonoTime begin = core::MonoClock::now();
+    std::string last = callerRequest("GET", "/read/fast", "a3");
+    last.insert(last.find("\r\n") + 2, "Connection: close\r\n");
+    standins::sendAll(fd,
+                      callerRequest("GET", "/read/slow", "a1")
+                          + callerRequest("GET", "/read/fast", "a2") + last);
+    const std::string answers = standins::readAll(fd);
+    ::close(fd);
+    const std::size_t slow = answers.find("[slow]");
+    const std::size_t fast = answers.find("[fast]");
+    REQUIRE(slow != std::string::npos);
+    REQUIRE(fast != std::string::npos);
+    CHECK(slow < fast);
+    CHECK(answers.find("[fast]", fast + 1) != std::string::npos);
+    // One after the other would take 400 ms.
+    CHECK(core::MonoClock::now() - begin < core::Millis(390));
+}
+
+TEST_CASE("the end of the route's time is answered at once, as perhaps run")
+{
+    HangingUpstream upstream;
+    FlowFixture fixture(testConfiguration(core::Millis(300)));
+    fixture.addUpstreamAt("i-1", upstream.address(), upstream.port());
+    const core::MonoTime begin = core::MonoClock::now();
+    const std::string answer = fixture.ask(callerRequest("POST", "/book/", "a1", "", "x"));
+    CHECK(statusOf(answer) == "504");
+    CHECK(core::MonoClock::now() - begin < core::Millis(600));
+}
+
+TEST_CASE("a caller that leaves ends its request at the upstream at once")
+{
+    HangingUpstream upstream;
+    FlowFixture fixture(testConfiguration(core::Seconds(10)));
+    fixture.addUpstreamAt("i-1", upstream.address(), upstream.port());
+    const int fd = fixture.connect();
+    standins::sendAll(fd, callerRequest("GET", "/read/", "a1"));
+    REQUIRE(eventually([&] { return upstream.received(); }));
+    CHECK(!upstream.closed());
+    ::close(fd);
+    CHECK(eventually([&] { return upstream.closed(); }));
+}
+
+TEST_CASE("bad input is refused with its own status and the daemon goes on")
+{
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        return RawReply {sealedReply(request, "fine")};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    const auto raw = [&](const std::string &bytes) {
+        const int fd = fixture.connect();
+        standins::sendAll(fd, bytes);
+        const std::string answer = standins::readAll(fd);
+        ::close(fd);
+        return answer;
+    };
+    CHECK(statusOf(raw("nonsense\r\n\r\n")) == "400");
+    CHECK(statusOf(raw("GET / HTTP/1.1\r\nno colon\r\n\r\n")) == "400");
+    CHECK(statusOf(raw("GET / HTTP/1.1\r\nX: " + std::string(5000, 'x') + "\r\n\r\n")) == "431");
+    CHECK(statusOf(raw(callerRequest("POST", "/book/", "a1", "", std::string(20000, 'x'))))
+          == "413");
+    // A header that never ends: closed after the time for headers.
+    CHECK(raw("GET / HTTP/1.1\r\nX: ").empty());
+    CHECK(bodyOf(fixture.ask(callerRequest("GET", "/read/", "a2"))) == "fine");
+}
+
+TEST_CASE("a daemon that shuts down answers what it has, closes, and refuses the rest truly")
+{
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        std::this_thread::sleep_for(core::Millis(150));
+        return RawReply {sealedReply(request, "done")};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    const int fd = fixture.connect();
+    standins::sendAll(fd, callerRequest("POST", "/book/", "a1", "", "x"));
+    REQUIRE(eventually([&] { return upstream.requests() == 1; }));
+    fixture.onLoop([&] { fixture.flow().enter(FlowPhase::Leaving); });
+    const std::string answer = standins::readAll(fd);
+    ::close(fd);
+    CHECK(bodyOf(answer) == "done");
+    CHECK(headerOf(answer, "Connection") == "close");
+    fixture.onLoop([&] { fixture.flow().enter(FlowPhase::Refusing); });
+    CHECK(statusOf(fixture.ask(callerRequest("POST", "/book/", "a2", "", "x"))) == "503");
+    CHECK(upstream.requests() == 1);
+}
+
+TEST_CASE("an upstream that closes a kept connection costs no booking a second run")
+{
+    std::atomic<int> runs {0};
+    RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+        ++runs;
+        // Says nothing of closing, and closes.
+        return RawReply {sealedReply(request, "ok"), true};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    for (int i = 0; i < 20; ++i) {
+        const std::string answer =
+            fixture.ask(callerRequest("POST", "/book/", "a" + std::to_string(i), "", "x"));
+        CHECK(bodyOf(answer) == "ok");
+    }
+    CHECK(runs == 20);
+}
--- /dev/null
+++ b/tests/proxy/placement_test.cpp
@@ -0,0 +1,272 @@
+/** @file placement_test.cpp Tests of the choice of upstreams and of the waiting queue. */
+#include "proxy/upstream_table_base.h"
+#include "proxy/wait_queue_base.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace teaselreach;
+using namespace teaselreach::proxy;
+
+namespace {
+
+constexpr core::MonoTime start {core::Seconds(100)};
+const core::ServiceId service("slot");
+const core::RouteId route("booking");
+
+UpstreamTableOptions options()
+{
+    return {.self = {core::AvailabilityZoneId("here"), core::RegionId("west")},
+            .regionOfZone = {{core::AvailabilityZoneId("here"), core::RegionId("west")},
+                             {core::AvailabilityZoneId("near"), core::RegionId("west")},
+                             {core::AvailabilityZoneId("far"), core::RegionId("east")}}};
+}
+
+UpstreamEntry makeEntry(const std::string &id, const std::string &zone = "here", int slots = 2)
+{
+    return {.id = core::UpstreamId(id),
+            .service = service,
+            .address = "127.0.0.9",
+            .port = 80,
+            .availabilityZone = core::AvailabilityZoneId(zone),
+            .slots = slots};
+}
+
+PlacementRequest makeRequest(bool idempotent = false)
+{
+    return {.service = service,
+            .route = route,
+            .idempotent = idempotent,
+            .targetLatency = core::Millis(500),
+            .timeLeft = core::Millis(1500)};
+}
+
+/** Chooses, starts and ends one attempt. @return The upstream, empty if none was chosen. */
+core::UpstreamId oneAttempt(UpstreamTable &table, core::MonoTime now, AttemptEnd end,
+                            bool idempotent = false)
+{
+    PlacementResult result = table.choose(now, makeRequest(idempotent));
+    if (!result.placement)
+        return {};
+    table.started(now, *result.placement);
+    table.finished({.upstream = result.placement->upstream,
+                    .route = route,
+                    .attempt = result.placement->attempt,
+                    .end = end,
+                    .startedAt = now,
+                    .endedAt = now + core::Millis(100)});
+    return result.placement->upstream;
+}
+
+} // namespace
+
+TEST_CASE("an attempt that has ended no longer occupies its upstream")
+{
+    // Attempts once stayed under way for ever, and all upstreams looked busy.
+    UpstreamTable table(options(), 1);
+    table.update(start, makeEntry("a", "here", 1));
+    for (int i = 0; i < 50; ++i)
+        REQUIRE(!oneAttempt(table, start + core::Millis(200 * i), AttemptEnd::Answered).empty());
+}
+
+TEST_CASE("a sick upstream loses its traffic after one failure and gets it back after its spell")
+{
+    UpstreamTable table(options(), 1);
+    for (const char *id : {"a", "b", "c", "d"})
+        table.update(start, makeEntry(id));
+    core::MonoTime now = start;
+    const core::UpstreamId sick = oneAttempt(table, now, AttemptEnd::ServerError);
+    for (int i = 0; i < 20; ++i) {
+        now += core::Millis(100);
+        REQUIRE(oneAttempt(table, now, AttemptEnd::Answered) != sick);
+    }
+    now += core::Seconds(40);
+    bool used = false;
+    for (int i = 0; i < 40; ++i) {
+        now += core::Millis(100);
+        used = used || oneAttempt(table, now, AttemptEnd::Answered) == sick;
+    }
+    CHECK(used);
+}
+
+TEST_CASE("an upstream that joins gets requests although the others have a good record")
+{
+    // The record of those in use once looked better than that of one of which nothing was known.
+    UpstreamTable table(options(), 1);
+    table.update(start, makeEntry("a"));
+    core::MonoTime now = start;
+    for (int i = 0; i < 50; ++i)
+        oneAttempt(table, now += core::Millis(100), AttemptEnd::Answered);
+    table.update(now, makeEntry("new"));
+    int count = 0;
+    for (int i = 0; i < 40; ++i)
+        count += oneAttempt(table, now += core::Millis(100), AttemptEnd::Answered)
+                == core::UpstreamId("new")
+            ? 1
+            : 0;
+    CHECK(count > 5);
+}
+
+TEST_CASE("a failure that another VM saw diverts traffic too")
+{
+    UpstreamTable table(options(), 1);
+    table.update(start, makeEntry("a"));
+    table.update(start, makeEntry("b"));
+    table.outcomeReported(start, {.upstream = core::UpstreamId("a"), .failed = true});
+    for (int i = 0; i < 10; ++i)
+        CHECK(oneAttempt(table, start + core::Millis(i), AttemptEnd::Answered)
+              == core::UpstreamId("b"));
+}
+
+TEST_CASE("only outcomes that change a belief are told to others")
+{
+    UpstreamTable table(options(), 1);
+    table.update(start, makeEntry("a"));
+    oneAttempt(table, start, AttemptEnd::Answered);
+    oneAttempt(table, start, AttemptEnd::NotSent); // May concern this VM's path alone.
+    oneAttempt(table, start, AttemptEnd::NotExecuted);
+    CHECK(table.takeReports().empty());
+    oneAttempt(table, start + core::Seconds(2), AttemptEnd::ServerError);
+    CHECK(table.takeReports().size() == 1);
+}
+
+TEST_CASE("stalled attempts count against an upstream before they time out")
+{
+    UpstreamTable table(options(), 1);
+    table.update(start, makeEntry("a"));
+    table.update(start, makeEntry("b"));
+    std::map<core::UpstreamId, int> count;
+    PlacementResult stalled = table.choose(start, makeRequest());
+    table.started(start, *stalled.placement);
+    const core::MonoTime later = start + core::Millis(900);
+    for (int i = 0; i < 10; ++i)
+        CHECK(oneAttempt(table, later, AttemptEnd::Answered) != stalled.placement->upstream);
+}
+
+TEST_CASE("requests stay in the zone, then the region, until distance is the smaller loss")
+{
+    UpstreamTable table(options(), 1);
+    table.update(start, makeEntry("here"));
+    table.update(start, makeEntry("near", "near"));
+    table.update(start, makeEntry("far", "far"));
+    CHECK(oneAttempt(table, start, AttemptEnd::ServerError) == core::UpstreamId("here"));
+    CHECK(oneAttempt(table, start, AttemptEnd::ServerError) == core::UpstreamId("near"));
+    CHECK(oneAttempt(table, start, AttemptEnd::Answered) == core::UpstreamId("far"));
+}
+
+TEST_CASE("full upstreams are left alone, and a leaving one gets nothing new")
+{
+    UpstreamTable table(options(), 1);
+    table.update(start, makeEntry("a"));
+    for (int i = 0; i < 4; ++i) {
+        PlacementResult result = table.choose(start, makeRequest());
+        REQUIRE(result.placement);
+        table.started(start, *result.placement);
+    }
+    CHECK(table.choose(start, makeRequest()).reason == NoPlacement::AllBusy);
+    UpstreamEntry draining = makeEntry("a");
+    draining.draining = true;
+    table.update(start, draining);
+    CHECK(table.choose(start, makeRequest()).reason == NoPlacement::NoUpstream);
+}
+
+TEST_CASE("an upstream that restarts under its id starts with a clean record")
+{
+    UpstreamTable table(options(), 1);
+    UpstreamEntry entry = makeEntry("a");
+    entry.startedAt = 1;
+    table.update(start, entry);
+    oneAttempt(table, start, AttemptEnd::ServerError);
+    const double before = table.choose(start, makeRequest()).placement->failureEstimate;
+    entry.startedAt = 2;
+    table.update(start, entry);
+    const double after = table.choose(start, makeRequest()).placement->failureEstimate;
+    CHECK(before > 0.5);
+    CHECK(after < 0.2);
+}
+
+TEST_CASE("a request that no upstream can answer in time is refused at once")
+{
+    UpstreamTable table(options(), 1);
+    table.update(start, makeEntry("a"));
+    PlacementRequest request = makeRequest();
+    request.timeLeft = core::Millis(20);
+    CHECK(table.choose(start, request).reason == NoPlacement::TooLate);
+    WaitQueue queue({});
+    const WaitRequest late {.ticket = WaitTicket(1),
+                            .expectedWork = core::Millis(200),
+                            .deadline = start + core::Millis(100)};
+    CHECK(!queue.enqueue(start, late, 4));
+}
+
+TEST_CASE("a queue that is too long for a request's deadline refuses it at once")
+{
+    WaitQueue queue({});
+    std::uint64_t ticket = 0;
+    const auto ask = [&](int priority) {
+        return queue.enqueue(start,
+                             {.ticket = WaitTicket(++ticket),
+                              .account = core::ClientAccountId("a"),
+                              .routePriority = priority,
+                              .expectedWork = core::Millis(100),
+                              .deadline = start + core::Seconds(1)},
+                             2);
+    };
+    // Two slots, 100 ms of work, one second: eighteen can wait ahead.
+    int accepted = 0;
+    while (ask(1))
+        ++accepted;
+    CHECK(accepted >= 17);
+    CHECK(accepted <= 19);
+    CHECK(!ask(1));
+    CHECK(ask(0)); // A more important request does not wait behind them.
+}
+
+TEST_CASE("important accounts and routes go first, and the others still get turns")
+{
+    WaitQueue queue({});
+    std::uint64_t ticket = 0;
+    std::map<WaitTicket, int> priorityOf;
+    for (int i = 0; i < 40; ++i) {
+        for (const int priority : {0, 1, 2}) {
+            const WaitTicket next(++ticket);
+            priorityOf[next] = priority;
+            REQUIRE(queue.enqueue(start,
+                                  {.ticket = next,
+                                   .account = core::ClientAccountId("a" + std::to_string(priority)),
+                                   .routePriority = priority,
+                                   .expectedWork = core::Millis(1),
+                                   .deadline = start + core::Seconds(60)},
+                                  10));
+        }
+    }
+    std::map<int, int> served;
+    for (int i = 0; i < 40; ++i) {
+        const WaitTurn turn = queue.turn(start);
+        REQUIRE(turn.next);
+        ++served[priorityOf[*turn.next]];
+        queue.remove(*turn.next, true);
+    }
+    CHECK(served[0] > 2 * served[1]);
+    CHECK(served[1] > 2 * served[2]);
+    CHECK(served[2] >= 2);
+}
+
+TEST_CASE("a request whose time is over is named as too late before the next one is chosen")
+{
+    WaitQueue queue({});
+    REQUIRE(queue.enqueue(start,
+                          {.ticket = WaitTicket(1),
+                           .expectedWork = core::Millis(100),
+                           .deadline = start + core::Millis(300)},
+                          1));
+    REQUIRE(queue.enqueue(start,
+                          {.ticket = WaitTicket(2),
+                           .expectedWork = core::Millis(100),
+                           .deadline = start + core::Seconds(3)},
+                          1));
+    const WaitTurn turn = queue.turn(start + core::Millis(250));
+    CHECK(turn.tooLate == std::vector {WaitTicket(1)});
+    CHECK(turn.next == WaitTicket(2));
+}
