--- /dev/null
+++ b/tests/proxy/sync_test.cpp
@@ -0,0 +1,276 @@
+/** @file sync_test.cpp What a VM believes after the store was away, refused it or forgot. */
+#include "proxy/fleet_sync_base.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+using namespace teaselreach;
+using namespace teaselreach::proxy;
+
+namespace {
+
+/** A store in memory; each call fails while it is away. */
+class MemoryStore
+{
+public:
+    explicit MemoryStore(asio::io_context &context)
+        : context_(context)
+    { }
+
+    bool away = false;
+    bool watchesFail = false;
+    bool historyLost = false;
+    int wholeReadings = 0;
+    std::vector<FleetItem> items;
+    std::deque<FleetItem> events;
+    std::uint64_t revision = 1;
+    std::vector<core::VmId> registered;
+    std::vector<core::Micros> waits;
+
+    asio::awaitable<FleetContents> readAll()
+    {
+        co_await delay(core::Millis(2));
+        requirePresent();
+        ++wholeReadings;
+        historyLost = false;
+        co_return FleetContents {.items = items, .revision = StoreRevision(revision)};
+    }
+
+    asio::awaitable<FleetContents> watch(StoreRevision, core::Micros wait)
+    {
+        waits.push_back(wait);
+        // Polls: the tests change the lists from outside.
+        const core::MonoTime end = core::MonoClock::now() + std::min(wait, core::Micros(20000));
+        do {
+            co_await delay(core::Millis(2));
+            requirePresent();
+            if (watchesFail)
+                throw StoreUnreachable("watch");
+            if (historyLost)
+                throw StoreHistoryLost();
+        } while (events.empty() && core::MonoClock::now() < end);
+        FleetContents changes {.revision = StoreRevision(++revision)};
+        changes.items.assign(events.begin(), events.end());
+        events.clear();
+        co_return changes;
+    }
+
+    asio::awaitable<StoreLease> grantLease(core::Micros)
+    {
+        co_await delay(core::Millis(2));
+        requirePresent();
+        co_return StoreLease(7);
+    }
+    asio::awaitable<void> keepLease(StoreLease)
+    {
+        co_await delay(core::Millis(2));
+        requirePresent();
+    }
+    asio::awaitable<void> registerMember(const EntryMember &member, StoreLease)
+    {
+        co_await delay(core::Millis(2));
+        requirePresent();
+        registered.push_back(member.id);
+    }
+    asio::awaitable<void> removeMember(const core::VmId &member)
+    {
+        co_await delay(core::Millis(2));
+        requirePresent();
+        std::erase(registered, member);
+    }
+
+    /** A configuration's value is its version. */
+    Configuration decodeConfiguration(const std::string &value) const
+    {
+        if (value == "unreadable")
+            throw StoreValueMalformed("configuration");
+        return {.version = ConfigVersion(std::stoll(value))};
+    }
+    UpstreamEntry decodeUpstream(const std::string &id, const std::string &value) const
+    {
+        if (value == "unreadable")
+            throw StoreValueMalformed(id);
+        return {.id = core::UpstreamId(id), .service = core::ServiceId("slot"), .address = value};
+    }
+    EntryMember decodeMember(const std::string &id, const std::string &) const
+    {
+        return {.id = core::VmId(id)};
+    }
+
+private:
+    asio::awaitable<void> delay(core::Micros time)
+    {
+        asio::steady_timer timer(context_, time);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    void requirePresent() const
+    {
+        if (away)
+            throw StoreUnreachable("away");
+    }
+
+    asio::io_context &context_;
+};
+
+static_assert(FleetStore<MemoryStore>);
+
+FleetItem config(const std::string &version)
+{
+    return {.subject = FleetSubject::Configuration, .value = version};
+}
+
+FleetItem upstream(const std::string &id, const std::string &address = "127.0.0.1")
+{
+    return {.subject = FleetSubject::Upstream, .id = id, .value = address};
+}
+
+FleetItem removed(const std::string &id)
+{
+    return {.subject = FleetSubject::Upstream, .id = id, .value = std::nullopt};
+}
+
+/** One VM in step with a store in memory; time is real, and short. */
+struct SyncFixture
+{
+    asio::io_context context {1};
+    metrics::Registry registry;
+    UpstreamTable upstreams {{}, 1};
+    AccountShare shares {{}};
+    EntryChoice entries {{}};
+    RequestFlow flow {
+        {.context = context, .upstreams = upstreams, .shares = shares, .registry = registry},
+        {},
+        1};
+    FleetState state {{.flow = flow, .upstreams = upstreams, .entries = entries}, core::VmId("me")};
+    MemoryStore store {context};
+    FleetSync<MemoryStore> sync {{.context = context, .store = store, .state = state},
+                                 {.self = {.id = core::VmId("me")},
+                                  .watchPause = core::Millis(5),
+                                  .renewEvery = core::Millis(20),
+                                  .retryPause = core::Millis(5),
+                                  .longestRetryPause = core::Millis(20)},
+                                 1};
+
+    void run(core::Millis time)
+    {
+        const core::MonoTime end = core::MonoClock::now() + time;
+        while (core::MonoClock::now() < end) {
+            context.run_for(core::Millis(5));
+            state.tick(core::MonoClock::now());
+        }
+    }
+    std::int64_t version() const
+    {
+        return flow.table() ? flow.table()->configuration().version.count() : 0;
+    }
+    bool knows(const std::string &id) const
+    {
+        return upstreams.find(core::UpstreamId(id)) != nullptr;
+    }
+};
+
+} // namespace
+
+TEST_CASE("an older configuration is never put in force")
+{
+    SyncFixture vm;
+    vm.store.items = {config("5")};
+    vm.sync.start();
+    vm.run(core::Millis(60));
+    CHECK(vm.version() == 5);
+    vm.store.events = {config("4")};
+    vm.run(core::Millis(60));
+    CHECK(vm.version() == 5);
+    vm.store.items = {config("3")};
+    vm.store.historyLost = true;
+    vm.run(core::Millis(60));
+    CHECK(vm.version() == 5);
+    CHECK(vm.store.wholeReadings == 2);
+    vm.store.events = {config("9"), config("7")};
+    vm.run(core::Millis(60));
+    CHECK(vm.version() == 9);
+}
+
+TEST_CASE("an unreadable entry names no upstream, and the others hold")
+{
+    SyncFixture vm;
+    vm.store.items = {config("1"), upstream("a"), upstream("b", "unreadable"), upstream("c")};
+    vm.sync.start();
+    vm.run(core::Millis(60));
+    CHECK(vm.knows("a"));
+    CHECK(!vm.knows("b"));
+    CHECK(vm.knows("c"));
+    vm.store.events = {upstream("a", "unreadable"), config("unreadable"), upstream("d")};
+    vm.run(core::Millis(60));
+    CHECK(!vm.knows("a"));
+    CHECK(vm.knows("d"));
+    CHECK(vm.version() == 1);
+}
+
+TEST_CASE("a removal holds at once, also after a watch was cut for a moment")
+{
+    // A watch that was cut once counted as the store's loss, and leaving upstreams kept their work.
+    SyncFixture vm;
+    vm.store.items = {upstream("a"), upstream("b")};
+    vm.sync.start();
+    vm.run(core::Millis(60));
+    vm.store.events = {removed("a")};
+    vm.run(core::Millis(60));
+    CHECK(!vm.knows("a"));
+    vm.store.watchesFail = true;
+    vm.run(core::Millis(60));
+    vm.store.watchesFail = false;
+    vm.store.events = {removed("b")};
+    vm.run(core::Millis(100));
+    CHECK(!vm.knows("b"));
+}
+
+TEST_CASE("the hold after a loss starts with the first answer of any call")
+{
+    // The reading took a second longer than a renewal, and the hold began only then: a request
+    // reached an upstream that had left twelve seconds before.
+    SyncFixture vm;
+    vm.store.items = {upstream("a"), upstream("b")};
+    vm.sync.start();
+    vm.run(core::Millis(60));
+    vm.store.away = true;
+    vm.run(core::Millis(1100));
+    vm.store.away = false;
+    vm.store.watchesFail = true; // Renewals are answered; the reading is not, for a while.
+    vm.run(core::Millis(700));
+    vm.store.watchesFail = false;
+    vm.store.events = {removed("a")};
+    vm.run(core::Millis(700));
+    CHECK(vm.knows("a")); // Held: it may come back.
+    vm.store.events = {upstream("b")};
+    vm.run(core::Millis(900));
+    CHECK(!vm.knows("a")); // 2.1 s after the first answer, not after the reading.
+    CHECK(vm.knows("b"));
+}
+
+TEST_CASE("after a failure the changes that were missed are asked for without a wait")
+{
+    SyncFixture vm;
+    vm.sync.start();
+    vm.run(core::Millis(60));
+    vm.store.watchesFail = true;
+    vm.run(core::Millis(60));
+    vm.store.watchesFail = false;
+    vm.store.waits.clear();
+    vm.run(core::Millis(60));
+    REQUIRE(vm.store.waits.size() >= 2);
+    CHECK(vm.store.waits.front() <= core::Millis(200));
+    CHECK(vm.store.waits.back() > core::Seconds(1));
+}
+
+TEST_CASE("a VM registers, registers again after its lease, and withdraws when it leaves")
+{
+    SyncFixture vm;
+    vm.sync.start();
+    vm.run(core::Millis(60));
+    CHECK(vm.store.registered.size() == 1);
+    vm.sync.leave();
+    vm.run(core::Millis(60));
+    CHECK(vm.store.registered.empty());
+}
