--- a/tests/cmake/proxy.cmake
+++ b/tests/cmake/proxy.cmake
@@ -2,3 +2,4 @@
 teaselreach_test(proxy_placement_test SOURCES proxy/placement_test.cpp LIBS tr_proxy_decisions)
 teaselreach_test(proxy_flow_test SOURCES proxy/flow_test.cpp LIBS tr_proxy)
 teaselreach_test(proxy_sync_test SOURCES proxy/sync_test.cpp LIBS tr_proxy)
+teaselreach_test(platform_test SOURCES proxy/platform_test.cpp LIBS tr_platform)
--- /dev/null
+++ b/tests/proxy/platform_test.cpp
@@ -0,0 +1,219 @@
+/** @file platform_test.cpp The platform's forms: settings, configuration, upstreams, store calls.
+ */
+#include "platform/directory_codec_base.h"
+#include "platform/json_func.h"
+#include "platform/settings_func.h"
+#include "platform/store_client_base.h"
+#include "standins/raw_server.h"
+
+#include <doctest/doctest.h>
+
+#include <thread>
+
+using namespace teaselreach;
+using namespace teaselreach::platform;
+using proxy::StoreValueMalformed;
+using standins::okReply;
+using standins::RawReply;
+using standins::RawRequest;
+using standins::RawServer;
+
+namespace {
+
+const char *const settingsText = R"({
+  "nodeName": "front-1", "role": "entry", "ip": "10.1.0.5", "zone": "z1", "region": "r1",
+  "zones": {"z1": "r1", "z2": "r2"},
+  "listen": {"front": "10.1.0.5:8405", "readiness": "10.1.0.5:8406", "directory": "10.1.0.5:8404"},
+  "internalPorts": [7660, 7675], "bootstrap": true, "limits": {"cpuShare": 0.2, "cores": 1},
+  "bounds": ["grace=6s", "retryBudgetRatio=0.3", "budgetWindow=10s", "retrySlack=50",
+             "quotaWindow=5s", "quotaOverrun=0.1", "quotaSlack=20", "strictRevoke=false"],
+  "platform": {"address": "10.200.1.7:8408", "form": "kv"}, "unknownField": [1]})";
+
+const char *const configText = R"({"version": 7, "routes": [
+  {"name": "r1", "host": "a.example", "prefix": "/x/", "kind": "non_idempotent",
+   "timeout": "1500ms", "targetLatency": "0.5s", "priority": 1, "service": "s1", "maxAttempts": 2,
+   "public": false},
+  {"name": "r2", "host": "a.example", "prefix": "/y/", "kind": "idempotent", "timeout": "1s",
+   "targetLatency": "500ms", "trafficSplit": [{"service": "s1", "weight": 90},
+                                              {"service": "s2", "weight": 10}]}],
+  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000, "headerTimeout": "3000ms",
+             "idleTimeout": "15s"},
+  "tenants": [{"name": "t1", "apiKeys": ["k1", "k2"], "priority": 1, "ratePerS": 47, "burst": 48}]})";
+
+const std::string upstreamText = R"({"service": "s1", "address": "10.9.0.1:8080", "zone": "z1",
+  "version": "v1", "slots": 2, "state": "ready", "warmupLeft": "300ms", "sequence": 4, "born": 5})";
+
+/** Runs one call of a store client. */
+template <typename Call>
+auto runCall(proxy::asio::io_context &context, Call call)
+{
+    using Result = typename decltype(call())::value_type;
+    std::exception_ptr failure;
+    std::optional<Result> result;
+    proxy::asio::co_spawn(context, call(), [&](std::exception_ptr error, Result value) {
+        failure = error;
+        result = std::move(value);
+    });
+    context.restart();
+    context.run();
+    if (failure)
+        std::rethrow_exception(failure);
+    return *result;
+}
+
+} // namespace
+
+TEST_CASE("the platform's settings name addresses, regions and bounds")
+{
+    const PlatformSettings settings = readPlatformSettings(settingsText);
+    CHECK(settings.daemon.self.id == core::VmId("front-1"));
+    CHECK(settings.daemon.callers.port == 8405);
+    CHECK(settings.daemon.self.callerAddress == "10.1.0.5:8405");
+    CHECK(settings.daemon.self.peerAddress == "10.1.0.5:7660");
+    CHECK(settings.daemon.regionOfZone.at(core::AvailabilityZoneId("z2")) == core::RegionId("r2"));
+    CHECK(settings.daemon.flow.retries.ratio == doctest::Approx(0.3));
+    CHECK(settings.daemon.flow.retries.slack == doctest::Approx(50));
+    CHECK(settings.daemon.shares.overrunRequests == doctest::Approx(20));
+    CHECK(settings.daemon.shutdown.endAfter < core::Seconds(6));
+    CHECK(settings.store.port == 8408);
+}
+
+TEST_CASE("settings that cannot be used are refused by name")
+{
+    const auto without = [](const std::string &part) {
+        std::string text = settingsText;
+        text.erase(text.find(part), part.size());
+        return text;
+    };
+    CHECK_THROWS_AS(readPlatformSettings("{"), PlatformSettingsInvalid);
+    CHECK_THROWS_AS(readPlatformSettings(without("\"zone\": \"z1\", ")), PlatformSettingsInvalid);
+    CHECK_THROWS_AS(readPlatformSettings(without("\"directory\": \"10.1.0.5:8404\"")),
+                    PlatformSettingsInvalid);
+    CHECK_THROWS_AS(loadPlatformSettings("/nonexistent/settings.json"), PlatformSettingsInvalid);
+}
+
+TEST_CASE("the operators' configuration is read with kinds, splits, keys and limits")
+{
+    const proxy::Configuration configuration = platform::decodeConfiguration(configText);
+    CHECK(configuration.version == proxy::ConfigVersion(7));
+    REQUIRE(configuration.routes.size() == 2);
+    CHECK(!configuration.routes[0].idempotent);
+    CHECK(configuration.routes[0].timeout == core::Millis(1500));
+    CHECK(configuration.routes[0].targetLatency == core::Millis(500));
+    CHECK(configuration.routes[1].idempotent);
+    REQUIRE(configuration.routes[1].destinations.size() == 2);
+    CHECK(configuration.routes[1].destinations[1].weight == 10);
+    CHECK(configuration.accounts.front().keys.size() == 2);
+    CHECK(configuration.limits.idleTimeout == core::Seconds(15));
+}
+
+TEST_CASE("a configuration or entry with a missing or mistyped field is malformed as a whole")
+{
+    CHECK_THROWS_AS(platform::decodeConfiguration("{}"), StoreValueMalformed);
+    CHECK_THROWS_AS(platform::decodeConfiguration("\xff\xfe"), StoreValueMalformed);
+    std::string text = configText;
+    text.replace(text.find("\"1500ms\""), 8, "1500");
+    CHECK_THROWS_AS(platform::decodeConfiguration(text), StoreValueMalformed);
+    CHECK(platform::decodeUpstream("i-1", upstreamText).startedAt == 5);
+    CHECK(platform::decodeUpstream("i-1", upstreamText).warmupLeft == core::Millis(300));
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>> {
+             {"\"service\": \"s1\", ", ""},
+             {"\"slots\": 2", "\"slots\": \"2\""},
+             {"\"ready\"", "\"resting\""},
+             {"10.9.0.1:8080", "10.9.0.1"},
+             {"\"zone\": \"z1\"", "\"zone\": null"}}) {
+        std::string broken = upstreamText;
+        broken.replace(broken.find(from), from.size(), to);
+        CHECK_THROWS_AS(platform::decodeUpstream("i-1", broken), StoreValueMalformed);
+    }
+}
+
+TEST_CASE("durations and base64 text are read whole or not at all")
+{
+    CHECK(parseDuration("1.5s") == core::Millis(1500));
+    CHECK(parseDuration("250ms") == core::Millis(250));
+    for (const char *text : {"", "1", "ms", "1 s", "-1s", "1m", "1sx"})
+        CHECK_THROWS_AS(parseDuration(text), BodyMalformed);
+    for (const std::string &bytes : {std::string(), std::string("a"), std::string("ab"),
+                                     std::string("abc"), std::string("\0\xff", 2)})
+        CHECK(decodeBase64(encodeBase64(bytes)) == bytes);
+    CHECK_THROWS_AS(decodeBase64("abc"), BodyMalformed);
+    CHECK_THROWS_AS(decodeBase64("a$c="), BodyMalformed);
+}
+
+TEST_CASE("a member's entry is read as it was written")
+{
+    const proxy::EntryMember member {
+        .id = core::VmId("vm"),
+        .location = {core::AvailabilityZoneId("z1"), core::RegionId("r1")},
+        .callerAddress = "10.0.0.1:80",
+        .peerAddress = "10.0.0.1:90"};
+    CHECK(platform::decodeMember("vm", encodeMember(member)) == member);
+    CHECK_THROWS_AS(platform::decodeMember("vm", "{}"), StoreValueMalformed);
+}
+
+TEST_CASE("a caller's question names its zone, and an answer without addresses is a failure")
+{
+    const DirectoryCodec codec;
+    proxy::HttpRequest request(proxy::beasthttp::verb::get,
+                               "/resolve?name=a.example&region=r1&zone=z1", 11);
+    const auto location = codec.callerLocation(request);
+    REQUIRE(location);
+    CHECK(location->availabilityZone == core::AvailabilityZoneId("z1"));
+    CHECK(location->region == core::RegionId("r1"));
+    request.target("/other");
+    CHECK(!codec.callerLocation(request));
+    CHECK(codec.answer({"10.0.0.1:80"}).body().find("10.0.0.1:80") != std::string::npos);
+    CHECK(codec.answer({}).result_int() == 503);
+}
+
+TEST_CASE("all pages of the store are read, and changes are watched from the first page on")
+{
+    RawServer store("127.0.0.1", [](const RawRequest &request) {
+        const bool second = request.head.find("after=servers/a") != std::string::npos;
+        const std::string item = [](const std::string &key, const std::string &value) {
+            return R"({"key":")" + key + R"(","value":")" + encodeBase64(value)
+                + R"(","revision":3,"created":3,"lease":0})";
+        }(second ? "servers/b" : "servers/a", "v");
+        return RawReply {okReply(R"({"items":[)" + item + R"(],"truncated":)"
+                                 + (second ? "false" : "true") + R"(,"currentRev":)"
+                                 + (second ? "9" : "8") + "}")};
+    });
+    proxy::asio::io_context context(1);
+    StoreClient client(context, {.address = store.address(), .port = store.port()});
+    const proxy::FleetContents contents = runCall(context, [&] { return client.readAll(); });
+    REQUIRE(contents.items.size() == 2);
+    CHECK(contents.items[1].id == "b");
+    CHECK(contents.revision == proxy::StoreRevision(8));
+}
+
+TEST_CASE("removals, unreadable items and lost history of a watch are told apart")
+{
+    int step = 0;
+    RawServer store("127.0.0.1", [&](const RawRequest &) {
+        ++step;
+        if (step == 1)
+            return RawReply {
+                okReply(R"({"events":[{"key":"servers/a","revision":5,"removed":true},{"key":7},)"
+                        R"({"key":"op/config","value":"e30=","revision":6}],"currentRev":6})")};
+        if (step == 2)
+            return RawReply {okReply("", "", "410 Gone")};
+        if (step == 3)
+            return RawReply {okReply("", "", "503 Busy")};
+        return RawReply {okReply("no json")};
+    });
+    proxy::asio::io_context context(1);
+    StoreClient client(context, {.address = store.address(), .port = store.port()});
+    const auto watch = [&] {
+        return runCall(context,
+                       [&] { return client.watch(proxy::StoreRevision(4), core::Seconds(1)); });
+    };
+    const proxy::FleetContents changes = watch();
+    REQUIRE(changes.items.size() == 2);
+    CHECK(!changes.items[0].value);
+    CHECK(changes.items[1].subject == proxy::FleetSubject::Configuration);
+    CHECK(changes.items[1].value == "{}");
+    CHECK_THROWS_AS(watch(), proxy::StoreHistoryLost);
+    CHECK_THROWS_AS(watch(), proxy::StoreUnreachable);
+    CHECK_THROWS_AS(watch(), proxy::StoreUnreachable);
+}
