--- a/tests/proxy/flow_fixture.h
+++ b/tests/proxy/flow_fixture.h
@@ -169,7 +169,7 @@
         std::string text = request;
         text.insert(text.find("\r\n") + 2, "Connection: close\r\n");
         standins::sendAll(fd, text);
-        const std::string answer = standins::readAll(fd);
+        std::string answer = standins::readAll(fd);
         ::close(fd);
         return answer;
     }
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -21,7 +21,7 @@
     {
         sockaddr_in local {.sin_family = AF_INET};
         inet_pton(AF_INET, "127.0.0.1", &local.sin_addr);
-        ::bind(listener_, reinterpret_cast<sockaddr *>(&local), sizeof local);
+        (void)::bind(listener_, reinterpret_cast<sockaddr *>(&local), sizeof local);
         ::listen(listener_, 8);
         socklen_t size = sizeof local;
         ::getsockname(listener_, reinterpret_cast<sockaddr *>(&local), &size);
@@ -303,7 +303,7 @@
     const auto raw = [&](const std::string &bytes) {
         const int fd = fixture.connect();
         standins::sendAll(fd, bytes);
-        const std::string answer = standins::readAll(fd);
+        std::string answer = standins::readAll(fd);
         ::close(fd);
         return answer;
     };
@@ -329,7 +329,7 @@
     standins::sendAll(fd, callerRequest("POST", "/book/", "a1", "", "x"));
     REQUIRE(eventually([&] { return upstream.requests() == 1; }));
     fixture.onLoop([&] { fixture.flow().enter(FlowPhase::Leaving); });
-    const std::string answer = standins::readAll(fd);
+    std::string answer = standins::readAll(fd);
     ::close(fd);
     CHECK(bodyOf(answer) == "done");
     CHECK(headerOf(answer, "Connection") == "close");
