--- a/src/proxy/fleet_sync_base.h
+++ b/src/proxy/fleet_sync_base.h
@@ -22,7 +22,7 @@
      * every 1.5 s and lapse after three intervals, one of which may have passed before. */
     core::Micros shortestLapse {core::Seconds(1)};
     /** Pause between two watch calls, so that changes in a row share one answer. */
-    core::Micros watchPause {core::Millis(150)};
+    core::Micros watchPause {core::Millis(400)};
     /** Lifetime of the registration of a VM that takes callers, and the time between renewals. A
      * renewal costs a tenth of a call; it also tells soon that the store is out of reach. */
     core::Micros leaseTime {core::Millis(4500)};
