--- a/src/proxy/entry_choice.cpp
+++ b/src/proxy/entry_choice.cpp
@@ -35,11 +35,21 @@
             active.push_back(&member);
     }
     std::sort(active.begin(), active.end(), [&](const EntryMember *a, const EntryMember *b) {
+        if (a->capacity != b->capacity)
+            return a->capacity > b->capacity;
         return core::rendezvousWeight(zone.str(), a->id.str())
             > core::rendezvousWeight(zone.str(), b->id.str());
     });
-    if (active.size() > options_.activePerZone)
-        active.resize(options_.activePerZone);
+    double whole = 0;
+    for (const EntryMember *member : active)
+        whole += member->capacity;
+    const double needed = std::max(options_.activeCapacity, options_.activeCapacityPart * whole);
+    std::size_t count = 0;
+    for (double taken = 0;
+         count < active.size() && (count < options_.activePerZone || taken < needed - 1e-9);
+         ++count)
+        taken += active[count]->capacity;
+    active.resize(count);
     return active;
 }
 
--- a/src/proxy/entry_choice_base.h
+++ b/src/proxy/entry_choice_base.h
@@ -11,9 +11,14 @@
 /** How many entry VMs take callers, and how quickly a VM's part of a limit passes to others. */
 struct EntryChoiceOptions
 {
-    /** Entry VMs that the callers of one availability zone are sent to. Each sees a larger sample
-     * of its upstreams the fewer they are; one alone would take all its callers down with it. */
+    /** Fewest entry VMs that the callers of one availability zone are sent to. Each sees a larger
+     * sample of its upstreams the fewer they are; one alone would take all its callers down with
+     * it. */
     std::size_t activePerZone = 2;
+    /** Least capacity of the VMs that take the callers of one zone: in cores, and as a part of the
+     * zone's. The strongest VMs are taken first. */
+    double activeCapacity = 0.4;
+    double activeCapacityPart = 0.12;
     /** Part of every limit that the VMs without callers hold together. Callers with an old answer
      * reach them after a change of the active VMs. */
     double reservedForOthers = 0.08;
--- a/src/proxy/proxy_type.h
+++ b/src/proxy/proxy_type.h
@@ -86,6 +86,7 @@
     core::Location location;
     std::string callerAddress; ///< IPv4 number and port, as callers use it.
     std::string peerAddress;   ///< IPv4 number and port for messages of other VMs.
+    double capacity = 1;       ///< What it can carry, in processor cores.
     bool accepting = true;     ///< False once it shuts down.
 
     bool operator==(const EntryMember &) const = default;
--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -101,10 +101,7 @@
             result.reason = NoPlacement::TooLate;
             continue;
         }
-        const double failure = failureOf(now, upstream);
-        const double failureLoss =
-            request.idempotent ? failure * options_.repeatableFactor : failure;
-        const double loss = failureLoss + distanceLoss(upstream)
+        const double loss = failureLoss(now, upstream, request.idempotent) + distanceLoss(upstream)
             + latenessLoss(request.elapsed + duration, request.targetLatency) + chance(random_);
         if (result.placement && loss >= bestLoss)
             continue;
@@ -114,7 +111,7 @@
                             .port = upstream.entry.port,
                             .expectedDuration = duration,
                             .expectedLoss = loss,
-                            .failureEstimate = failure};
+                            .failureEstimate = failureOf(now, upstream)};
     }
     return result;
 }
@@ -128,6 +125,7 @@
     const auto patience = std::max(
         overdueMinimum,
         std::chrono::duration_cast<core::Micros>(overdueFactor * placement.expectedDuration));
+    found->second.triedAt = now;
     found->second.underWay.push_back({.number = placement.attempt, .overdueAt = now + patience});
 }
 
@@ -170,8 +168,10 @@
 void UpstreamTable::outcomeReported(core::MonoTime now, const OutcomeReport &report)
 {
     const auto found = upstreams_.find(report.upstream);
-    if (found != upstreams_.end())
-        learnOutcome(now, found->second, report.failed, options_.reportedSoundFailure);
+    if (found == upstreams_.end())
+        return;
+    found->second.triedAt = now;
+    learnOutcome(now, found->second, report.failed, options_.reportedSoundFailure);
 }
 
 core::Micros UpstreamTable::expectedWork(const core::RouteId &route,
@@ -207,6 +207,19 @@
     return std::max(learned, overdueFailure(now, upstream));
 }
 
+/** @return The loss by a failure, smaller if the request may be sent again afterwards. */
+double UpstreamTable::failureLoss(core::MonoTime now, const Upstream &upstream,
+                                  bool repeatable) const
+{
+    const double failure = failureOf(now, upstream);
+    if (!repeatable)
+        return failure;
+    if (failure > options_.suspected && upstream.underWay.empty()
+        && now - upstream.triedAt > options_.trialInterval)
+        return options_.trialLoss;
+    return failure * options_.repeatableFactor;
+}
+
 /** @return An estimate from attempts that have been under way for too long. */
 double UpstreamTable::overdueFailure(core::MonoTime now, const Upstream &upstream) const
 {
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -38,6 +38,13 @@
     double reportedSoundFailure = 0.06;
     /** Part of the estimate of failures that matters for a request that may be sent again. */
     double repeatableFactor = 0.4;
+    /** Estimate of failures from which an upstream gets no more than trials. */
+    double suspected = 0.3;
+    /** Time between two trials of a suspected upstream, by requests that may be sent again. Its
+     * recovery is noticed within it, and no sound upstream stays without work for longer. */
+    core::Micros trialInterval {core::Millis(1500)};
+    /** Loss that a trial counts as: chosen before other upstreams unless those are much nearer. */
+    double trialLoss = 0.0;
     /** Time in which another VM's load report loses half of its weight. */
     core::Micros loadHalfLife {core::Millis(300)};
     /** Weight of the newest duration in the estimates of work times. */
@@ -157,11 +164,13 @@
         core::MonoTime sickAt {};
         double slowness = 1;            ///< Its durations relative to those of its service.
         std::vector<UnderWay> underWay; ///< Attempts of this VM.
+        core::MonoTime triedAt {};      ///< Last attempt, or last failure that another VM saw.
         bool leaving = false;
     };
 
     double sickAt(core::MonoTime now, const Upstream &upstream) const;
     double failureOf(core::MonoTime now, const Upstream &upstream) const;
+    double failureLoss(core::MonoTime now, const Upstream &upstream, bool repeatable) const;
     double overdueFailure(core::MonoTime now, const Upstream &upstream) const;
     double occupancyOf(core::MonoTime now, const Upstream &upstream) const;
     double distanceLoss(const Upstream &upstream) const;
--- a/tests/proxy/decisions_test.cpp
+++ b/tests/proxy/decisions_test.cpp
@@ -243,6 +243,23 @@
     CHECK(elsewhere.front().starts_with("z2-"));
 }
 
+TEST_CASE("strong VMs take the callers, and as many weak ones as it takes if those are gone")
+{
+    EntryChoice entries({.activePerZone = 2, .activeCapacity = 0.4, .activeCapacityPart = 0});
+    for (int i = 0; i < 10; ++i) {
+        EntryMember member = makeMember("vm-" + std::to_string(i), "z1", "west");
+        member.capacity = i < 2 ? 0.5 : 0.1;
+        entries.joined(member);
+    }
+    const core::Location caller {core::AvailabilityZoneId("z1"), core::RegionId("west")};
+    CHECK(entries.isActive(core::VmId("vm-0")));
+    CHECK(entries.isActive(core::VmId("vm-1")));
+    CHECK(entries.addressesFor(caller).size() == 2);
+    entries.left(start, core::VmId("vm-0"));
+    entries.left(start, core::VmId("vm-1"));
+    CHECK(entries.addressesFor(caller).size() == 4);
+}
+
 TEST_CASE("parts of limits never add up to more than one while VMs come and go")
 {
     EntryChoice entries({.activePerZone = 2});
--- a/tests/proxy/placement_test.cpp
+++ b/tests/proxy/placement_test.cpp
@@ -108,6 +108,39 @@
     CHECK(count > 5);
 }
 
+TEST_CASE("a suspected upstream is tried again and again, by requests that may be repeated")
+{
+    // Upstreams that had failed once got nothing for up to ten seconds, though most were sound
+    // again; together they were more than the floor allows.
+    UpstreamTable table(options(), 1);
+    for (const char *id : {"a", "b", "c"})
+        table.update(start, makeEntry(id));
+    core::MonoTime now = start;
+    const core::UpstreamId suspected = oneAttempt(table, now, AttemptEnd::ServerError);
+    std::vector<core::MonoTime> tries {now};
+    for (int i = 0; i < 80; ++i) {
+        now += core::Millis(100);
+        const bool idempotent = i % 2 == 0;
+        PlacementResult result = table.choose(now, makeRequest(idempotent));
+        REQUIRE(result.placement);
+        table.started(now, *result.placement);
+        const bool chosen = result.placement->upstream == suspected;
+        table.finished({.upstream = result.placement->upstream,
+                        .route = route,
+                        .attempt = result.placement->attempt,
+                        .end = chosen ? AttemptEnd::ServerError : AttemptEnd::Answered,
+                        .startedAt = now,
+                        .endedAt = now + core::Millis(50)});
+        if (!chosen)
+            continue;
+        CHECK(idempotent);
+        CHECK(now - tries.back() > core::Millis(1400));
+        CHECK(now - tries.back() < core::Seconds(2));
+        tries.push_back(now);
+    }
+    CHECK(tries.size() >= 5);
+}
+
 TEST_CASE("a failure that another VM saw diverts traffic too")
 {
     UpstreamTable table(options(), 1);
