--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,5 +1,6 @@
 /** @file log.cpp Event logging through log4cplus. */
 #include "core/log_func.h"
+#include "core/log_sink_base.h"
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -9,6 +10,7 @@
 
 #include <atomic>
 #include <memory>
+#include <unistd.h>
 
 namespace teaselreach::core {
 
@@ -33,6 +35,35 @@
     return text;
 }
 
+/** Hands formatted lines to a LogSink. */
+class SinkAppender : public log4cplus::Appender
+{
+public:
+    explicit SinkAppender(LogSink &sink)
+        : sink_(sink)
+    { }
+    ~SinkAppender() override { destructorImpl(); }
+    SinkAppender(const SinkAppender &) = delete;
+    SinkAppender &operator=(const SinkAppender &) = delete;
+
+    void close() override { sink_.flush(); }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        sink_.append(formatEvent(event));
+    }
+
+private:
+    LogSink &sink_;
+};
+
+LogSink &standardOutput()
+{
+    static LogSink sink(STDOUT_FILENO);
+    return sink;
+}
+
 log4cplus::LogLevel toLog4cplus(LogLevel level)
 {
     switch (level) {
@@ -48,8 +79,35 @@
     return log4cplus::INFO_LOG_LEVEL;
 }
 
+void startWith(const log4cplus::SharedAppenderPtr &appender, LogLevel minimum)
+{
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+        LOG4CPLUS_TEXT("ts=%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n")));
+    log4cplus::Logger root = log4cplus::Logger::getRoot();
+    root.addAppender(appender);
+    root.setLogLevel(toLog4cplus(minimum));
+    started = true;
+}
+
 } // namespace
 
+void startBufferedLogging(LogLevel minimum)
+{
+    static log4cplus::Initializer initializer;
+    const log4cplus::SharedAppenderPtr appender(new SinkAppender(standardOutput()));
+    startWith(appender, minimum);
+}
+
+void flushLog()
+{
+    standardOutput().flush();
+}
+
+std::uint64_t droppedLogLines()
+{
+    return standardOutput().dropped();
+}
+
 LogField::LogField(std::string_view fieldKey, std::string_view fieldValue)
     : key(fieldKey)
     , value(fieldValue)
@@ -69,12 +127,7 @@
 {
     static log4cplus::Initializer initializer;
     const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-        LOG4CPLUS_TEXT("ts=%d{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n")));
-    log4cplus::Logger root = log4cplus::Logger::getRoot();
-    root.addAppender(appender);
-    root.setLogLevel(toLog4cplus(minimum));
-    started = true;
+    startWith(appender, minimum);
 }
 
 void logEvent(LogLevel level, std::string_view event, const std::vector<LogField> &fields)
--- a/src/core/log_func.h
+++ b/src/core/log_func.h
@@ -30,6 +30,17 @@
  */
 void startLogging(LogLevel minimum);
 
+/**
+ * Starts logging to standard output through log4cplus, without ever blocking: lines that the reader
+ * does not take are dropped beyond a bound.
+ * @param minimum Events below this level are dropped.
+ */
+void startBufferedLogging(LogLevel minimum);
+/** Writes the lines that wait; call it several times a second after startBufferedLogging(). */
+void flushLog();
+/** @return Lines that startBufferedLogging()'s output has dropped. */
+std::uint64_t droppedLogLines();
+
 /**
  * Writes one event. Never pass a client account's key.
  * @param level Severity.
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -235,6 +235,7 @@
             ErrorCode ignored; // Nothing cancels the timer.
             co_await timer.async_wait(storeError(ignored));
             const core::MonoTime now = core::MonoClock::now();
+            core::flushLog();
             state_.tick(now);
             flow_.pump(now);
             if (count % messageEvery == 0)
@@ -300,6 +301,8 @@
         internalServer_.closeStale(now);
         registry_.setGauge("teaselreach_waiting_requests", {},
                            static_cast<double>(flow_.waiting()));
+        registry_.setGauge("teaselreach_log_lines_dropped", {},
+                           static_cast<double>(core::droppedLogLines()));
         registry_.setGauge("teaselreach_caller_connections", {},
                            static_cast<double>(callers_.size()));
         registry_.setGauge("teaselreach_limit_part", {}, shares_.part());
--- a/tests/unit/core_test.cpp
+++ b/tests/unit/core_test.cpp
@@ -2,11 +2,14 @@
 #include "core/clock_type.h"
 #include "core/digest_func.h"
 #include "core/log_func.h"
+#include "core/log_sink_base.h"
 #include "table/refusal_table.h"
 
 #include <doctest/doctest.h>
 
+#include <fcntl.h>
 #include <set>
+#include <unistd.h>
 
 using namespace teaselreach;
 
@@ -41,3 +44,32 @@
         codes.insert(row.code);
     CHECK(codes.size() == table::refusalTable.size());
 }
+
+TEST_CASE("a reader that takes no log lines neither blocks the writer nor fills its memory")
+{
+    int ends[2] = {};
+    REQUIRE(pipe(ends) == 0);
+    core::LogSink sink(ends[1]);
+    const std::string line(100, 'x');
+    for (int i = 0; i < 20000; ++i)
+        sink.append(line + "\n"); // 2 MB: more than the pipe and the sink hold.
+    sink.flush();
+    CHECK(sink.dropped() > 0);
+    const std::uint64_t dropped = sink.dropped();
+    // The reader comes back: what was kept arrives, and how much is missing is told.
+    std::string received;
+    std::string part(65536, ' ');
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    for (int i = 0; i < 100; ++i) {
+        const ssize_t count = read(ends[0], part.data(), part.size());
+        if (count > 0)
+            received.append(part, 0, static_cast<std::size_t>(count));
+        if (i == 50)
+            sink.append("again\n");
+        sink.flush();
+    }
+    CHECK(received.find("log_lines_dropped total=" + std::to_string(dropped)) != std::string::npos);
+    CHECK(received.ends_with("again\n"));
+    close(ends[0]);
+    close(ends[1]);
+}
