--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -101,8 +101,7 @@
             result.reason = NoPlacement::TooLate;
             continue;
         }
-        const double loss = failureLoss(now, upstream, request.idempotent) + distanceLoss(upstream)
-            + latenessLoss(request.elapsed + duration, request.targetLatency) + chance(random_);
+        const double loss = expectedLoss(now, upstream, request, duration) + chance(random_);
         if (result.placement && loss >= bestLoss)
             continue;
         bestLoss = loss;
@@ -207,17 +206,17 @@
     return std::max(learned, overdueFailure(now, upstream));
 }
 
-/** @return The loss by a failure, smaller if the request may be sent again afterwards. */
-double UpstreamTable::failureLoss(core::MonoTime now, const Upstream &upstream,
-                                  bool repeatable) const
+double UpstreamTable::expectedLoss(core::MonoTime now, const Upstream &upstream,
+                                   const PlacementRequest &request, core::Micros duration) const
 {
+    const double distance = distanceLoss(upstream);
+    const bool untried =
+        upstream.underWay.empty() && now - upstream.triedAt > options_.trialInterval;
+    if (request.idempotent && untried)
+        return distance;
     const double failure = failureOf(now, upstream);
-    if (!repeatable)
-        return failure;
-    if (failure > options_.suspected && upstream.underWay.empty()
-        && now - upstream.triedAt > options_.trialInterval)
-        return options_.trialLoss;
-    return failure * options_.repeatableFactor;
+    return distance + latenessLoss(request.elapsed + duration, request.targetLatency)
+        + (request.idempotent ? failure * options_.repeatableFactor : failure);
 }
 
 /** @return An estimate from attempts that have been under way for too long. */
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -38,13 +38,10 @@
     double reportedSoundFailure = 0.06;
     /** Part of the estimate of failures that matters for a request that may be sent again. */
     double repeatableFactor = 0.4;
-    /** Estimate of failures from which an upstream gets no more than trials. */
-    double suspected = 0.3;
-    /** Time between two trials of a suspected upstream, by requests that may be sent again. Its
-     * recovery is noticed within it, and no sound upstream stays without work for longer. */
-    core::Micros trialInterval {core::Millis(1500)};
-    /** Loss that a trial counts as: chosen before other upstreams unless those are much nearer. */
-    double trialLoss = 0.0;
+    /** Time without an attempt after which an upstream that is suspected, slow or cold gets the
+     * next request that may be sent again. Its recovery is noticed within it, and no sound upstream
+     * stays without work for longer. */
+    core::Micros trialInterval {core::Seconds(1)};
     /** Time in which another VM's load report loses half of its weight. */
     core::Micros loadHalfLife {core::Millis(300)};
     /** Weight of the newest duration in the estimates of work times. */
@@ -170,7 +167,8 @@
 
     double sickAt(core::MonoTime now, const Upstream &upstream) const;
     double failureOf(core::MonoTime now, const Upstream &upstream) const;
-    double failureLoss(core::MonoTime now, const Upstream &upstream, bool repeatable) const;
+    double expectedLoss(core::MonoTime now, const Upstream &upstream,
+                        const PlacementRequest &request, core::Micros duration) const;
     double overdueFailure(core::MonoTime now, const Upstream &upstream) const;
     double occupancyOf(core::MonoTime now, const Upstream &upstream) const;
     double distanceLoss(const Upstream &upstream) const;
--- a/tests/proxy/placement_test.cpp
+++ b/tests/proxy/placement_test.cpp
@@ -134,13 +134,31 @@
         if (!chosen)
             continue;
         CHECK(idempotent);
-        CHECK(now - tries.back() > core::Millis(1400));
-        CHECK(now - tries.back() < core::Seconds(2));
+        CHECK(now - tries.back() > core::Millis(900));
+        CHECK(now - tries.back() < core::Millis(1500));
         tries.push_back(now);
     }
     CHECK(tries.size() >= 5);
 }
 
+TEST_CASE("upstreams that are cold or slow get some work while others are sound")
+{
+    // Of the upstreams that a release had just started, most got nothing while they were cold.
+    UpstreamTable table(options(), 1);
+    table.update(start, makeEntry("warm"));
+    UpstreamEntry cold = makeEntry("cold");
+    cold.warmupLeft = core::Seconds(5);
+    table.update(start, cold);
+    int coldCount = 0;
+    for (int i = 0; i < 40; ++i)
+        coldCount += oneAttempt(table, start + core::Millis(100 * i), AttemptEnd::Answered, true)
+                == core::UpstreamId("cold")
+            ? 1
+            : 0;
+    CHECK(coldCount >= 3);
+    CHECK(coldCount <= 20);
+}
+
 TEST_CASE("a failure that another VM saw diverts traffic too")
 {
     UpstreamTable table(options(), 1);
