--- a/src/proxy/entry_choice.cpp
+++ b/src/proxy/entry_choice.cpp
@@ -129,6 +129,24 @@
     return *active.front();
 }
 
+std::vector<EntryMember> EntryChoice::activeElsewhere(const core::VmId &id) const
+{
+    std::vector<EntryMember> elsewhere;
+    const auto self = members_.find(id);
+    if (self == members_.end())
+        return elsewhere;
+    std::set<core::AvailabilityZoneId> zones;
+    for (const auto &[memberId, member] : members_) {
+        if (member.location.region != self->second.location.region)
+            zones.insert(member.location.availabilityZone);
+    }
+    for (const core::AvailabilityZoneId &zone : zones) {
+        for (const EntryMember *member : activeOf(zone))
+            elsewhere.push_back(*member);
+    }
+    return elsewhere;
+}
+
 std::vector<EntryMember> EntryChoice::neighboursOf(const core::VmId &id) const
 {
     std::vector<EntryMember> neighbours;
--- a/src/proxy/entry_choice_base.h
+++ b/src/proxy/entry_choice_base.h
@@ -57,6 +57,8 @@
     bool isActive(const core::VmId &id) const;
     /** @return The VM of the same availability zone that reads the store for the others. */
     std::optional<EntryMember> relayOf(const core::VmId &id) const;
+    /** @return The active VMs of other regions. */
+    std::vector<EntryMember> activeElsewhere(const core::VmId &id) const;
     /** @return The other VMs of a VM's availability zone. */
     std::vector<EntryMember> neighboursOf(const core::VmId &id) const;
     /** @return The other active VMs of a VM's region: its pool. */
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -8,6 +8,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <optional>
+#include <set>
 
 namespace teaselreach::proxy {
 
@@ -267,18 +268,28 @@
         if (!entries_.isActive(options_.self.id))
             message.usage.clear(); // Counted against a part of its own.
         const bool due = now - messageSentAt_ > messageInterval;
-        if (!message.outcomes.empty() || !message.usage.empty() || due) {
-            for (const EntryMember &peer : entries_.peersOf(options_.self.id))
+        const bool isNews = !message.outcomes.empty();
+        if (due)
+            messageSentAt_ = now;
+        std::set<core::VmId> told;
+        if (isNews || due || !message.usage.empty()) {
+            for (const EntryMember &peer : entries_.peersOf(options_.self.id)) {
                 peers_.send(peer.peerAddress, message);
+                told.insert(peer.id);
+            }
         }
-        if (!due)
-            return;
-        messageSentAt_ = now;
-        if (!entries_.isActive(options_.self.id) && !leavingSince_)
+        message.usage.clear();
+        const bool isActive = entries_.isActive(options_.self.id) || leavingSince_;
+        for (const EntryMember &neighbour : entries_.neighboursOf(options_.self.id)) {
+            if ((isNews || (due && isActive)) && !told.contains(neighbour.id))
+                peers_.send(neighbour.peerAddress, message);
+        }
+        // Traffic between regions is paid for: only what turns a belief goes there.
+        std::erase_if(message.outcomes, [](const OutcomeReport &report) { return !report.isTurn; });
+        if (message.outcomes.empty())
             return;
-        const PeerMessage sign {.sender = options_.self.id, .leaving = message.leaving};
-        for (const EntryMember &neighbour : entries_.neighboursOf(options_.self.id))
-            peers_.send(neighbour.peerAddress, sign);
+        for (const EntryMember &peer : entries_.activeElsewhere(options_.self.id))
+            peers_.send(peer.peerAddress, message);
     }
 
     void takeMessage(const PeerMessage &message)
--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -84,6 +84,7 @@
 {
     PlacementResult result;
     double bestLoss = 0;
+    bool soundIsBusy = false;
     std::uniform_real_distribution<double> chance(0, tieLoss);
     for (const auto &[id, upstream] : upstreams_) {
         if (upstream.entry.service != request.service || upstream.entry.draining
@@ -94,8 +95,10 @@
         if (result.reason == NoPlacement::NoUpstream)
             result.reason = NoPlacement::AllBusy;
         const double slots = std::max(1, upstream.entry.slots);
-        if (occupancyOf(now, upstream) + 1 > slots * options_.maxOccupancy)
+        if (occupancyOf(now, upstream) + 1 > slots * options_.maxOccupancy) {
+            soundIsBusy = soundIsBusy || failureOf(now, upstream) < options_.suspected;
             continue;
+        }
         const core::Micros duration = expectedDuration(now, upstream, request);
         if (duration > request.timeLeft) {
             result.reason = NoPlacement::TooLate;
@@ -112,6 +115,11 @@
                             .expectedLoss = loss,
                             .failureEstimate = failureOf(now, upstream)};
     }
+    // A sick upstream fails fast and so always has room. A request that may not be sent again waits
+    // for a sound one instead.
+    if (result.placement && !request.idempotent && soundIsBusy
+        && result.placement->failureEstimate > options_.hopeless)
+        return {.placement = std::nullopt, .reason = NoPlacement::AllBusy};
     return result;
 }
 
@@ -154,12 +162,13 @@
     const bool failed = countsAsFailure(record.end);
     // A failed connection may concern this VM's path only. A good outcome is news to others only
     // if the upstream was taken for sick.
-    constexpr double suspected = 0.4;
-    const bool isNews =
-        failed ? record.end != AttemptEnd::NotSent : sickAt(record.endedAt, upstream) > suspected;
-    if (isNews)
-        reports_.push_back({.upstream = record.upstream, .failed = failed});
+    const bool wasSuspected = failureOf(record.endedAt, upstream) > options_.suspected;
+    const bool isNews = failed ? record.end != AttemptEnd::NotSent : wasSuspected;
     learnOutcome(record.endedAt, upstream, failed, options_.soundFailure);
+    const bool isSuspected = failureOf(record.endedAt, upstream) > options_.suspected;
+    if (isNews)
+        reports_.push_back(
+            {.upstream = record.upstream, .failed = failed, .isTurn = wasSuspected != isSuspected});
     if (record.end == AttemptEnd::Answered)
         learnDuration(record, upstream);
 }
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -38,6 +38,10 @@
     double reportedSoundFailure = 0.06;
     /** Part of the estimate of failures that matters for a request that may be sent again. */
     double repeatableFactor = 0.4;
+    /** Estimate of failures below which an upstream counts as sound, and above which a request that
+     * may not be sent again rather waits for a sound one that is busy. */
+    double suspected = 0.3;
+    double hopeless = 0.5;
     /** Time without an attempt after which an upstream that is suspected, slow or cold gets the
      * next request that may be sent again. Its recovery is noticed within it, and no sound upstream
      * stays without work for longer. */
@@ -106,6 +110,7 @@
 {
     core::UpstreamId upstream;
     bool failed = false;
+    bool isTurn = false; ///< It turned what the sender believes of the upstream.
 };
 
 /**
--- a/tests/proxy/placement_test.cpp
+++ b/tests/proxy/placement_test.cpp
@@ -159,6 +159,27 @@
     CHECK(coldCount <= 20);
 }
 
+TEST_CASE("a request that may not be repeated waits for a sound upstream that is busy")
+{
+    // A sick upstream fails within a millisecond and always has room: with all sound ones busy it
+    // drew booking after booking.
+    UpstreamTable table(options(), 1);
+    table.update(start, makeEntry("sound", "here", 1));
+    table.update(start, makeEntry("sick", "here", 1));
+    for (int i = 0; i < 3; ++i)
+        table.outcomeReported(start, {.upstream = core::UpstreamId("sick"), .failed = true});
+    for (int i = 0; i < 2; ++i) {
+        PlacementResult result = table.choose(start, makeRequest());
+        REQUIRE(result.placement);
+        REQUIRE(result.placement->upstream == core::UpstreamId("sound"));
+        table.started(start, *result.placement);
+    }
+    const PlacementResult booking = table.choose(start, makeRequest(false));
+    CHECK(!booking.placement);
+    CHECK(booking.reason == NoPlacement::AllBusy);
+    CHECK(table.choose(start, makeRequest(true)).placement);
+}
+
 TEST_CASE("a failure that another VM saw diverts traffic too")
 {
     UpstreamTable table(options(), 1);
