--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -19,8 +19,9 @@
     std::map<core::AvailabilityZoneId, core::RegionId> regionOfZone;
     /** Loss by the volume price of an exchange with another zone of the region. */
     double crossZoneLoss = 0.06;
-    /** Loss by the volume price and 40 ms of an exchange with another region. */
-    double crossRegionLoss = 0.3;
+    /** Loss by the volume price and 40 ms of an exchange with another region, and by the load that
+     * it brings to upstreams whose own callers need them. */
+    double crossRegionLoss = 0.6;
     /** Value that is lost when an answer comes after the route's target latency. */
     double lateLoss = 0.7;
     /** Requests in an upstream, as a multiple of its slots, above which it is not chosen. More
--- a/tests/proxy/placement_test.cpp
+++ b/tests/proxy/placement_test.cpp
@@ -224,6 +224,9 @@
     table.update(start, makeEntry("far", "far"));
     CHECK(oneAttempt(table, start, AttemptEnd::ServerError) == core::UpstreamId("here"));
     CHECK(oneAttempt(table, start, AttemptEnd::ServerError) == core::UpstreamId("near"));
+    // Each has failed once; after the second failure no doubt is left.
+    for (const char *id : {"here", "near"})
+        table.outcomeReported(start, {.upstream = core::UpstreamId(id), .failed = true});
     CHECK(oneAttempt(table, start, AttemptEnd::Answered) == core::UpstreamId("far"));
 }
 
