--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -317,6 +317,10 @@
     /** Sets the parts of limits: of this VM, and of the members of its pool that are heard. */
     void updateParts(core::MonoTime now)
     {
+        // A VM that has withdrawn keeps its parts for the callers that still hold its address; the
+        // others do not take them over at once.
+        if (leavingSince_)
+            return;
         const double own = entries_.partOf(now, options_.self.id);
         flow_.setRetryPart(own);
         double pool = own;
--- /dev/null
+++ b/tests/proxy/loop_daemon_test.cpp
@@ -0,0 +1,176 @@
+/** @file loop_daemon_test.cpp The daemon as a whole: readiness, entry addresses, shutdown. */
+#include "flow_fixture.h"
+#include "memory_store.h"
+#include "proxy/loop_daemon_base.h"
+
+using namespace teaselreach;
+using namespace teaselreach::proxytest;
+using standins::RawReply;
+using standins::RawRequest;
+using standins::RawServer;
+
+namespace {
+
+/** Answers with the addresses, one a line. */
+struct PlainDirectory
+{
+    std::optional<core::Location> callerLocation(const HttpRequest &) const
+    {
+        return core::Location {core::AvailabilityZoneId("here"), core::RegionId("west")};
+    }
+    HttpResponse answer(const std::vector<std::string> &addresses) const
+    {
+        HttpResponse response(beasthttp::status::ok, 11);
+        for (const std::string &address : addresses)
+            response.body() += address + "\n";
+        response.prepare_payload();
+        return response;
+    }
+    bool isReadinessRequest(const HttpRequest &) const { return true; }
+};
+
+std::uint16_t freePort()
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address_v4("127.0.0.1"), 0});
+    return acceptor.local_endpoint().port();
+}
+
+/** A daemon on an event loop of its own. */
+class DaemonFixture
+{
+public:
+    DaemonFixture()
+        : daemon_(context_, store, directory_, options())
+    {
+        store.configuration = testConfiguration();
+        store.configuration.accounts.front().ratePerSecond = 10;
+        store.configuration.accounts.front().burst = 10;
+        store.items = {{.subject = FleetSubject::Configuration, .value = "1"}};
+    }
+    ~DaemonFixture()
+    {
+        context_.stop();
+        if (thread_.joinable())
+            thread_.join();
+    }
+    DaemonFixture(const DaemonFixture &) = delete;
+    DaemonFixture &operator=(const DaemonFixture &) = delete;
+
+    void start()
+    {
+        daemon_.start();
+        thread_ = std::thread([this] { context_.run(); });
+    }
+
+    void onLoop(std::function<void()> function)
+    {
+        std::promise<void> done;
+        asio::post(context_, [&] {
+            function();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    std::string ask(std::uint16_t port, std::string request) const
+    {
+        const int fd = standins::connectTo("127.0.0.1", port);
+        request.insert(request.find("\r\n") + 2, "Connection: close\r\n");
+        standins::sendAll(fd, request);
+        std::string answer = standins::readAll(fd);
+        ::close(fd);
+        return answer.size() < 12 ? answer : answer.substr(9);
+    }
+
+    bool ready() const
+    {
+        return ask(readinessPort, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").starts_with("200");
+    }
+
+    const std::uint16_t callerPort = freePort();
+    const std::uint16_t readinessPort = freePort();
+    const std::uint16_t directoryPort = freePort();
+
+private:
+    LoopDaemonOptions options() const
+    {
+        LoopDaemonOptions options;
+        options.self = {.id = core::VmId("me"),
+                        .location = {core::AvailabilityZoneId("here"), core::RegionId("west")},
+                        .callerAddress = "127.0.0.1:" + std::to_string(callerPort)};
+        options.callers = {.address = "127.0.0.1", .port = callerPort};
+        options.readiness = {.address = "127.0.0.1", .port = readinessPort};
+        options.directory = {.address = "127.0.0.1", .port = directoryPort};
+        options.peers = {.address = "127.0.0.1", .port = freePort()};
+        options.flow.names = testNames();
+        options.seed = 1;
+        return options;
+    }
+
+    asio::io_context context_ {1};
+    PlainDirectory directory_;
+
+public:
+    MemoryStore store {context_};
+
+    LoopDaemon<MemoryStore, PlainDirectory> &daemon() { return daemon_; }
+
+private:
+    LoopDaemon<MemoryStore, PlainDirectory> daemon_;
+    std::thread thread_;
+};
+
+} // namespace
+
+TEST_CASE("a VM that shuts down serves callers with an old answer until it refuses them truly")
+{
+    // Once its registration was withdrawn it held no part of any limit, and refused the requests
+    // of callers that still had its address as beyond their rate.
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        return RawReply {sealedReply(request, "fine")};
+    });
+    DaemonFixture fixture;
+    fixture.store.items.push_back(
+        {.subject = FleetSubject::Member, .id = "me", .value = "registered"});
+    fixture.store.items.push_back(
+        {.subject = FleetSubject::Member, .id = "b", .value = "registered"});
+    fixture.store.upstreamPort = upstream.port();
+    fixture.store.items.push_back(
+        {.subject = FleetSubject::Upstream, .id = "i-1", .value = "127.0.0.1"});
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.ready(); }));
+    std::this_thread::sleep_for(core::Millis(300)); // Parts of limits are set four times a second.
+    const auto book = [&](int number) {
+        return fixture.ask(fixture.callerPort,
+                           callerRequest("POST", "/book/", "a" + std::to_string(number), "", "x"));
+    };
+    REQUIRE(book(0).starts_with("200"));
+    fixture.onLoop([&] {
+        fixture.daemon().shutDown();
+        fixture.store.events = {
+            {.subject = FleetSubject::Member, .id = "me", .value = std::nullopt}};
+    });
+    CHECK(!fixture.ready());
+    std::this_thread::sleep_for(core::Millis(900)); // The withdrawal comes back as a change.
+    for (int i = 1; i < 6; ++i)
+        CHECK(book(i).starts_with("200"));
+}
+
+TEST_CASE("a VM without a configuration is not ready, and names itself only once it is")
+{
+    DaemonFixture fixture;
+    fixture.store.items.clear();
+    fixture.start();
+    std::this_thread::sleep_for(core::Millis(100));
+    CHECK(!fixture.ready());
+    const std::string early = fixture.ask(fixture.callerPort, callerRequest("GET", "/read/", "a1"));
+    CHECK(early.starts_with("503"));
+    CHECK(early.find("Retry-After") != std::string::npos);
+    fixture.onLoop(
+        [&] { fixture.store.events = {{.subject = FleetSubject::Configuration, .value = "1"}}; });
+    CHECK(eventually([&] { return fixture.ready(); }));
+    CHECK(fixture.ask(fixture.directoryPort, "GET /resolve HTTP/1.1\r\nHost: x\r\n\r\n")
+              .find("127.0.0.1:" + std::to_string(fixture.callerPort))
+          != std::string::npos);
+}
--- /dev/null
+++ b/tests/proxy/memory_store.h
@@ -0,0 +1,134 @@
+/** @file memory_store.h A store in memory that can be away, fail its watches or forget. */
+#pragma once
+
+#include "proxy/fleet_store_type.h"
+
+#include <algorithm>
+#include <deque>
+#include <vector>
+
+namespace teaselreach::proxytest {
+
+using namespace teaselreach::proxy;
+
+/** A store in memory; each call fails while it is away. */
+class MemoryStore
+{
+public:
+    explicit MemoryStore(asio::io_context &context)
+        : context_(context)
+    { }
+
+    bool away = false;
+    bool watchesFail = false;
+    bool historyLost = false;
+    int wholeReadings = 0;
+    std::vector<FleetItem> items;
+    std::deque<FleetItem> events;
+    std::uint64_t revision = 1;
+    std::vector<core::VmId> registered;
+    std::vector<core::Micros> waits;
+
+    asio::awaitable<FleetContents> readAll()
+    {
+        co_await delay(core::Millis(2));
+        requirePresent();
+        ++wholeReadings;
+        historyLost = false;
+        co_return FleetContents {.items = items, .revision = StoreRevision(revision)};
+    }
+
+    asio::awaitable<FleetContents> watch(StoreRevision, core::Micros wait)
+    {
+        waits.push_back(wait);
+        // Polls: the tests change the lists from outside.
+        const core::MonoTime end = core::MonoClock::now() + std::min(wait, core::Micros(20000));
+        do {
+            co_await delay(core::Millis(2));
+            requirePresent();
+            if (watchesFail)
+                throw StoreUnreachable("watch");
+            if (historyLost)
+                throw StoreHistoryLost();
+        } while (events.empty() && core::MonoClock::now() < end);
+        FleetContents changes {.revision = StoreRevision(++revision)};
+        changes.items.assign(events.begin(), events.end());
+        events.clear();
+        co_return changes;
+    }
+
+    asio::awaitable<StoreLease> grantLease(core::Micros)
+    {
+        co_await delay(core::Millis(2));
+        requirePresent();
+        co_return StoreLease(7);
+    }
+    asio::awaitable<void> keepLease(StoreLease)
+    {
+        co_await delay(core::Millis(2));
+        requirePresent();
+    }
+    asio::awaitable<void> registerMember(const EntryMember &member, StoreLease)
+    {
+        co_await delay(core::Millis(2));
+        requirePresent();
+        registered.push_back(member.id);
+    }
+    asio::awaitable<void> removeMember(const core::VmId &member)
+    {
+        co_await delay(core::Millis(2));
+        requirePresent();
+        std::erase(registered, member);
+    }
+
+    /** Port of all upstreams. */
+    std::uint16_t upstreamPort = 0;
+    /** The configuration that each version has, besides its number. */
+    Configuration configuration;
+
+    /** A configuration's value is its version. */
+    Configuration decodeConfiguration(const std::string &value) const
+    {
+        if (value == "unreadable")
+            throw StoreValueMalformed("configuration");
+        Configuration decoded = configuration;
+        decoded.version = ConfigVersion(std::stoll(value));
+        return decoded;
+    }
+    UpstreamEntry decodeUpstream(const std::string &id, const std::string &value) const
+    {
+        if (value == "unreadable")
+            throw StoreValueMalformed(id);
+        return {.id = core::UpstreamId(id),
+                .service = core::ServiceId("slot"),
+                .address = value,
+                .port = upstreamPort,
+                .slots = 4};
+    }
+    /** Every member is in one zone. */
+    EntryMember decodeMember(const std::string &id, const std::string &) const
+    {
+        return {.id = core::VmId(id),
+                .location = {core::AvailabilityZoneId("here"), core::RegionId("west")},
+                .callerAddress = "127.0.0.1:1",
+                .peerAddress = "127.0.0.1:1"};
+    }
+
+private:
+    asio::awaitable<void> delay(core::Micros time)
+    {
+        asio::steady_timer timer(context_, time);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    void requirePresent() const
+    {
+        if (away)
+            throw StoreUnreachable("away");
+    }
+
+    asio::io_context &context_;
+};
+
+static_assert(FleetStore<MemoryStore>);
+
+} // namespace teaselreach::proxytest
--- a/tests/proxy/sync_test.cpp
+++ b/tests/proxy/sync_test.cpp
@@ -1,120 +1,15 @@
 /** @file sync_test.cpp What a VM believes after the store was away, refused it or forgot. */
+#include "memory_store.h"
 #include "proxy/fleet_sync_base.h"
 
 #include <doctest/doctest.h>
 
-#include <deque>
-
 using namespace teaselreach;
 using namespace teaselreach::proxy;
+using proxytest::MemoryStore;
 
 namespace {
 
-/** A store in memory; each call fails while it is away. */
-class MemoryStore
-{
-public:
-    explicit MemoryStore(asio::io_context &context)
-        : context_(context)
-    { }
-
-    bool away = false;
-    bool watchesFail = false;
-    bool historyLost = false;
-    int wholeReadings = 0;
-    std::vector<FleetItem> items;
-    std::deque<FleetItem> events;
-    std::uint64_t revision = 1;
-    std::vector<core::VmId> registered;
-    std::vector<core::Micros> waits;
-
-    asio::awaitable<FleetContents> readAll()
-    {
-        co_await delay(core::Millis(2));
-        requirePresent();
-        ++wholeReadings;
-        historyLost = false;
-        co_return FleetContents {.items = items, .revision = StoreRevision(revision)};
-    }
-
-    asio::awaitable<FleetContents> watch(StoreRevision, core::Micros wait)
-    {
-        waits.push_back(wait);
-        // Polls: the tests change the lists from outside.
-        const core::MonoTime end = core::MonoClock::now() + std::min(wait, core::Micros(20000));
-        do {
-            co_await delay(core::Millis(2));
-            requirePresent();
-            if (watchesFail)
-                throw StoreUnreachable("watch");
-            if (historyLost)
-                throw StoreHistoryLost();
-        } while (events.empty() && core::MonoClock::now() < end);
-        FleetContents changes {.revision = StoreRevision(++revision)};
-        changes.items.assign(events.begin(), events.end());
-        events.clear();
-        co_return changes;
-    }
-
-    asio::awaitable<StoreLease> grantLease(core::Micros)
-    {
-        co_await delay(core::Millis(2));
-        requirePresent();
-        co_return StoreLease(7);
-    }
-    asio::awaitable<void> keepLease(StoreLease)
-    {
-        co_await delay(core::Millis(2));
-        requirePresent();
-    }
-    asio::awaitable<void> registerMember(const EntryMember &member, StoreLease)
-    {
-        co_await delay(core::Millis(2));
-        requirePresent();
-        registered.push_back(member.id);
-    }
-    asio::awaitable<void> removeMember(const core::VmId &member)
-    {
-        co_await delay(core::Millis(2));
-        requirePresent();
-        std::erase(registered, member);
-    }
-
-    /** A configuration's value is its version. */
-    Configuration decodeConfiguration(const std::string &value) const
-    {
-        if (value == "unreadable")
-            throw StoreValueMalformed("configuration");
-        return {.version = ConfigVersion(std::stoll(value))};
-    }
-    UpstreamEntry decodeUpstream(const std::string &id, const std::string &value) const
-    {
-        if (value == "unreadable")
-            throw StoreValueMalformed(id);
-        return {.id = core::UpstreamId(id), .service = core::ServiceId("slot"), .address = value};
-    }
-    EntryMember decodeMember(const std::string &id, const std::string &) const
-    {
-        return {.id = core::VmId(id)};
-    }
-
-private:
-    asio::awaitable<void> delay(core::Micros time)
-    {
-        asio::steady_timer timer(context_, time);
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-    void requirePresent() const
-    {
-        if (away)
-            throw StoreUnreachable("away");
-    }
-
-    asio::io_context &context_;
-};
-
-static_assert(FleetStore<MemoryStore>);
-
 FleetItem config(const std::string &version)
 {
     return {.subject = FleetSubject::Configuration, .value = version};
