--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -322,7 +322,7 @@
         if (leavingSince_)
             return;
         const double own = entries_.partOf(now, options_.self.id);
-        flow_.setRetryPart(own);
+        flow_.setFleetPart(own);
         double pool = own;
         if (entries_.isActive(options_.self.id)) {
             for (const EntryMember &peer : entries_.peersOf(options_.self.id)) {
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -181,7 +181,9 @@
         .routePriority = job.route->priority,
         .expectedWork = parts_.upstreams.expectedWork(job.route->id, job.route->targetLatency),
         .deadline = job.deadline};
-    if (!queue->order.enqueue(now, wait, parts_.upstreams.slotsOf(job.service)))
+    // The other VMs fill the upstreams as well: only this VM's part of the slots drains its queue.
+    const double ownSlots = fleetPart_ * parts_.upstreams.slotsOf(job.service);
+    if (!queue->order.enqueue(now, wait, ownSlots))
         co_return PlacementResult {.placement = std::nullopt, .reason = NoPlacement::AllBusy};
     auto waiter = std::make_shared<Waiter>(parts_.context);
     waiter->request = placementRequest(job, now);
@@ -245,7 +247,7 @@
     if (now + options.softTimeout >= job.deadline)
         options.softTimeout = core::Micros(0);
     options.mayAbandon = [this, &job] {
-        job.repeatGranted = retriesOf(job.service).take(core::MonoClock::now(), retryPart_);
+        job.repeatGranted = retriesOf(job.service).take(core::MonoClock::now(), fleetPart_);
         return job.repeatGranted;
     };
     return options;
@@ -331,7 +333,7 @@
         return false;
     if (job.repeatGranted)
         return true;
-    return retriesOf(job.service).take(now, retryPart_);
+    return retriesOf(job.service).take(now, fleetPart_);
 }
 
 void RequestFlow::refuse(Job &job, const Refusal &refusal)
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -62,8 +62,9 @@
     void configure(std::shared_ptr<const RouteTable> table) { table_ = std::move(table); }
     /** @return The configuration in force, or nullptr. */
     const std::shared_ptr<const RouteTable> &table() const { return table_; }
-    /** @param part This VM's part of the fleet's slack for repeats, 0 to 1. */
-    void setRetryPart(double part) { retryPart_ = part; }
+    /** @param part This VM's part of the fleet's traffic, 0 to 1: of its slack for repeats and of
+     * the upstreams' slots. */
+    void setFleetPart(double part) { fleetPart_ = part; }
     /** Enters a phase of the shutdown. */
     void enter(FlowPhase phase) { phase_ = phase; }
     /** @return The phase. */
@@ -106,7 +107,7 @@
     std::map<core::ServiceId, RetryShare> retries_;
     std::map<core::ServiceId, std::shared_ptr<ServiceQueue>> queues_;
     std::uint64_t lastTicket_ = 0;
-    double retryPart_ = 0;
+    double fleetPart_ = 0;
 };
 
 } // namespace teaselreach::proxy
--- a/tests/proxy/flow_fixture.h
+++ b/tests/proxy/flow_fixture.h
@@ -112,7 +112,7 @@
         , work_(context_.get_executor())
     {
         shares_.setPart(1);
-        flow_.setRetryPart(1);
+        flow_.setFleetPart(1);
         flow_.configure(std::make_shared<const RouteTable>(std::move(configuration)));
         port_ = server_.port();
         asio::co_spawn(
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -293,6 +293,42 @@
     CHECK(eventually([&] { return upstream.closed(); }));
 }
 
+TEST_CASE("a request that cannot be served in time is refused at once, not at the end of its time")
+{
+    // Each VM counted on all slots of the service while eleven others filled them: requests waited
+    // for a second and were then refused.
+    std::atomic<bool> stop {false};
+    RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+        for (int i = 0; i < 200 && !stop; ++i)
+            std::this_thread::sleep_for(core::Millis(10));
+        return RawReply {sealedReply(request, "")};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    fixture.onLoop([&] { fixture.flow().setFleetPart(0.1); });
+    std::vector<int> busy;
+    for (int i = 0; i < 8; ++i) {
+        busy.push_back(fixture.connect());
+        standins::sendAll(busy.back(),
+                          callerRequest("POST", "/book/", "b" + std::to_string(i), "", "x"));
+    }
+    REQUIRE(eventually([&] { return upstream.requests() == 8; }));
+    // Six can wait before this VM's part of the slots; the time of those behind them is over first.
+    for (int i = 0; i < 6; ++i) {
+        busy.push_back(fixture.connect());
+        standins::sendAll(busy.back(),
+                          callerRequest("POST", "/book/", "w" + std::to_string(i), "", "x"));
+    }
+    std::this_thread::sleep_for(core::Millis(50));
+    const core::MonoTime begin = core::MonoClock::now();
+    const std::string answer = fixture.ask(callerRequest("POST", "/book/", "late", "", "x"));
+    CHECK(statusOf(answer) == "503");
+    CHECK(core::MonoClock::now() - begin < core::Millis(200));
+    stop = true;
+    for (const int fd : busy)
+        ::close(fd);
+}
+
 TEST_CASE("bad input is refused with its own status and the daemon goes on")
 {
     RawServer upstream("127.0.0.1", [](const RawRequest &request) {
