--- /dev/null
+++ b/soak/daemon_process.cpp
@@ -0,0 +1,64 @@
+/** @file daemon_process.cpp A daemon of the soak as a process of its own. */
+#include "daemon_process_base.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace teaselreach::soak {
+
+DaemonProcess::DaemonProcess(std::string program, std::string settingsPath, std::string logPath)
+    : program_(std::move(program))
+    , settingsPath_(std::move(settingsPath))
+    , logPath_(std::move(logPath))
+{ }
+
+DaemonProcess::~DaemonProcess()
+{
+    if (!running())
+        return;
+    endExpected_ = true;
+    kill(pid_, SIGCONT);
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+}
+
+void DaemonProcess::start()
+{
+    if (running())
+        return;
+    ++starts_;
+    endExpected_ = false;
+    const std::string option = "--settings=" + settingsPath_;
+    pid_ = fork();
+    if (pid_ != 0)
+        return;
+    const int log = open(logPath_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    dup2(log, STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    execl(program_.c_str(), program_.c_str(), option.c_str(), nullptr);
+    _exit(127); // The program could not be started; running() reports the end.
+}
+
+void DaemonProcess::signal(int number)
+{
+    if (!running())
+        return;
+    endExpected_ = endExpected_ || number == SIGKILL || number == SIGTERM;
+    kill(pid_, number);
+}
+
+bool DaemonProcess::running()
+{
+    if (pid_ <= 0)
+        return false;
+    int status = 0;
+    if (waitpid(pid_, &status, WNOHANG) == 0)
+        return true;
+    pid_ = -1;
+    crashed_ = crashed_ || !endExpected_;
+    return false;
+}
+
+} // namespace teaselreach::soak
--- /dev/null
+++ b/soak/ledger.cpp
@@ -0,0 +1,81 @@
+/** @file ledger.cpp What callers, upstreams and operators of the soak saw, and what it breaks. */
+#include "ledger_base.h"
+
+namespace teaselreach::soak {
+
+namespace {
+
+/** Statuses that promise that a request has not run and never will. */
+const std::set<int> notRunStatuses {408, 421, 429, 503};
+
+} // namespace
+
+void Ledger::broken(const std::string &rule, const std::string &detail)
+{
+    violations_.push_back({.rule = rule, .detail = detail});
+}
+
+void Ledger::sent(const std::string &id, const std::string &key, bool idempotent)
+{
+    requests_[id] = {.key = key, .idempotent = idempotent};
+}
+
+void Ledger::ran(core::MonoTime now, const std::string &id, const std::string &account,
+                 bool keyWasPassedOn)
+{
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) {
+        broken("unasked", "request " + id + " was never sent");
+        return;
+    }
+    Entry &entry = found->second;
+    ++entry.runs;
+    if (entry.runs > 1 && !entry.idempotent)
+        broken("at most once", id + " ran " + std::to_string(entry.runs) + " times");
+    if (entry.refusedAsNotRun && !entry.idempotent)
+        broken("not run", id + " ran after it was refused");
+    if (keyWasPassedOn)
+        broken("key", id + " reached an upstream with its key");
+    const auto owner = accounts_.find(account);
+    if (owner == accounts_.end() || owner->second.key != entry.key) {
+        broken("account", id + " ran for account \"" + account + "\"");
+        return;
+    }
+    std::deque<core::MonoTime> &window = admitted_[account];
+    window.push_back(now);
+    while (now - window.front() > limitWindow)
+        window.pop_front();
+    const double plain = owner->second.ratePerSecond * static_cast<double>(limitWindow.count())
+        + owner->second.burst;
+    const double allowed = plain * (1 + overrunRatio) + overrunRequests;
+    if (static_cast<double>(window.size()) > allowed)
+        broken("limit", account + " ran " + std::to_string(window.size()) + " requests in 5 s");
+}
+
+void Ledger::answered(const std::string &id, int status, const std::string &body, bool sealed)
+{
+    Entry &entry = requests_[id];
+    ++outcomes_[std::to_string(status)];
+    const bool success = status >= 200 && status < 300;
+    if (success && (!sealed || body != bodyOf(id)))
+        broken("own answer", id + " got \"" + body.substr(0, 60) + "\"");
+    if (!notRunStatuses.contains(status))
+        return;
+    entry.refusedAsNotRun = true;
+    if (entry.runs > 0 && !entry.idempotent)
+        broken("not run", id + " was refused with " + std::to_string(status) + " and had run");
+}
+
+void Ledger::cutByShutdown(const std::string &id)
+{
+    if (requests_[id].runs > 0)
+        broken("graceful stop", id + " ran and was cut by a daemon that was asked to stop");
+}
+
+void Ledger::finish()
+{
+    if (requests_.empty() || outcomes_["200"] == 0)
+        broken("service", "no request was served");
+}
+
+} // namespace teaselreach::soak
--- /dev/null
+++ b/soak/platform_store.cpp
@@ -0,0 +1,174 @@
+/** @file platform_store.cpp The platform's key-value store, with outages, for the soak. */
+#include "platform/json_func.h"
+#include "platform_store_base.h"
+
+namespace teaselreach::soak {
+
+using nlohmann::json;
+using proxy::HttpResponse;
+
+namespace {
+
+HttpResponse answer(int status, const json &body = json::object())
+{
+    HttpResponse response;
+    response.version(11);
+    response.result(static_cast<unsigned>(status));
+    response.body() = body.dump();
+    response.prepare_payload();
+    return response;
+}
+
+std::uint64_t numberAfter(std::string_view target, std::string_view name)
+{
+    const std::size_t at = target.find(name);
+    return at == std::string_view::npos
+        ? 0
+        : std::strtoull(std::string(target.substr(at + name.size())).c_str(), nullptr, 10);
+}
+
+} // namespace
+
+PlatformStore::PlatformStore(proxy::asio::io_context &context, std::uint16_t port)
+    : context_(context)
+    , server_(context, "127.0.0.1", port,
+              {.serve =
+                   [this](std::shared_ptr<proxy::CallerExchange> exchange) {
+                       return serve(std::move(exchange));
+                   },
+               .limits = [] { return proxy::SessionLimits {.idleTimeout = core::Seconds(60)}; },
+               .closing = [] { return false; }})
+{ }
+
+json PlatformStore::itemJson(const std::string &key, const Item &item)
+{
+    return {{"key", key},
+            {"value", platform::encodeBase64(item.value)},
+            {"revision", item.revision},
+            {"created", item.revision},
+            {"lease", item.lease}};
+}
+
+void PlatformStore::put(const std::string &key, const std::string &value, std::uint64_t lease)
+{
+    items_[key] = {.value = value, .revision = ++revision_, .lease = lease};
+    history_.push_back(itemJson(key, items_[key]));
+}
+
+void PlatformStore::remove(const std::string &key)
+{
+    if (items_.erase(key) > 0)
+        history_.push_back({{"key", key}, {"revision", ++revision_}, {"removed", true}});
+}
+
+void PlatformStore::tick(core::MonoTime now)
+{
+    for (auto lease = leases_.begin(); lease != leases_.end();) {
+        if (now < lease->second.endsAt) {
+            ++lease;
+            continue;
+        }
+        std::vector<std::string> lapsed;
+        for (const auto &[key, item] : items_) {
+            if (item.lease == lease->first)
+                lapsed.push_back(key);
+        }
+        for (const std::string &key : lapsed)
+            remove(key);
+        lease = leases_.erase(lease);
+    }
+}
+
+proxy::asio::awaitable<void> PlatformStore::serve(std::shared_ptr<proxy::CallerExchange> exchange)
+{
+    const std::string target(exchange->request.target().data(), exchange->request.target().size());
+    if (fault_ == StoreFault::Busy) {
+        exchange->response = answer(503);
+        co_return;
+    }
+    proxy::asio::steady_timer timer(context_);
+    proxy::ErrorCode ignored; // Nothing cancels the timer.
+    if (fault_ == StoreFault::Slow) {
+        timer.expires_after(core::Millis(250));
+        co_await timer.async_wait(proxy::storeError(ignored));
+    }
+    const bool isWatch = target.starts_with("/kv-watch");
+    if (isWatch)
+        exchange->response = co_await watch(numberAfter(target, "after="),
+                                            core::Millis(numberAfter(target, "waitMs=")));
+    else if (target.starts_with("/kv-range"))
+        exchange->response = range();
+    else if (target.starts_with("/kv-txn"))
+        exchange->response = transact(json::parse(exchange->request.body()));
+    else if (target.starts_with("/kv-lease"))
+        exchange->response = grant(json::parse(exchange->request.body()));
+    else if (target.starts_with("/kv-keep/"))
+        exchange->response = keep(numberAfter(target, "/kv-keep/"));
+    else
+        exchange->response = answer(404);
+    if (fault_ == StoreFault::LostAnswer && !isWatch) {
+        // The connection stays open and silent.
+        timer.expires_after(core::Seconds(20));
+        co_await timer.async_wait(proxy::storeError(ignored));
+    }
+}
+
+proxy::asio::awaitable<HttpResponse> PlatformStore::watch(std::uint64_t after, core::Micros wait)
+{
+    const core::MonoTime end = core::MonoClock::now() + wait;
+    proxy::asio::steady_timer timer(context_);
+    while (after >= oldest_ && revision_ <= after && core::MonoClock::now() < end) {
+        timer.expires_after(core::Millis(10));
+        proxy::ErrorCode ignored; // Nothing cancels the timer.
+        co_await timer.async_wait(proxy::storeError(ignored));
+    }
+    if (after < oldest_)
+        co_return answer(410);
+    json events = json::array();
+    for (const json &event : history_) {
+        if (event.at("revision").get<std::uint64_t>() > after)
+            events.push_back(event);
+    }
+    co_return answer(200, {{"events", std::move(events)}, {"currentRev", revision_}});
+}
+
+HttpResponse PlatformStore::range() const
+{
+    json items = json::array();
+    for (const auto &[key, item] : items_)
+        items.push_back(itemJson(key, item));
+    return answer(200,
+                  {{"items", std::move(items)}, {"truncated", false}, {"currentRev", revision_}});
+}
+
+HttpResponse PlatformStore::transact(const json &body)
+{
+    for (const json &entry : body.at("puts")) {
+        const std::uint64_t lease = entry.value("lease", 0);
+        if (lease != 0 && !leases_.contains(lease))
+            return answer(404);
+        put(entry.at("key"), platform::decodeBase64(entry.at("value").get<std::string>()), lease);
+    }
+    for (const json &key : body.at("remove"))
+        remove(key);
+    return answer(200, {{"revision", revision_}});
+}
+
+HttpResponse PlatformStore::grant(const json &body)
+{
+    const std::string lifetime = body.at("ttl_time");
+    const core::Micros time = platform::parseDuration(lifetime);
+    leases_[++lastLease_] = {.lifetime = time, .endsAt = core::MonoClock::now() + time};
+    return answer(200, {{"lease", lastLease_}, {"ttl_time", lifetime}});
+}
+
+HttpResponse PlatformStore::keep(std::uint64_t lease)
+{
+    const auto found = leases_.find(lease);
+    if (found == leases_.end())
+        return answer(404);
+    found->second.endsAt = core::MonoClock::now() + found->second.lifetime;
+    return answer(200);
+}
+
+} // namespace teaselreach::soak
--- /dev/null
+++ b/soak/soak_site.cpp
@@ -0,0 +1,406 @@
+/** @file soak_site.cpp The site of the soak: store, upstreams, daemons, callers and faults. */
+#include "platform/names_type.h"
+#include "proxy/exchange_func.h"
+#include "soak_site_base.h"
+#include "standins/free_port.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+namespace teaselreach::soak {
+
+using nlohmann::json;
+using proxy::LinkFailure;
+using proxy::LinkResult;
+
+namespace {
+
+const std::string loopback = "127.0.0.1";
+/** Time for daemons to start and register before callers come. */
+constexpr core::Seconds leadTime {4};
+/** Calm time after a disturbance from which bounds are judged. */
+constexpr core::Seconds contactTime {5};
+/** Time within which a version is in force, and a margin for slow processes. */
+constexpr core::Millis configurationBound {2500 + 500};
+/** How long callers wait for an answer. */
+constexpr core::Seconds callerPatience {3};
+/** Time until the answers of the last requests are in. */
+constexpr core::Seconds endTime {4};
+
+proxy::asio::awaitable<void> endLoop(proxy::asio::io_context &context, core::Micros after)
+{
+    proxy::asio::steady_timer timer(context, after);
+    proxy::ErrorCode ignored; // Nothing cancels the timer.
+    co_await timer.async_wait(proxy::storeError(ignored));
+    context.stop();
+}
+
+} // namespace
+
+SoakSite::SoakSite(SoakOptions options)
+    : options_(std::move(options))
+    , random_(options_.seed)
+    , storePort_(standins::freePort(loopback))
+    , store_(context_, storePort_)
+    , accounts_ {{"bakery", "key-bakery", 40, 40}, {"clinic", "key-clinic", 5, 5}}
+{
+    for (const SoakAccount &account : accounts_)
+        ledger_.configured(account);
+    for (int i = 0; i < options_.upstreams; ++i) {
+        upstreamPorts_.push_back(standins::freePort(loopback));
+        upstreams_.push_back(std::make_unique<SoakUpstream>(
+            context_, "i-" + std::to_string(i), upstreamPorts_.back(), ledger_, random_()));
+        writeUpstream(*upstreams_.back(), upstreamPorts_.back(), false);
+    }
+    writeConfiguration();
+    for (int i = 0; i < options_.daemons; ++i) {
+        Vm &vm = vms_.emplace_back();
+        const std::uint16_t path = standins::freePort(loopback);
+        vm.storePath = std::make_unique<standins::Relay>(
+            standins::ListenOptions {.address = loopback, .port = path},
+            standins::ListenOptions {.address = loopback, .port = storePort_});
+        writeSettings(i, vm, path);
+        vm.process->start();
+    }
+}
+
+SoakSite::~SoakSite() = default;
+
+void SoakSite::writeSettings(int index, Vm &vm, std::uint16_t storePort)
+{
+    const std::string name = "vm-" + std::to_string(index);
+    const std::string zone = "z" + std::to_string(index % 3);
+    vm.callerPort = standins::freePort(loopback);
+    vm.directoryPort = standins::freePort(loopback);
+    const auto address = [](std::uint16_t port) { return loopback + ":" + std::to_string(port); };
+    const json settings {{"nodeName", name},
+                         {"ip", loopback},
+                         {"zone", zone},
+                         {"region", "r0"},
+                         {"zones", {{"z0", "r0"}, {"z1", "r0"}, {"z2", "r0"}}},
+                         {"listen",
+                          {{"front", address(vm.callerPort)},
+                           {"readiness", address(standins::freePort(loopback))},
+                           {"directory", address(vm.directoryPort)}}},
+                         {"internalPorts", {standins::freePort(loopback)}},
+                         {"bootstrap", false},
+                         {"limits", {{"cpuShare", 0.2}, {"cores", 1}, {"linkMbps", 1000}}},
+                         {"bounds",
+                          {"grace=6s", "retryBudgetRatio=0.2", "budgetWindow=10s", "retrySlack=60",
+                           "quotaWindow=5s", "quotaOverrun=0.1", "quotaSlack=20"}},
+                         {"platform", {{"address", address(storePort)}}}};
+    const std::string path = options_.folder + "/" + name + ".json";
+    std::ofstream(path) << settings.dump();
+    vm.process = std::make_unique<DaemonProcess>(options_.program, path,
+                                                 options_.folder + "/" + name + ".log");
+}
+
+void SoakSite::writeConfiguration()
+{
+    ++version_;
+    versionAt_ = core::MonoClock::now();
+    json routes = json::array();
+    const auto addRoute = [&](const std::string &prefix, const char *kind) {
+        routes.push_back({{"name", "r" + prefix},
+                          {"host", "soak.example"},
+                          {"prefix", prefix},
+                          {"kind", kind},
+                          {"timeout", "1500ms"},
+                          {"targetLatency", "500ms"},
+                          {"maxAttempts", 2},
+                          {"service", "work"}});
+    };
+    addRoute("/read/", "idempotent");
+    addRoute("/book/", "non_idempotent");
+    // Each version adds a route, so that a request shows which one is in force.
+    for (std::int64_t version = 1; version <= version_; ++version)
+        addRoute("/version-" + std::to_string(version) + "/", "idempotent");
+    json tenants = json::array();
+    for (const SoakAccount &account : accounts_)
+        tenants.push_back({{"name", account.name},
+                           {"apiKeys", {account.key}},
+                           {"ratePerS", account.ratePerSecond},
+                           {"burst", account.burst}});
+    store_.put("op/config",
+               json {{"version", version_},
+                     {"routes", routes},
+                     {"limits",
+                      {{"maxHeaderBytes", 16384},
+                       {"maxBodyBytes", 100000},
+                       {"headerTimeout", "3s"},
+                       {"idleTimeout", "15s"}}},
+                     {"tenants", tenants}}
+                   .dump());
+}
+
+void SoakSite::writeUpstream(const SoakUpstream &upstream, std::uint16_t port, bool draining)
+{
+    store_.put("servers/" + upstream.id(),
+               json {{"service", "work"},
+                     {"address", loopback + ":" + std::to_string(port)},
+                     {"zone", "z" + std::to_string(port % 3)},
+                     {"slots", 4},
+                     {"state", draining ? "draining" : "ready"},
+                     {"warmupLeft", "0ms"},
+                     {"sequence", 1}}
+                   .dump());
+}
+
+proxy::asio::awaitable<void> SoakSite::pause(core::Micros time)
+{
+    proxy::asio::steady_timer timer(context_, time);
+    proxy::ErrorCode ignored; // Nothing cancels the timer.
+    co_await timer.async_wait(proxy::storeError(ignored));
+}
+
+void SoakSite::tell(const std::string &line)
+{
+    const auto since =
+        std::chrono::duration_cast<core::Millis>(core::MonoClock::now() - (end_ - options_.length));
+    story_.push_back(std::to_string(since.count()) + " ms: " + line);
+}
+
+void SoakSite::disturbAll()
+{
+    const core::MonoTime now = core::MonoClock::now();
+    for (Vm &vm : vms_)
+        vm.disturbedAt = now;
+    for (const auto &upstream : upstreams_)
+        upstream->excuseDrain(now);
+}
+
+const Ledger &SoakSite::run()
+{
+    end_ = core::MonoClock::now() + leadTime + options_.length;
+    const auto spawn = [this](auto work) {
+        proxy::asio::co_spawn(context_, std::move(work), proxy::asio::detached);
+    };
+    spawn(tick());
+    spawn(callers());
+    spawn(probeVersions());
+    spawn(causeFaults());
+    spawn(endLoop(context_, leadTime + options_.length + endTime));
+    context_.run();
+    for (Vm &vm : vms_) {
+        vm.process->running();
+        if (vm.process->crashed())
+            ledger_.broken("crash", "a daemon ended by itself");
+    }
+    ledger_.finish();
+    return ledger_;
+}
+
+proxy::asio::awaitable<void> SoakSite::tick()
+{
+    while (true) {
+        co_await pause(core::Millis(20));
+        store_.tick(core::MonoClock::now());
+    }
+}
+
+proxy::asio::awaitable<LinkResult> SoakSite::ask(std::uint16_t port, const std::string &method,
+                                                 const std::string &path, const std::string &id,
+                                                 const std::string &key)
+{
+    const proxy::HeaderNames names = platform::headerNames();
+    proxy::HttpRequest request;
+    request.version(11);
+    request.method_string(method);
+    request.target(path);
+    request.set(proxy::beasthttp::field::host, "soak.example");
+    request.set(names.attemptId, id);
+    request.set(names.deadlineMs, "2000");
+    if (!key.empty())
+        request.set(proxy::beasthttp::field::authorization, names.keyScheme + " " + key);
+    request.prepare_payload();
+    const proxy::LinkOptions times {.deadline = core::MonoClock::now() + callerPatience};
+    const auto canceller = std::make_shared<proxy::LinkCanceller>();
+    const proxy::AnswerFilter all;
+    proxy::HttpLink link(context_, {.address = loopback, .port = port});
+    co_return co_await link.exchange(request, times, canceller, all);
+}
+
+proxy::asio::awaitable<std::uint16_t> SoakSite::findEntry()
+{
+    const Vm &vm = vms_[random_() % vms_.size()];
+    const LinkResult result =
+        co_await ask(vm.directoryPort, "GET",
+                     "/resolve?region=r0&zone=z" + std::to_string(random_() % 3), "", "");
+    if (result.failure != LinkFailure::None || result.response.result_int() != 200)
+        co_return 0;
+    const json answer = json::parse(result.response.body());
+    const auto &addresses = answer.at("addresses");
+    co_return proxy::parseTarget(addresses.at(random_() % addresses.size()).get<std::string>())
+        .port;
+}
+
+proxy::asio::awaitable<void> SoakSite::callers()
+{
+    co_await pause(leadTime);
+    std::exponential_distribution<double> gap(options_.requestsPerSecond);
+    for (std::uint64_t number = 0; core::MonoClock::now() < end_; ++number) {
+        proxy::asio::co_spawn(context_, oneCaller(number), proxy::asio::detached);
+        co_await pause(
+            std::chrono::duration_cast<core::Micros>(std::chrono::duration<double>(gap(random_))));
+    }
+}
+
+proxy::asio::awaitable<void> SoakSite::oneCaller(std::uint64_t number)
+{
+    const std::uint16_t port = co_await findEntry();
+    if (port == 0)
+        co_return;
+    const bool idempotent = number % 3 == 0;
+    const SoakAccount &account = accounts_[number % 2];
+    const std::string id = "a" + std::to_string(number);
+    ledger_.sent(id, account.key, idempotent);
+    const core::MonoTime startedAt = core::MonoClock::now();
+    const LinkResult result = co_await ask(port, idempotent ? "GET" : "POST",
+                                           idempotent ? "/read/x" : "/book/x", id, account.key);
+    if (result.failure == LinkFailure::None) {
+        ledger_.answered(id, static_cast<int>(result.response.result_int()), result.response.body(),
+                         result.response.count(platform::headerNames().seal) > 0);
+        co_return;
+    }
+    const auto vm = std::find_if(vms_.begin(), vms_.end(),
+                                 [&](const Vm &entry) { return entry.callerPort == port; });
+    // Judged if nothing but a SIGTERM has happened to the daemon around the request.
+    const bool onlyTerminated = vm != vms_.end() && vm->terminatedAt == vm->disturbedAt
+        && vm->terminatedAt + core::Seconds(3) > startedAt && vm->terminatedAt != core::MonoTime();
+    if (result.failure == LinkFailure::Broken && onlyTerminated)
+        ledger_.cutByShutdown(id);
+}
+
+proxy::asio::awaitable<void> SoakSite::probeVersions()
+{
+    co_await pause(leadTime + core::Seconds(2));
+    std::uint64_t number = 0;
+    while (core::MonoClock::now() < end_) {
+        co_await pause(core::Millis(60));
+        Vm &vm = vms_[number % vms_.size()];
+        const std::int64_t version = version_;
+        const core::MonoTime writtenAt = versionAt_;
+        const core::MonoTime askedAt = core::MonoClock::now();
+        const int start = vm.process->starts();
+        const std::string id = "p" + std::to_string(number++);
+        ledger_.sent(id, accounts_.front().key, true);
+        const LinkResult result =
+            co_await ask(vm.callerPort, "GET", "/version-" + std::to_string(version) + "/", id,
+                         accounts_.front().key);
+        if (result.failure != LinkFailure::None)
+            continue;
+        const bool unknown = result.response.result_int() == 404;
+        const bool refused = result.response.result_int() == 503;
+        if (unknown && start == vm.startOfNewest && version <= vm.newestSeen)
+            ledger_.broken("configuration",
+                           "a daemon went back to before version " + std::to_string(version));
+        const bool calm = askedAt - vm.disturbedAt > contactTime;
+        if (unknown && calm && askedAt - writtenAt > configurationBound)
+            ledger_.broken("configuration",
+                           "version " + std::to_string(version) + " is not in force in time");
+        if (unknown || refused || start != vm.process->starts())
+            continue;
+        vm.newestSeen = start == vm.startOfNewest ? std::max(vm.newestSeen, version) : version;
+        vm.startOfNewest = start;
+    }
+}
+
+proxy::asio::awaitable<void> SoakSite::causeFaults()
+{
+    co_await pause(leadTime);
+    while (core::MonoClock::now() < end_) {
+        co_await pause(core::Millis(300 + random_() % 1500));
+        switch (random_() % 6) {
+        case 0:
+        case 1:
+            proxy::asio::co_spawn(context_, disturbDaemon(), proxy::asio::detached);
+            break;
+        case 2:
+            proxy::asio::co_spawn(context_, disturbStore(), proxy::asio::detached);
+            break;
+        case 3:
+        case 4:
+            proxy::asio::co_spawn(context_, disturbUpstream(), proxy::asio::detached);
+            break;
+        default:
+            writeConfiguration();
+            tell("configuration " + std::to_string(version_));
+            break;
+        }
+    }
+}
+
+proxy::asio::awaitable<void> SoakSite::disturbDaemon()
+{
+    const std::size_t index = random_() % vms_.size();
+    Vm &vm = vms_[index];
+    const std::uint64_t kind = random_() % 4;
+    const core::Millis time(200 + random_() % 2500);
+    vm.disturbedAt = core::MonoClock::now();
+    if (kind == 2)
+        vm.terminatedAt = vm.disturbedAt;
+    constexpr std::array<const char *, 4> names {"killed", "frozen", "terminated",
+                                                 "cut off from the store"};
+    tell("vm-" + std::to_string(index) + " " + names[kind] + " for " + std::to_string(time.count())
+         + " ms");
+    if (kind == 0)
+        vm.process->signal(SIGKILL);
+    if (kind == 1)
+        vm.process->signal(SIGSTOP);
+    if (kind == 2)
+        vm.process->signal(SIGTERM);
+    if (kind == 3)
+        vm.storePath->setCuts({.toTarget = random_() % 2 == 0, .toCaller = true});
+    co_await pause(kind == 2 ? core::Millis(6500) : time);
+    if (kind == 1)
+        vm.process->signal(SIGCONT);
+    if (kind == 3)
+        vm.storePath->setCuts({});
+    if (kind != 2)
+        vm.disturbedAt = core::MonoClock::now();
+    for (const auto &upstream : upstreams_)
+        upstream->excuseDrain(core::MonoClock::now());
+    vm.process->start();
+}
+
+proxy::asio::awaitable<void> SoakSite::disturbStore()
+{
+    const std::uint64_t kind = random_() % 4;
+    constexpr std::array<const char *, 4> names {"busy", "slow", "loses answers", "forgets"};
+    constexpr std::array<StoreFault, 3> faults {StoreFault::Busy, StoreFault::Slow,
+                                                StoreFault::LostAnswer};
+    tell(std::string("store ") + names[kind]);
+    disturbAll();
+    if (kind == 3) {
+        store_.compact();
+        co_return;
+    }
+    store_.setFault(faults[kind]);
+    co_await pause(core::Millis(300 + random_() % 3000));
+    store_.setFault(StoreFault::None);
+    disturbAll();
+}
+
+proxy::asio::awaitable<void> SoakSite::disturbUpstream()
+{
+    const std::size_t index = random_() % upstreams_.size();
+    SoakUpstream &upstream = *upstreams_[index];
+    const std::uint64_t kind = random_() % 6;
+    constexpr std::array<const char *, 6> names {"errors", "hangs", "sheds",
+                                                 "slow",   "naked", "drains"};
+    constexpr std::array<UpstreamFault, 5> faults {UpstreamFault::Errors, UpstreamFault::Hangs,
+                                                   UpstreamFault::Sheds, UpstreamFault::Slow,
+                                                   UpstreamFault::Naked};
+    tell(upstream.id() + " " + names[kind]);
+    if (kind == 5) {
+        writeUpstream(upstream, upstreamPorts_[index], true);
+        upstream.drain(core::MonoClock::now());
+        co_return;
+    }
+    upstream.setFault(faults[kind]);
+    co_await pause(core::Millis(500 + random_() % 4000));
+    upstream.setFault(UpstreamFault::None);
+}
+
+} // namespace teaselreach::soak
--- /dev/null
+++ b/soak/soak_site_base.h
@@ -0,0 +1,94 @@
+/** @file soak_site_base.h The site of the soak: store, upstreams, daemons, callers and faults. */
+#pragma once
+
+#include "daemon_process_base.h"
+#include "ledger_base.h"
+#include "platform_store_base.h"
+#include "proxy/http_link_base.h"
+#include "soak_upstream_base.h"
+#include "standins/relay_base.h"
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace teaselreach::soak {
+
+/** Size and length of one run. */
+struct SoakOptions
+{
+    std::string program; ///< Path of the daemon.
+    std::string folder;  ///< For settings and logs.
+    std::uint64_t seed = 1;
+    core::Seconds length {20};
+    int daemons = 6;
+    int upstreams = 6;
+    double requestsPerSecond = 60;
+};
+
+/** One run. */
+class SoakSite
+{
+public:
+    /** @param options Size and length. */
+    explicit SoakSite(SoakOptions options);
+    ~SoakSite();
+    SoakSite(const SoakSite &) = delete;
+    SoakSite &operator=(const SoakSite &) = delete;
+
+    /** Runs to the end. @return What was broken. */
+    const Ledger &run();
+    /** @return One line for each fault, in order. */
+    const std::vector<std::string> &story() const { return story_; }
+
+private:
+    /** A daemon, its path to the store, and what is known of it. */
+    struct Vm
+    {
+        std::unique_ptr<standins::Relay> storePath;
+        std::unique_ptr<DaemonProcess> process;
+        std::uint16_t callerPort = 0;
+        std::uint16_t directoryPort = 0;
+        core::MonoTime disturbedAt {};  ///< Last time that something was done to it.
+        core::MonoTime terminatedAt {}; ///< Last SIGTERM.
+        std::int64_t newestSeen = 0;    ///< Version whose route it has served since its start.
+        int startOfNewest = 0;          ///< Start of the process that newestSeen is of.
+    };
+
+    void writeSettings(int index, Vm &vm, std::uint16_t storePort);
+    void writeConfiguration();
+    void writeUpstream(const SoakUpstream &upstream, std::uint16_t port, bool draining);
+    proxy::asio::awaitable<void> pause(core::Micros time);
+    proxy::asio::awaitable<void> tick();
+    proxy::asio::awaitable<void> causeFaults();
+    proxy::asio::awaitable<void> callers();
+    proxy::asio::awaitable<void> oneCaller(std::uint64_t number);
+    proxy::asio::awaitable<void> probeVersions();
+    proxy::asio::awaitable<std::uint16_t> findEntry();
+    proxy::asio::awaitable<proxy::LinkResult> ask(std::uint16_t port, const std::string &method,
+                                                  const std::string &path, const std::string &id,
+                                                  const std::string &key);
+    proxy::asio::awaitable<void> disturbDaemon();
+    proxy::asio::awaitable<void> disturbStore();
+    proxy::asio::awaitable<void> disturbUpstream();
+    void tell(const std::string &line);
+    void disturbAll();
+
+    SoakOptions options_;
+    proxy::asio::io_context context_ {1};
+    std::mt19937_64 random_;
+    Ledger ledger_;
+    std::uint16_t storePort_;
+    PlatformStore store_;
+    std::vector<std::unique_ptr<SoakUpstream>> upstreams_;
+    std::vector<std::uint16_t> upstreamPorts_;
+    std::vector<Vm> vms_;
+    std::vector<SoakAccount> accounts_;
+    std::int64_t version_ = 0;
+    core::MonoTime versionAt_ {};
+    core::MonoTime end_ {};
+    std::vector<std::string> story_;
+};
+
+} // namespace teaselreach::soak
--- a/src/core/log_sink_base.h
+++ b/src/core/log_sink_base.h
@@ -15,7 +15,7 @@
 {
 public:
     /** Most bytes that wait to be written. */
-    static constexpr std::size_t maxWaitingBytes = 256 * 1024;
+    static constexpr std::size_t maxWaitingBytes = 262144;
 
     /** @param descriptor Where lines go; made non-blocking. */
     explicit LogSink(int descriptor);
