Fix: [Proxy] A VM that leaves, or has just started, counts against its own part of a limit

Cause: a restarted process began with the pool's whole part and an empty window, and a leaving one went on with the pool's part without the others' reports. Own and reported requests are counted apart now.

--- a/src/proxy/account_share.cpp
+++ b/src/proxy/account_share.cpp
@@ -10,17 +10,25 @@
     : options_(options)
 { }
 
-void AccountShare::setPart(double part)
+void AccountShare::setParts(double own, double pool)
 {
-    part_ = std::clamp(part, 0.0, 1.0);
+    ownPart_ = std::clamp(own, 0.0, 1.0);
+    poolPart_ = std::clamp(pool, 0.0, 1.0);
+}
+
+std::size_t AccountShare::countOf(const Window &window) const
+{
+    return window.own.size() + (isPooled() ? window.others.size() : 0);
 }
 
 AccountShare::Window &AccountShare::windowOf(core::MonoTime now,
                                              const core::ClientAccountId &account)
 {
     Window &window = windows_[account];
-    while (!window.empty() && now - window.front() > options_.window)
-        window.pop_front();
+    for (std::deque<core::MonoTime> *times : {&window.own, &window.others}) {
+        while (!times->empty() && now - times->front() > options_.window)
+            times->pop_front();
+    }
     return window;
 }
 
@@ -30,7 +38,7 @@
     const double plain = account.ratePerSecond * seconds + account.burst;
     const double allowed = plain * (1 + options_.overrunRatio) + options_.overrunRequests;
     double limit =
-        std::max(plain, allowed - options_.keptBackSeconds * account.ratePerSecond) * part_;
+        std::max(plain, allowed - options_.keptBackSeconds * account.ratePerSecond) * part();
     if (restartedAt_) {
         const double age = std::chrono::duration<double>(now - *restartedAt_).count();
         limit *= std::min(
@@ -45,9 +53,9 @@
     if (account.ratePerSecond <= 0)
         return true;
     Window &window = windowOf(now, account.id);
-    if (window.size() >= limitOf(now, account))
+    if (countOf(window) >= limitOf(now, account))
         return false;
-    window.push_back(now);
+    window.own.push_back(now);
     ++unreported_[account.id];
     return true;
 }
@@ -56,18 +64,23 @@
 {
     const Window &window = windowOf(now, account.id);
     const std::size_t limit = limitOf(now, account);
-    if (window.size() < limit)
+    const std::size_t count = countOf(window);
+    if (count < limit)
         return core::Micros(0);
+    std::vector<core::MonoTime> times(window.own.begin(), window.own.end());
+    if (isPooled())
+        times.insert(times.end(), window.others.begin(), window.others.end());
+    std::sort(times.begin(), times.end());
     // Room comes when all but limit - 1 of the counted requests have left the window.
-    return window[window.size() - limit] + options_.window - now;
+    return times[count - limit] + options_.window - now;
 }
 
 void AccountShare::giveBack(const Account &account)
 {
     const auto found = windows_.find(account.id);
-    if (found == windows_.end() || found->second.empty())
+    if (found == windows_.end() || found->second.own.empty())
         return;
-    found->second.pop_back();
+    found->second.own.pop_back();
     --unreported_[account.id];
 }
 
@@ -75,7 +88,7 @@
 {
     Window &window = windowOf(now, usage.account);
     for (int i = 0; i < usage.requests; ++i)
-        window.push_back(now);
+        window.others.push_back(now);
 }
 
 std::vector<AccountUsage> AccountShare::takeUsage()
--- a/src/proxy/account_share_base.h
+++ b/src/proxy/account_share_base.h
@@ -48,8 +48,12 @@
 
     /** Records that this process follows an earlier one. */
     void restarted(core::MonoTime now) { restartedAt_ = now; }
-    /** @param part The pool's part of every limit, 0 to 1. */
-    void setPart(double part);
+    /**
+     * @param own This VM's part of every limit, 0 to 1.
+     * @param pool The part of all VMs of the pool that exchange reports with this one, itself
+     * included. If it is not larger than the own part, only own requests are counted.
+     */
+    void setParts(double own, double pool);
     /** @return Whether a request of the account is within the limit; counts it if so. */
     bool admit(core::MonoTime now, const Account &account);
     /** @return Time until admit() may succeed for the account. */
@@ -60,17 +64,25 @@
     void reported(core::MonoTime now, const AccountUsage &usage);
     /** @return What this VM admitted since the last call. */
     std::vector<AccountUsage> takeUsage();
-    /** @return The pool's part. */
-    double part() const { return part_; }
+    /** @return The part against which requests are counted. */
+    double part() const { return isPooled() ? poolPart_ : ownPart_; }
 
 private:
-    using Window = std::deque<core::MonoTime>;
+    /** Times of the counted requests. */
+    struct Window
+    {
+        std::deque<core::MonoTime> own;
+        std::deque<core::MonoTime> others;
+    };
 
     Window &windowOf(core::MonoTime now, const core::ClientAccountId &account);
     std::size_t limitOf(core::MonoTime now, const Account &account) const;
+    std::size_t countOf(const Window &window) const;
+    bool isPooled() const { return poolPart_ > ownPart_; }
 
     AccountShareOptions options_;
-    double part_ = 0;
+    double ownPart_ = 0;
+    double poolPart_ = 0;
     std::optional<core::MonoTime> restartedAt_;
     std::unordered_map<core::ClientAccountId, Window, core::StrongHash> windows_;
     std::unordered_map<core::ClientAccountId, int, core::StrongHash> unreported_;
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -317,21 +317,26 @@
     /** Sets the parts of limits: of this VM, and of the members of its pool that are heard. */
     void updateParts(core::MonoTime now)
     {
-        // A VM that has withdrawn keeps its parts for the callers that still hold its address; the
-        // others do not take them over at once.
-        if (leavingSince_)
+        // A VM that has withdrawn keeps its own part for the callers that still hold its address;
+        // the others do not take it over at once. It no longer hears of their requests.
+        if (leavingSince_) {
+            shares_.setParts(ownPart_, ownPart_);
             return;
-        const double own = entries_.partOf(now, options_.self.id);
-        flow_.setFleetPart(own);
-        double pool = own;
-        if (entries_.isActive(options_.self.id)) {
+        }
+        ownPart_ = entries_.partOf(now, options_.self.id);
+        flow_.setFleetPart(ownPart_);
+        double pool = ownPart_;
+        // A process that has just started does not know what the pool admitted before.
+        const bool knowsPool = options_.firstStart || now - startedAt_ > options_.shares.window;
+        if (knowsPool && entries_.isActive(options_.self.id)) {
             for (const EntryMember &peer : entries_.peersOf(options_.self.id)) {
                 const auto heard = heard_.find(peer.id);
-                if (heard != heard_.end() && now - heard->second.at < peerTimeout)
+                if (heard != heard_.end() && now - heard->second.at < peerTimeout
+                    && !heard->second.leaving)
                     pool += entries_.partOf(now, peer.id);
             }
         }
-        shares_.setPart(pool);
+        shares_.setParts(ownPart_, pool);
     }
 
     void tidy(core::MonoTime now)
@@ -386,6 +391,8 @@
     std::optional<core::MonoTime> leavingSince_;
     core::MonoTime messageSentAt_ {};
     std::map<core::VmId, Heard> heard_;
+    core::MonoTime startedAt_ = core::MonoClock::now();
+    double ownPart_ = 0;
 };
 
 } // namespace teaselreach::proxy
--- a/tests/proxy/decisions_test.cpp
+++ b/tests/proxy/decisions_test.cpp
@@ -91,7 +91,7 @@
     const double allowed = (47 * 5 + 47) * 1.1 + 20;
     std::vector<AccountShare> shares(pools * vmsPerPool, AccountShare(options));
     for (AccountShare &share : shares)
-        share.setPart(1.0 / pools);
+        share.setParts(1.0 / (pools * vmsPerPool), 1.0 / pools);
     struct Report
     {
         core::MonoTime due;
@@ -137,7 +137,7 @@
     const Account account {.id = core::ClientAccountId("small"), .ratePerSecond = 9, .burst = 9};
     std::vector<AccountShare> shares(3, AccountShare({.overrunRatio = 0.1, .overrunRequests = 20}));
     for (AccountShare &share : shares)
-        share.setPart(0.92 / 3);
+        share.setParts(0.92 / 12, 0.92 / 3);
     std::mt19937_64 random(2);
     std::exponential_distribution<double> gap(5.6);
     core::MonoTime now = start;
@@ -156,14 +156,14 @@
 {
     const Account account {.id = core::ClientAccountId("a"), .ratePerSecond = 20, .burst = 20};
     AccountShare before({.overrunRatio = 0.1, .overrunRequests = 20});
-    before.setPart(1);
+    before.setParts(1, 1);
     int admitted = 0;
     for (int i = 0; i < 1000; ++i)
         admitted += before.admit(start, account) ? 1 : 0;
     AccountShare after({.overrunRatio = 0.1, .overrunRequests = 20});
     const core::MonoTime again = start + core::Seconds(2);
     after.restarted(again);
-    after.setPart(1);
+    after.setParts(1, 1);
     int more = 0;
     for (int i = 0; i < 1000; ++i)
         more += after.admit(again, account) ? 1 : 0;
@@ -175,11 +175,30 @@
     CHECK(whole == admitted);
 }
 
+TEST_CASE("a VM that no longer hears its pool counts only its own requests against its own part")
+{
+    // A VM that was leaving went on with the pool's part and without the others' reports; the soak
+    // saw 65 requests of an account where 53 were allowed.
+    const Account account {.id = core::ClientAccountId("a"), .ratePerSecond = 20, .burst = 20};
+    AccountShare share({});
+    share.setParts(0.1, 0.4);
+    for (int i = 0; i < 5; ++i)
+        REQUIRE(share.admit(start, account));
+    share.reported(start, {.account = account.id, .requests = 40});
+    CHECK(share.part() == doctest::Approx(0.4));
+    CHECK(share.admit(start, account));
+    share.setParts(0.1, 0.1);
+    int more = 0;
+    for (int i = 0; i < 100; ++i)
+        more += share.admit(start, account) ? 1 : 0;
+    CHECK(more == 6); // 12 in all: a tenth of 20 * 5 + 20.
+}
+
 TEST_CASE("a refused account is told when there is room")
 {
     const Account account {.id = core::ClientAccountId("a"), .ratePerSecond = 2, .burst = 2};
     AccountShare share({});
-    share.setPart(1);
+    share.setParts(1, 1);
     for (int i = 0; i < 12; ++i)
         REQUIRE(share.admit(start + core::Millis(100 * i), account));
     const core::MonoTime now = start + core::Seconds(2);
--- a/tests/proxy/flow_fixture.h
+++ b/tests/proxy/flow_fixture.h
@@ -111,7 +111,7 @@
                    .closing = [this] { return flow_.phase() != FlowPhase::Serving; }})
         , work_(context_.get_executor())
     {
-        shares_.setPart(1);
+        shares_.setParts(1, 1);
         flow_.setFleetPart(1);
         flow_.configure(std::make_shared<const RouteTable>(std::move(configuration)));
         port_ = server_.port();
