--- a/src/proxy/account_share.cpp
+++ b/src/proxy/account_share.cpp
@@ -32,13 +32,13 @@
     return window;
 }
 
-std::size_t AccountShare::limitOf(core::MonoTime now, const Account &account) const
+std::size_t AccountShare::limitOf(core::MonoTime now, const Account &account, double part) const
 {
     const double seconds = std::chrono::duration<double>(options_.window).count();
     const double plain = account.ratePerSecond * seconds + account.burst;
     const double allowed = plain * (1 + options_.overrunRatio) + options_.overrunRequests;
     double limit =
-        std::max(plain, allowed - options_.keptBackSeconds * account.ratePerSecond) * part();
+        std::max(plain, allowed - options_.keptBackSeconds * account.ratePerSecond) * part;
     if (restartedAt_) {
         const double age = std::chrono::duration<double>(now - *restartedAt_).count();
         limit *= std::min(
@@ -53,7 +53,14 @@
     if (account.ratePerSecond <= 0)
         return true;
     Window &window = windowOf(now, account.id);
-    if (countOf(window) >= limitOf(now, account))
+    const std::size_t count = countOf(window);
+    if (count >= limitOf(now, account, part()))
+        return false;
+    // Near the limit the reports of others come too late to share it by; own parts need none.
+    const double nearly = static_cast<double>(limitOf(now, account, part()))
+        - options_.unsharedSeconds * account.ratePerSecond * part();
+    if (isPooled() && static_cast<double>(count) >= nearly
+        && window.own.size() >= limitOf(now, account, ownPart_))
         return false;
     window.own.push_back(now);
     ++unreported_[account.id];
@@ -63,10 +70,12 @@
 core::Micros AccountShare::timeToRoom(core::MonoTime now, const Account &account)
 {
     const Window &window = windowOf(now, account.id);
-    const std::size_t limit = limitOf(now, account);
+    const std::size_t limit = limitOf(now, account, part());
     const std::size_t count = countOf(window);
     if (count < limit)
-        return core::Micros(0);
+        return window.own.size() < limitOf(now, account, ownPart_)
+            ? core::Micros(0)
+            : std::max(core::Micros(0), window.own.front() + options_.window - now);
     std::vector<core::MonoTime> times(window.own.begin(), window.own.end());
     if (isPooled())
         times.insert(times.end(), window.others.begin(), window.others.end());
--- a/src/proxy/account_share_base.h
+++ b/src/proxy/account_share_base.h
@@ -23,6 +23,9 @@
      * the VMs of a pool admit, for an account at many times its rate, before they hear of each
      * other. */
     double keptBackSeconds = 0.9;
+    /** Seconds of an account's rate before its limit from which each VM uses its own part only: an
+     * account at many times its rate is admitted faster than VMs hear of each other. */
+    double unsharedSeconds = 1.0;
     /** Part of the limit that a restarted process gives out at once; the rest follows over one
      * window. What the process before it admitted is not known. */
     double partAfterRestart = 0.35;
@@ -76,7 +79,7 @@
     };
 
     Window &windowOf(core::MonoTime now, const core::ClientAccountId &account);
-    std::size_t limitOf(core::MonoTime now, const Account &account) const;
+    std::size_t limitOf(core::MonoTime now, const Account &account, double part) const;
     std::size_t countOf(const Window &window) const;
     bool isPooled() const { return poolPart_ > ownPart_; }
 
