--- a/src/proxy/account_share_base.h
+++ b/src/proxy/account_share_base.h
@@ -25,7 +25,7 @@
     double keptBackSeconds = 0.9;
     /** Seconds of an account's rate before its limit from which each VM uses its own part only: an
      * account at many times its rate is admitted faster than VMs hear of each other. */
-    double unsharedSeconds = 1.0;
+    double unsharedSeconds = 0.7;
     /** Part of the limit that a restarted process gives out at once; the rest follows over one
      * window. What the process before it admitted is not known. */
     double partAfterRestart = 0.35;
