--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,7 +10,7 @@
 shift || true
 if [ $# -gt 0 ]; then files=("$@"); else
     mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' \
-        'tests/*.cpp' 'tests/*.h' 'bench/*.cpp' 'bench/*.h' 'platform/*.cpp' 'platform/*.h')
+        'tests/*.cpp' 'tests/*.h' 'bench/*.cpp' 'bench/*.h' 'platform/*.cpp' 'platform/*.h' 'soak/*.cpp' 'soak/*.h')
 fi
 clang-format --dry-run --Werror "${files[@]}"
 
