--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -100,7 +100,7 @@
 
 UpstreamAnswer readUpstreamAnswer(const HttpResponse &response, const HeaderNames &names)
 {
-    UpstreamAnswer answer {.load = readLoad(fieldValue(response, names.load)), .leaving = false};
+    UpstreamAnswer answer {.load = readLoad(fieldValue(response, names.load))};
     const bool success =
         beasthttp::to_status_class(response.result()) == beasthttp::status_class::successful;
     if (response.result() == beasthttp::status::misdirected_request)
--- a/src/proxy/exchange_func.h
+++ b/src/proxy/exchange_func.h
@@ -18,7 +18,6 @@
     core::ClientAccountId account; ///< Empty on public routes.
     core::UpstreamId upstream;
     core::Micros timeLeft {0};
-    std::string target; ///< Address and port, unused if the caller's Host is kept.
 };
 
 /** @return The request for an upstream: end-to-end fields of the caller's, and the added ones. */
@@ -30,7 +29,6 @@
 {
     AttemptEnd end = AttemptEnd::Answered;
     std::optional<LoadReport> load;
-    bool leaving = false; ///< The upstream closes its connections.
 };
 
 /** @return What an answer means; an answer without its proof of origin counts as broken. */
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -292,8 +292,7 @@
                                 .end = answer.end,
                                 .startedAt = startedAt,
                                 .endedAt = now,
-                                .load = answer.load,
-                                .leaving = answer.leaving};
+                                .load = answer.load};
     parts_.upstreams.finished(record);
     if (answer.end != AttemptEnd::Broken)
         links_.give(now, std::move(link));
@@ -313,7 +312,7 @@
         job.outcome = attemptEndName(answer.end);
         co_return false;
     }
-    answerFailure(job, answer.end, std::move(result));
+    answerFailure(job, answer.end);
     co_return false;
 }
 
@@ -366,7 +365,7 @@
             .retryAfter = busyRetryAfter});
 }
 
-void RequestFlow::answerFailure(Job &job, AttemptEnd end, LinkResult)
+void RequestFlow::answerFailure(Job &job, AttemptEnd end)
 {
     if (!job.mayHaveRun) {
         refuse(job,
@@ -436,12 +435,12 @@
     return retries_.try_emplace(service, options_.retries).first->second;
 }
 
-RequestFlow::ServiceQueue &RequestFlow::queueOf(const core::ServiceId &service)
+std::shared_ptr<RequestFlow::ServiceQueue> RequestFlow::queueOf(const core::ServiceId &service)
 {
     auto &queue = queues_[service];
     if (!queue)
         queue = std::make_shared<ServiceQueue>();
-    return *queue;
+    return queue;
 }
 
 std::size_t RequestFlow::waiting() const
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -90,12 +90,12 @@
     bool mayRepeat(Job &job, AttemptEnd end, core::MonoTime now);
     void refuse(Job &job, const Refusal &refusal);
     void refuseUnplaced(Job &job, NoPlacement reason);
-    void answerFailure(Job &job, AttemptEnd end, LinkResult result);
+    void answerFailure(Job &job, AttemptEnd end);
     void report(const Job &job);
     void reportAttempt(const Job &job, const Placement &placement, const AttemptRecord &record,
                        const LinkResult &result);
     RetryShare &retriesOf(const core::ServiceId &service);
-    ServiceQueue &queueOf(const core::ServiceId &service);
+    std::shared_ptr<ServiceQueue> queueOf(const core::ServiceId &service);
     void pumpService(ServiceQueue &queue, core::MonoTime now);
 
     Parts parts_;
--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -87,8 +87,7 @@
     bool soundIsBusy = false;
     std::uniform_real_distribution<double> chance(0, tieLoss);
     for (const auto &[id, upstream] : upstreams_) {
-        if (upstream.entry.service != request.service || upstream.entry.draining
-            || upstream.leaving)
+        if (upstream.entry.service != request.service || upstream.entry.draining)
             continue;
         if (std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end())
             continue;
@@ -147,7 +146,6 @@
                      [&](const UnderWay &attempt) { return attempt.number == record.attempt; });
     if (ended != upstream.underWay.end())
         upstream.underWay.erase(ended);
-    upstream.leaving = upstream.leaving || record.leaving;
     learnLoad(record, upstream);
     if (record.end == AttemptEnd::CallerLeft)
         return;
@@ -193,7 +191,7 @@
 {
     int slots = 0;
     for (const auto &[id, upstream] : upstreams_) {
-        if (upstream.entry.service == service && !upstream.entry.draining && !upstream.leaving)
+        if (upstream.entry.service == service && !upstream.entry.draining)
             slots += upstream.entry.slots;
     }
     return slots;
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -103,7 +103,6 @@
     core::MonoTime startedAt {};
     core::MonoTime endedAt {};
     std::optional<LoadReport> load;
-    bool leaving = false; ///< The answer said that the upstream is shutting down.
 };
 
 /** An outcome that VMs tell each other. */
@@ -168,7 +167,6 @@
         double slowness = 1;            ///< Its durations relative to those of its service.
         std::vector<UnderWay> underWay; ///< Attempts of this VM.
         core::MonoTime triedAt {};      ///< Last attempt, or last failure that another VM saw.
-        bool leaving = false;
     };
 
     double sickAt(core::MonoTime now, const Upstream &upstream) const;
