--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -162,7 +162,7 @@
 /** Chooses an upstream and records the start of the attempt; waits if all are busy. */
 asio::awaitable<PlacementResult> RequestFlow::place(Job &job)
 {
-    const std::shared_ptr<ServiceQueue> queue = (queueOf(job.service), queues_.at(job.service));
+    const std::shared_ptr<ServiceQueue> queue = queueOf(job.service);
     const core::MonoTime now = core::MonoClock::now();
     if (queue->order.size() == 0) {
         PlacementResult result = parts_.upstreams.choose(now, placementRequest(job, now));
