--- a/tests/proxy/decisions_test.cpp
+++ b/tests/proxy/decisions_test.cpp
@@ -63,6 +63,7 @@
                           {.service = core::ServiceId("small"), .weight = 10}};
     SplitSelector selector(7);
     std::vector<bool> small;
+    small.reserve(1000);
     for (int i = 0; i < 1000; ++i)
         small.push_back(selector.select(route) == core::ServiceId("small"));
     for (std::size_t at = 0; at + 200 <= small.size(); ++at) {
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -51,7 +51,7 @@
     std::exception_ptr failure;
     std::optional<Result> result;
     proxy::asio::co_spawn(context, call(), [&](std::exception_ptr error, Result value) {
-        failure = error;
+        failure = std::move(error);
         result = std::move(value);
     });
     context.restart();
--- a/tests/proxy/sync_test.cpp
+++ b/tests/proxy/sync_test.cpp
@@ -252,7 +252,7 @@
             context,
             client.fetch("127.0.0.1:" + std::to_string(server.port()), StoreRevision(after)),
             [&](std::exception_ptr error, FleetContents contents) {
-                failure = error;
+                failure = std::move(error);
                 result = std::move(contents);
             });
         while (!failure && !result)
