--- a/soak/daemon_process.cpp
+++ b/soak/daemon_process.cpp
@@ -8,6 +8,14 @@
 
 namespace teaselreach::soak {
 
+std::string soakAddress()
+{
+    constexpr int hosts = 250;
+    const int pid = getpid();
+    return "127." + std::to_string(64 + pid / (hosts * hosts) % 64) + "."
+        + std::to_string(pid / hosts % hosts) + "." + std::to_string(1 + pid % hosts);
+}
+
 DaemonProcess::DaemonProcess(std::string program, std::string settingsPath, std::string logPath)
     : program_(std::move(program))
     , settingsPath_(std::move(settingsPath))
--- a/soak/daemon_process_base.h
+++ b/soak/daemon_process_base.h
@@ -9,6 +9,12 @@
 
 namespace teaselreach::soak {
 
+/**
+ * @return The loopback address at which this soak listens. Each process has its own, so that soaks
+ * run side by side; outgoing connections come from 127.0.0.1 and take none of its ports.
+ */
+std::string soakAddress();
+
 /** Starts, signals and ends one daemon; only ever by the id of the process that it started. */
 class DaemonProcess
 {
--- a/soak/platform_store.cpp
+++ b/soak/platform_store.cpp
@@ -31,7 +31,7 @@
 
 PlatformStore::PlatformStore(proxy::asio::io_context &context, std::uint16_t port)
     : context_(context)
-    , server_(context, "127.0.0.1", port,
+    , server_(context, soakAddress(), port,
               {.serve =
                    [this](std::shared_ptr<proxy::CallerExchange> exchange) {
                        return serve(std::move(exchange));
--- a/soak/platform_store_base.h
+++ b/soak/platform_store_base.h
@@ -1,6 +1,7 @@
 /** @file platform_store_base.h The platform's key-value store, with outages, for the soak. */
 #pragma once
 
+#include "daemon_process_base.h"
 #include "proxy/caller_session_base.h"
 
 #include <nlohmann/json.hpp>
@@ -24,7 +25,7 @@
 class PlatformStore
 {
 public:
-    /** @param context The event loop. @param port Port on 127.0.0.1. */
+    /** @param context The event loop. @param port Port on soakAddress(). */
     PlatformStore(proxy::asio::io_context &context, std::uint16_t port);
 
     /** Writes a value as the operators or upstreams do. */
--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-const std::string loopback = "127.0.0.1";
+const std::string loopback = soakAddress();
 /** Time for daemons to start and register before callers come. */
 constexpr core::Seconds leadTime {4};
 /** Calm time after a disturbance from which bounds are judged. */
--- a/soak/soak_upstream.cpp
+++ b/soak/soak_upstream.cpp
@@ -20,7 +20,7 @@
     , id_(std::move(id))
     , ledger_(ledger)
     , random_(seed)
-    , server_(context, "127.0.0.1", port,
+    , server_(context, soakAddress(), port,
               {.serve =
                    [this](std::shared_ptr<proxy::CallerExchange> exchange) {
                        return serve(std::move(exchange));
--- a/soak/soak_upstream_base.h
+++ b/soak/soak_upstream_base.h
@@ -2,6 +2,7 @@
  */
 #pragma once
 
+#include "daemon_process_base.h"
 #include "ledger_base.h"
 #include "proxy/caller_session_base.h"
 
@@ -24,7 +25,7 @@
 class SoakUpstream
 {
 public:
-    /** @param id Its id. @param port Port on 127.0.0.1. @param ledger Records what it runs. */
+    /** @param id Its id. @param port Port on soakAddress(). @param ledger Records what it runs. */
     SoakUpstream(proxy::asio::io_context &context, std::string id, std::uint16_t port,
                  Ledger &ledger, std::uint64_t seed);
 
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -60,7 +60,8 @@
 
 LogSink &standardOutput()
 {
-    static LogSink sink(STDOUT_FILENO);
+    // Never destroyed: log4cplus closes its appenders after the statics of this file.
+    static LogSink &sink = *new LogSink(STDOUT_FILENO);
     return sink;
 }
 
