Fix: [Proxy] Restore what the limit tests had lost in strength

Tried and not taken: a share of 0.1, 0.15, 0.2, 0.25 for unreported requests in place of 0.7 s of the rate; only 0.15 keeps both bounds, with no gain.

--- a/tests/proxy/decisions_test.cpp
+++ b/tests/proxy/decisions_test.cpp
@@ -90,7 +90,8 @@
     double factor = 0;        ///< Offered, as a multiple of the rate.
     std::size_t vmsPerPool = 0;
     core::Millis reportDelay {0};
-    double part = 1; ///< Of the limit that the VMs hold together.
+    double part = 1;                ///< Of the limit that the VMs hold together.
+    std::size_t vmsWithCallers = 0; ///< In each pool; 0 for all.
 };
 
 /** What became of the requests. */
@@ -136,7 +137,8 @@
                     shares[vm].reported(now, report.usage);
             }
         }
-        const std::size_t vm = random() % vms;
+        const std::size_t used = load.vmsWithCallers == 0 ? load.vmsPerPool : load.vmsWithCallers;
+        const std::size_t vm = random() % pools * load.vmsPerPool + random() % used;
         ++sent;
         if (!shares[vm].admit(now, account)) {
             ++refused;
@@ -168,8 +170,8 @@
         const double plain = load.ratePerSecond * 6;
         const std::size_t most = play(load, core::Seconds(30)).mostAdmitted;
         CHECK(static_cast<double>(most) <= plain * 1.1 + 20);
-        // Nor is an account at its limit turned away for want of trust.
-        CHECK(static_cast<double>(most) >= plain * 0.97);
+        // Nor is an account turned away within its rate and burst for want of trust.
+        CHECK(static_cast<double>(most) >= plain);
     }
 }
 
@@ -177,14 +179,18 @@
 {
     // The smallest account of a site: 9 requests a second allowed, 5.6 sent, two VMs in each of
     // six zones, pools of one region. Guards against parts so small that chance empties them.
-    const PoolOutcome outcome = play({.ratePerSecond = 9,
-                                      .factor = 0.62,
-                                      .vmsPerPool = 4,
-                                      .reportDelay = core::Millis(75),
-                                      .part = 0.92},
-                                     core::Seconds(3600));
-    constexpr double bound = 0.001; // docs/design.md 1.2: wrongful refusals.
-    CHECK(outcome.refusedShare <= bound);
+    // With its callers on all VMs, on two of each pool, or on one.
+    for (const std::size_t vmsWithCallers : {4UL, 2UL, 1UL}) {
+        const PoolOutcome outcome = play({.ratePerSecond = 9,
+                                          .factor = 0.62,
+                                          .vmsPerPool = 4,
+                                          .reportDelay = core::Millis(75),
+                                          .part = 0.92,
+                                          .vmsWithCallers = vmsWithCallers},
+                                         core::Seconds(3600));
+        constexpr double bound = 0.001; // docs/design.md 1.2: wrongful refusals.
+        CHECK(outcome.refusedShare <= bound);
+    }
 }
 
 TEST_CASE("a restarted process does not give out again what its predecessor admitted")
