Fix: [Proxy] An account's priority goes before a route's in the queue; long functions split, figures named

Found on reading the diff: the stride of a waiting flow weighed the route's priority twice as much as the account's, against docs/platform.md. A daemon of the soak ends with the soak that started it.

--- a/soak/daemon_process.cpp
+++ b/soak/daemon_process.cpp
@@ -3,6 +3,7 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -42,6 +43,8 @@
     pid_ = fork();
     if (pid_ != 0)
         return;
+    // A daemon must not outlive a soak that is killed.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int log = open(logPath_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
@@ -64,9 +67,22 @@
     int status = 0;
     if (waitpid(pid_, &status, WNOHANG) == 0)
         return true;
+    ended();
+    return false;
+}
+
+void DaemonProcess::waitForEnd()
+{
+    if (pid_ <= 0)
+        return;
+    waitpid(pid_, nullptr, 0);
+    ended();
+}
+
+void DaemonProcess::ended()
+{
     pid_ = -1;
     crashed_ = crashed_ || !endExpected_;
-    return false;
 }
 
 } // namespace teaselreach::soak
--- a/soak/daemon_process_base.h
+++ b/soak/daemon_process_base.h
@@ -32,6 +32,8 @@
     void start();
     /** Sends a signal if the process runs. */
     void signal(int number);
+    /** Waits until the process has ended. */
+    void waitForEnd();
     /** @return Whether it runs; collects its end. */
     bool running();
     /** @return Whether it ended by itself with an error or a signal that was not sent to it. */
@@ -43,6 +45,8 @@
     std::string program_;
     std::string settingsPath_;
     std::string logPath_;
+    void ended();
+
     pid_t pid_ = -1;
     bool endExpected_ = false;
     bool crashed_ = false;
--- a/src/proxy/asio_type.h
+++ b/src/proxy/asio_type.h
@@ -26,6 +26,9 @@
 using HttpRequest = beasthttp::request<beasthttp::string_body>;
 using HttpResponse = beasthttp::response<beasthttp::string_body>;
 
+/** HTTP/1.1 as Boost.Beast numbers versions. */
+inline constexpr unsigned httpVersion11 = 11;
+
 /** @return A completion token that stores the error of an operation instead of throwing it. */
 inline auto storeError(ErrorCode &error)
 {
--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -120,7 +120,7 @@
 void CallerSession::refuseMalformed(const ErrorCode &error)
 {
     auto exchange = std::make_shared<CallerExchange>();
-    exchange->response = HttpResponse(statusOf(error), 11);
+    exchange->response = HttpResponse(statusOf(error), httpVersion11);
     exchange->response.prepare_payload();
     exchange->answered = true;
     lastRequest_ = true;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -79,7 +79,7 @@
                                const ForwardFields &fields)
 {
     HttpRequest forwarded;
-    forwarded.version(11);
+    forwarded.version(httpVersion11);
     forwarded.method_string(request.method_string());
     forwarded.target(request.target());
     copyEndToEndFields(request, forwarded, [&](std::string_view name) {
@@ -98,6 +98,16 @@
     return forwarded;
 }
 
+bool answersAttempt(const HttpResponse &response, const HeaderNames &names,
+                    const std::string &attemptId)
+{
+    const std::string_view id = fieldValue(response, names.attemptId);
+    if (!id.empty())
+        return id == attemptId;
+    return response.result() == beasthttp::status::misdirected_request
+        || !fieldValue(response, names.notExecuted).empty();
+}
+
 UpstreamAnswer readUpstreamAnswer(const HttpResponse &response, const HeaderNames &names)
 {
     UpstreamAnswer answer {.load = readLoad(fieldValue(response, names.load))};
@@ -136,7 +146,7 @@
 HttpResponse makeCallerAnswer(HttpResponse response, const HeaderNames &names)
 {
     HttpResponse answer;
-    answer.version(11);
+    answer.version(httpVersion11);
     answer.result(response.result_int());
     copyEndToEndFields(response, answer, [&](std::string_view name) {
         return http::equalIgnoringCase(name, names.load)
--- a/src/proxy/exchange_func.h
+++ b/src/proxy/exchange_func.h
@@ -31,6 +31,13 @@
     std::optional<LoadReport> load;
 };
 
+/**
+ * @return Whether an answer belongs to an attempt. Refusals come without the id; no other answer is
+ * believed without it.
+ */
+bool answersAttempt(const HttpResponse &response, const HeaderNames &names,
+                    const std::string &attemptId);
+
 /** @return What an answer means; an answer without its proof of origin counts as broken. */
 UpstreamAnswer readUpstreamAnswer(const HttpResponse &response, const HeaderNames &names);
 
--- a/src/proxy/fleet_relay.cpp
+++ b/src/proxy/fleet_relay.cpp
@@ -37,7 +37,7 @@
 
 HttpResponse makeAnswer(beasthttp::status status, std::string body = "")
 {
-    HttpResponse response(status, 11);
+    HttpResponse response(status, httpVersion11);
     response.body() = std::move(body);
     response.prepare_payload();
     return response;
@@ -118,7 +118,7 @@
     std::unique_ptr<HttpLink> &link = links_[relay];
     if (!link || !link->reusable(core::MonoClock::now()))
         link = std::make_unique<HttpLink>(context_, parseTarget(relay));
-    HttpRequest request(beasthttp::verb::get, relayTarget(after), 11);
+    HttpRequest request(beasthttp::verb::get, relayTarget(after), httpVersion11);
     request.set(beasthttp::field::host, relay);
     const LinkOptions options {.connectTimeout = relayConnectTimeout,
                                .deadline = core::MonoClock::now() + relayTimeout};
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -192,7 +192,7 @@
 
     static HttpResponse makeResponse(beasthttp::status status, std::string body = "")
     {
-        HttpResponse response(status, 11);
+        HttpResponse response(status, httpVersion11);
         response.body() = std::move(body);
         response.prepare_payload();
         return response;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -57,6 +57,7 @@
     explicit Waiter(asio::io_context &context)
         : wake(context, asio::steady_timer::time_point::max())
     { }
+    WaitTicket ticket;
     PlacementRequest request;
     core::MonoTime arrivedAt {};
     core::MonoTime deadline {};
@@ -108,8 +109,26 @@
 /** Finds route, account and deadline. @return Whether the request may be sent. */
 bool RequestFlow::prepare(Job &job)
 {
+    if (!findRoute(job) || !findAccount(job))
+        return false;
     const CallerExchange &exchange = *job.exchange;
     const core::MonoTime now = exchange.receivedAt;
+    const auto patience = callerDeadline(exchange.request, options_.names);
+    job.deadline = now + std::min(patience.value_or(job.route->timeout), job.route->timeout);
+    if (job.account != nullptr && !parts_.shares.admit(now, *job.account)) {
+        refuse(job,
+               {.status = beasthttp::status::too_many_requests,
+                .code = "rate_limited",
+                .retryAfter = parts_.shares.timeToRoom(now, *job.account)});
+        return false;
+    }
+    job.service = splits_.select(*job.route);
+    return true;
+}
+
+/** @return Whether the request has a route; it is refused if not. */
+bool RequestFlow::findRoute(Job &job)
+{
     if (!job.table || phase_ == FlowPhase::Refusing) {
         refuse(job,
                {.status = beasthttp::status::service_unavailable,
@@ -117,8 +136,9 @@
                 .retryAfter = elsewhereRetryAfter});
         return false;
     }
-    const auto host = exchange.request[beasthttp::field::host];
-    const auto target = exchange.request.target();
+    const HttpRequest &request = job.exchange->request;
+    const auto host = request[beasthttp::field::host];
+    const auto target = request.target();
     if (host.empty() || target.empty() || target.front() != '/') {
         refuse(job, {.status = beasthttp::status::bad_request, .code = "malformed_request"});
         return false;
@@ -128,23 +148,19 @@
         refuse(job, {.status = beasthttp::status::not_found, .code = "unknown_route"});
         return false;
     }
-    const auto key = keyOf(exchange.request, options_.names);
+    return true;
+}
+
+/** @return Whether the request may use its route; it is refused if its key is not known. */
+bool RequestFlow::findAccount(Job &job)
+{
+    const auto key = keyOf(job.exchange->request, options_.names);
     job.account = key ? job.table->findAccount(*key) : nullptr;
     const bool needsKey = !job.route->isPublic && !job.table->configuration().accounts.empty();
     if (needsKey && job.account == nullptr) {
         refuse(job, {.status = beasthttp::status::unauthorized, .code = "unknown_key"});
         return false;
     }
-    const auto patience = callerDeadline(exchange.request, options_.names);
-    job.deadline = now + std::min(patience.value_or(job.route->timeout), job.route->timeout);
-    if (job.account != nullptr && !parts_.shares.admit(now, *job.account)) {
-        refuse(job,
-               {.status = beasthttp::status::too_many_requests,
-                .code = "rate_limited",
-                .retryAfter = parts_.shares.timeToRoom(now, *job.account)});
-        return false;
-    }
-    job.service = splits_.select(*job.route);
     return true;
 }
 
@@ -173,6 +189,26 @@
         if (result.reason != NoPlacement::AllBusy)
             co_return result;
     }
+    const std::shared_ptr<Waiter> waiter = enqueue(job, *queue, now);
+    if (!waiter)
+        co_return PlacementResult {.placement = std::nullopt, .reason = NoPlacement::AllBusy};
+    job.exchange->onCallerLeft = [waiter] { waiter->wake.cancel(); };
+    ErrorCode cancelled; // The timer only ever ends by being cancelled.
+    co_await waiter->wake.async_wait(storeError(cancelled));
+    job.exchange->onCallerLeft = nullptr;
+    job.waited += core::MonoClock::now() - now;
+    if (!waiter->result) {
+        queue->order.remove(waiter->ticket, false);
+        queue->waiters.erase(waiter->ticket);
+        co_return PlacementResult {.placement = std::nullopt, .reason = NoPlacement::TooLate};
+    }
+    co_return *waiter->result;
+}
+
+/** @return The request's place in the queue, or nullptr if it could not be served in time. */
+std::shared_ptr<RequestFlow::Waiter> RequestFlow::enqueue(const Job &job, ServiceQueue &queue,
+                                                          core::MonoTime now)
+{
     const WaitTicket ticket(++lastTicket_);
     const WaitRequest wait {
         .ticket = ticket,
@@ -183,24 +219,15 @@
         .deadline = job.deadline};
     // The other VMs fill the upstreams as well: only this VM's part of the slots drains its queue.
     const double ownSlots = fleetPart_ * parts_.upstreams.slotsOf(job.service);
-    if (!queue->order.enqueue(now, wait, ownSlots))
-        co_return PlacementResult {.placement = std::nullopt, .reason = NoPlacement::AllBusy};
+    if (!queue.order.enqueue(now, wait, ownSlots))
+        return nullptr;
     auto waiter = std::make_shared<Waiter>(parts_.context);
+    waiter->ticket = ticket;
     waiter->request = placementRequest(job, now);
     waiter->arrivedAt = job.exchange->receivedAt;
     waiter->deadline = job.deadline;
-    queue->waiters.emplace(ticket, waiter);
-    job.exchange->onCallerLeft = [waiter] { waiter->wake.cancel(); };
-    ErrorCode cancelled; // The timer only ever ends by being cancelled.
-    co_await waiter->wake.async_wait(storeError(cancelled));
-    job.exchange->onCallerLeft = nullptr;
-    job.waited += core::MonoClock::now() - now;
-    if (!waiter->result) {
-        queue->order.remove(ticket, false);
-        queue->waiters.erase(ticket);
-        co_return PlacementResult {.placement = std::nullopt, .reason = NoPlacement::TooLate};
-    }
-    co_return *waiter->result;
+    queue.waiters.emplace(ticket, waiter);
+    return waiter;
 }
 
 void RequestFlow::pump(core::MonoTime now)
@@ -243,7 +270,8 @@
         return options;
     const auto soft = std::chrono::duration_cast<core::Micros>(options_.softTimeoutOfTarget
                                                                * job.route->targetLatency);
-    options.softTimeout = std::max(soft, 3 * placement.expectedDuration);
+    options.softTimeout =
+        std::max(soft, options_.softTimeoutOfExpected * placement.expectedDuration);
     if (now + options.softTimeout >= job.deadline)
         options.softTimeout = core::Micros(0);
     options.mayAbandon = [this, &job] {
@@ -261,12 +289,7 @@
         job.route->idempotent ? core::Micros::max() : options_.maxIdleForNonIdempotent;
     std::unique_ptr<HttpLink> link =
         links_.take(startedAt, {.address = placement.address, .port = placement.port}, maxIdle);
-    const HttpRequest forwarded = makeForwardRequest(
-        job.exchange->request, options_.names,
-        {.account = job.account == nullptr ? core::ClientAccountId() : job.account->id,
-         .upstream = placement.upstream,
-         .timeLeft = std::max(core::Micros(core::Millis(1)),
-                              job.deadline - startedAt - options_.returnTime)});
+    const HttpRequest forwarded = makeForwarded(job, placement, startedAt);
     const std::string attemptId = text(fieldValue(forwarded, options_.names.attemptId));
     const auto canceller = std::make_shared<LinkCanceller>();
     if (job.exchange->callerLeft)
@@ -275,15 +298,34 @@
         job.exchange->onCallerLeft = [canceller] { canceller->cancel(); };
     job.repeatGranted = false;
     const AnswerFilter filter = [this, &attemptId](const HttpResponse &response) {
-        const std::string_view id = fieldValue(response, options_.names.attemptId);
-        if (!id.empty())
-            return id == attemptId;
-        // Refusals come without the id; no other answer is believed without it.
-        return response.result() == beasthttp::status::misdirected_request
-            || !fieldValue(response, options_.names.notExecuted).empty();
+        return answersAttempt(response, options_.names, attemptId);
     };
     const LinkOptions times = linkOptions(job, placement, startedAt);
     LinkResult result = co_await link->exchange(forwarded, times, canceller, filter);
+    // A connection with an answer that cannot be trusted carries no further request.
+    if (interpretLinkResult(result, options_.names).end != AttemptEnd::Broken)
+        links_.give(core::MonoClock::now(), std::move(link));
+    co_return settle(job, placement, startedAt, std::move(result));
+}
+
+/** @return What is sent to an upstream for a request. */
+HttpRequest RequestFlow::makeForwarded(const Job &job, const Placement &placement,
+                                       core::MonoTime now) const
+{
+    /** A deadline of nothing would be no deadline to some upstreams. */
+    constexpr core::Millis shortestDeadline {1};
+    const core::Micros timeLeft = job.deadline - now - options_.returnTime;
+    return makeForwardRequest(
+        job.exchange->request, options_.names,
+        {.account = job.account == nullptr ? core::ClientAccountId() : job.account->id,
+         .upstream = placement.upstream,
+         .timeLeft = std::max(core::Micros(shortestDeadline), timeLeft)});
+}
+
+/** Learns from an attempt and answers the caller. @return Whether another attempt is to follow. */
+bool RequestFlow::settle(Job &job, const Placement &placement, core::MonoTime startedAt,
+                         LinkResult result)
+{
     const core::MonoTime now = core::MonoClock::now();
     const UpstreamAnswer answer = interpretLinkResult(result, options_.names);
     const AttemptRecord record {.upstream = placement.upstream,
@@ -294,8 +336,6 @@
                                 .endedAt = now,
                                 .load = answer.load};
     parts_.upstreams.finished(record);
-    if (answer.end != AttemptEnd::Broken)
-        links_.give(now, std::move(link));
     reportAttempt(job, placement, record, result);
     job.tried.push_back(placement.upstream);
     if (answer.end == AttemptEnd::NotSent)
@@ -306,14 +346,14 @@
     if (const auto queue = queues_.find(job.service); queue != queues_.end())
         pumpService(*queue->second, now);
     if (mayRepeat(job, answer.end, now))
-        co_return true;
+        return true;
     if (answer.end == AttemptEnd::Answered || answer.end == AttemptEnd::ServerError) {
         job.exchange->response = makeCallerAnswer(std::move(result.response), options_.names);
         job.outcome = attemptEndName(answer.end);
-        co_return false;
+        return false;
     }
     answerFailure(job, answer.end);
-    co_return false;
+    return false;
 }
 
 bool RequestFlow::mayRepeat(Job &job, AttemptEnd end, core::MonoTime now)
@@ -337,7 +377,7 @@
 
 void RequestFlow::refuse(Job &job, const Refusal &refusal)
 {
-    HttpResponse response(refusal.status, 11);
+    HttpResponse response(refusal.status, httpVersion11);
     if (refusal.retryAfter)
         response.set(beasthttp::field::retry_after, secondsText(*refusal.retryAfter));
     const std::string_view id = fieldValue(job.exchange->request, options_.names.attemptId);
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -34,6 +34,8 @@
     core::Micros connectTimeout {core::Millis(250)};
     /** Part of the target latency after which an idempotent request is sent elsewhere. */
     double softTimeoutOfTarget = 0.8;
+    /** The same as a multiple of the expected duration, if that is longer. */
+    int softTimeoutOfExpected = 3;
     /** Connections that may fail before a request is refused. */
     int maxConnectFailures = 3;
     /** Taken off the deadline that is passed on, for the way back of the answer. */
@@ -83,9 +85,14 @@
     struct Refusal;
 
     bool prepare(Job &job);
+    bool findRoute(Job &job);
+    bool findAccount(Job &job);
     PlacementRequest placementRequest(const Job &job, core::MonoTime now) const;
     asio::awaitable<PlacementResult> place(Job &job);
+    std::shared_ptr<Waiter> enqueue(const Job &job, ServiceQueue &queue, core::MonoTime now);
     asio::awaitable<bool> attempt(Job &job, const Placement &placement);
+    HttpRequest makeForwarded(const Job &job, const Placement &placement, core::MonoTime now) const;
+    bool settle(Job &job, const Placement &placement, core::MonoTime startedAt, LinkResult result);
     LinkOptions linkOptions(Job &job, const Placement &placement, core::MonoTime now);
     bool mayRepeat(Job &job, AttemptEnd end, core::MonoTime now);
     void refuse(Job &job, const Refusal &refusal);
--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -20,6 +20,20 @@
 /** Share of the target latency up to which an answer is surely in time, and from which late. */
 constexpr double surelyInTime = 0.5;
 constexpr double surelyLate = 1.3;
+/** Loss of an answer at the whole target latency, where lateness is not at stake: prefers the
+ * faster one of two upstreams that are both in time. */
+constexpr double slownessLoss = 0.1;
+/** Probability of a failure that one stalled attempt stands for. */
+constexpr double stalledFailure = 0.5;
+/** Longest duration that teaches a route's work time, as a multiple of the present estimate. */
+constexpr double longestLesson = 3;
+/** Weight of a duration in the estimate of one upstream, relative to that of its route: an upstream
+ * turns slow faster than the work of a route changes. */
+constexpr double slownessGain = 2;
+/** Part of the target latency that a request is taken to need before any was answered. */
+constexpr int unknownWorkPart = 3;
+/** Shortest work time that durations are compared with, in seconds. */
+constexpr double shortestWork = 1e-4;
 
 double seconds(core::Micros time)
 {
@@ -83,13 +97,9 @@
 PlacementResult UpstreamTable::choose(core::MonoTime now, const PlacementRequest &request)
 {
     PlacementResult result;
-    double bestLoss = 0;
     bool soundIsBusy = false;
-    std::uniform_real_distribution<double> chance(0, tieLoss);
     for (const auto &[id, upstream] : upstreams_) {
-        if (upstream.entry.service != request.service || upstream.entry.draining)
-            continue;
-        if (std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end())
+        if (!takesWork(upstream, request))
             continue;
         if (result.reason == NoPlacement::NoUpstream)
             result.reason = NoPlacement::AllBusy;
@@ -98,21 +108,13 @@
             soundIsBusy = soundIsBusy || failureOf(now, upstream) < options_.suspected;
             continue;
         }
-        const core::Micros duration = expectedDuration(now, upstream, request);
-        if (duration > request.timeLeft) {
+        const Placement candidate = makePlacement(now, upstream, request);
+        if (candidate.expectedDuration > request.timeLeft) {
             result.reason = NoPlacement::TooLate;
             continue;
         }
-        const double loss = expectedLoss(now, upstream, request, duration) + chance(random_);
-        if (result.placement && loss >= bestLoss)
-            continue;
-        bestLoss = loss;
-        result.placement = {.upstream = id,
-                            .address = upstream.entry.address,
-                            .port = upstream.entry.port,
-                            .expectedDuration = duration,
-                            .expectedLoss = loss,
-                            .failureEstimate = failureOf(now, upstream)};
+        if (!result.placement || candidate.expectedLoss < result.placement->expectedLoss)
+            result.placement = candidate;
     }
     // A sick upstream fails fast and so always has room. A request that may not be sent again waits
     // for a sound one instead.
@@ -122,6 +124,27 @@
     return result;
 }
 
+bool UpstreamTable::takesWork(const Upstream &upstream, const PlacementRequest &request)
+{
+    if (upstream.entry.service != request.service || upstream.entry.draining)
+        return false;
+    return std::find(request.tried.begin(), request.tried.end(), upstream.entry.id)
+        == request.tried.end();
+}
+
+Placement UpstreamTable::makePlacement(core::MonoTime now, const Upstream &upstream,
+                                       const PlacementRequest &request)
+{
+    std::uniform_real_distribution<double> chance(0, tieLoss);
+    const core::Micros duration = expectedDuration(now, upstream, request);
+    return {.upstream = upstream.entry.id,
+            .address = upstream.entry.address,
+            .port = upstream.entry.port,
+            .expectedDuration = duration,
+            .expectedLoss = expectedLoss(now, upstream, request, duration) + chance(random_),
+            .failureEstimate = failureOf(now, upstream)};
+}
+
 void UpstreamTable::started(core::MonoTime now, Placement &placement)
 {
     placement.attempt = ++lastAttempt_;
@@ -184,7 +207,7 @@
                                          core::Micros targetLatency) const
 {
     const auto found = workSeconds_.find(route);
-    return found == workSeconds_.end() ? targetLatency / 3 : micros(found->second);
+    return found == workSeconds_.end() ? targetLatency / unknownWorkPart : micros(found->second);
 }
 
 int UpstreamTable::slotsOf(const core::ServiceId &service) const
@@ -232,8 +255,7 @@
     int overdue = 0;
     for (const UnderWay &attempt : upstream.underWay)
         overdue += now > attempt.overdueAt ? 1 : 0;
-    constexpr double perAttempt = 0.5;
-    return 1 - std::pow(1 - perAttempt, overdue);
+    return 1 - std::pow(1 - stalledFailure, overdue);
 }
 
 double UpstreamTable::occupancyOf(core::MonoTime now, const Upstream &upstream) const
@@ -268,9 +290,9 @@
         return 0;
     const double ratio = seconds(finish) / seconds(target);
     if (ratio <= surelyInTime)
-        return 0.1 * ratio; // Prefers the faster one of two that are both in time.
+        return slownessLoss * ratio;
     const double late = std::min(1.0, (ratio - surelyInTime) / (surelyLate - surelyInTime));
-    return 0.1 * surelyInTime + options_.lateLoss * late;
+    return slownessLoss * surelyInTime + options_.lateLoss * late;
 }
 
 /** Bayes' rule on whether the upstream is sick, given one more outcome. */
@@ -291,12 +313,13 @@
     // A wait at the upstream is not work: only attempts that found a free slot teach it.
     if (static_cast<int>(upstream.underWay.size()) >= upstream.entry.slots)
         return;
-    const double expected = std::max(1e-4, work->second);
-    const double ratio = std::clamp(duration / expected, minSlowness / 2, maxSlowness);
-    upstream.slowness += 2 * options_.durationGain * (ratio - upstream.slowness);
+    const double expected = std::max(shortestWork, work->second);
+    const double ratio = std::clamp(duration / expected, minSlowness, maxSlowness);
+    upstream.slowness += slownessGain * options_.durationGain * (ratio - upstream.slowness);
     upstream.slowness = std::clamp(upstream.slowness, minSlowness, maxSlowness);
     if (!isNew)
-        work->second += options_.durationGain * (std::min(duration, 3 * expected) - expected);
+        work->second +=
+            options_.durationGain * (std::min(duration, longestLesson * expected) - expected);
 }
 
 void UpstreamTable::learnLoad(const AttemptRecord &record, Upstream &upstream) const
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -169,6 +169,9 @@
         core::MonoTime triedAt {};      ///< Last attempt, or last failure that another VM saw.
     };
 
+    static bool takesWork(const Upstream &upstream, const PlacementRequest &request);
+    Placement makePlacement(core::MonoTime now, const Upstream &upstream,
+                            const PlacementRequest &request);
     double sickAt(core::MonoTime now, const Upstream &upstream) const;
     double failureOf(core::MonoTime now, const Upstream &upstream) const;
     double expectedLoss(core::MonoTime now, const Upstream &upstream,
--- a/src/proxy/wait_queue.cpp
+++ b/src/proxy/wait_queue.cpp
@@ -36,8 +36,8 @@
         return false;
     Flow &flow = flows_[keyOf(request)];
     if (flow.tickets.empty()) {
-        flow.stride =
-            std::pow(options_.priorityStep, request.accountPriority * 0.5 + request.routePriority);
+        flow.stride = std::pow(options_.accountStep, request.accountPriority)
+            * std::pow(options_.routeStep, request.routePriority);
         flow.position = std::max(flow.position, position_);
     }
     flow.tickets.push_back(request.ticket);
--- a/src/proxy/wait_queue_base.h
+++ b/src/proxy/wait_queue_base.h
@@ -16,9 +16,11 @@
 struct WaitQueueOptions
 {
     std::size_t maxWaiting = 256; ///< Requests of one service; each holds its body in memory.
-    /** Turns of a less important account or route for each turn of the next more important one:
-     * none is starved, whatever the load. */
-    double priorityStep = 3.0;
+    /** Turns that an account gets for each turn of the next less important account, and a route for
+     * each of the next less important route. An account's priority goes before a route's, and none
+     * is starved, whatever the load. */
+    double accountStep = 3.0;
+    double routeStep = 2.2;
 };
 
 /** A request that asks for a place in the queue. */
--- a/tests/proxy/flow_fixture.h
+++ b/tests/proxy/flow_fixture.h
@@ -8,7 +8,9 @@
 #include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 
+#include <condition_variable>
 #include <future>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -174,6 +176,14 @@
         return answer;
     }
 
+    /** @return Requests that wait for an upstream. */
+    std::size_t waiting()
+    {
+        std::size_t count = 0;
+        onLoop([&] { count = flow_.waiting(); });
+        return count;
+    }
+
     RequestFlow &flow() { return flow_; }
     AccountShare &shares() { return shares_; }
 
@@ -201,6 +211,30 @@
     std::thread thread_;
 };
 
+/** Something that threads wait for. */
+class Gate
+{
+public:
+    /** Lets all waiting threads and later ones pass. */
+    void open()
+    {
+        const std::lock_guard lock(mutex_);
+        open_ = true;
+        changed_.notify_all();
+    }
+    /** @return Whether it opened within three seconds. */
+    bool wait()
+    {
+        std::unique_lock lock(mutex_);
+        return changed_.wait_for(lock, core::Seconds(3), [this] { return open_; });
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool open_ = false;
+};
+
 /** Waits until a condition holds. @return Whether it did within three seconds. */
 inline bool eventually(const std::function<bool()> &condition)
 {
--- a/tests/proxy/placement_test.cpp
+++ b/tests/proxy/placement_test.cpp
@@ -328,6 +328,34 @@
     CHECK(served[2] >= 2);
 }
 
+TEST_CASE("an account's priority goes before a route's")
+{
+    // The route's priority once weighed twice as much as the account's.
+    WaitQueue queue({});
+    const auto add = [&](std::uint64_t first, int accountPriority, int routePriority) {
+        for (std::uint64_t i = 0; i < 40; ++i)
+            REQUIRE(queue.enqueue(start,
+                                  {.ticket = WaitTicket(first + i),
+                                   .account = core::ClientAccountId(std::to_string(first)),
+                                   .accountPriority = accountPriority,
+                                   .routePriority = routePriority,
+                                   .expectedWork = core::Millis(1),
+                                   .deadline = start + core::Seconds(60)},
+                                  10));
+    };
+    add(0, 0, 1); // Important account, less important route.
+    add(100, 1, 0);
+    int important = 0;
+    for (int i = 0; i < 40; ++i) {
+        const WaitTurn turn = queue.turn(start);
+        REQUIRE(turn.next);
+        important += turn.next->count() < 100 ? 1 : 0;
+        queue.remove(*turn.next, true);
+    }
+    CHECK(important > 20);
+    CHECK(important < 40);
+}
+
 TEST_CASE("a request whose time is over is named as too late before the next one is chosen")
 {
     WaitQueue queue({});
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -61,6 +61,19 @@
     return *result;
 }
 
+/** Runs one call that returns nothing. */
+template <typename Call>
+void runVoidCall(proxy::asio::io_context &context, Call call)
+{
+    std::exception_ptr failure;
+    proxy::asio::co_spawn(context, call(),
+                          [&](std::exception_ptr error) { failure = std::move(error); });
+    context.restart();
+    context.run();
+    if (failure)
+        std::rethrow_exception(failure);
+}
+
 } // namespace
 
 TEST_CASE("the platform's settings name addresses, regions and bounds")
@@ -187,6 +200,33 @@
     CHECK(contents.revision == proxy::StoreRevision(8));
 }
 
+TEST_CASE("a lease that has ended is told apart from a store that does not answer")
+{
+    int step = 0;
+    RawServer store("127.0.0.1", [&](const RawRequest &request) {
+        ++step;
+        if (step == 1) {
+            CHECK(request.head.starts_with("POST /kv-lease "));
+            CHECK(request.body.find("4500ms") != std::string::npos);
+            return RawReply {okReply(R"({"lease":77,"ttl_time":"4500ms"})")};
+        }
+        if (step == 2) {
+            CHECK(request.head.starts_with("POST /kv-keep/77 "));
+            return RawReply {okReply("", "", "404 Not Found")};
+        }
+        return RawReply {okReply("", "", "503 Busy")};
+    });
+    proxy::asio::io_context context(1);
+    StoreClient client(context, {.address = store.address(), .port = store.port()});
+    const proxy::StoreLease lease =
+        runCall(context, [&] { return client.grantLease(core::Millis(4500)); });
+    CHECK(lease == proxy::StoreLease(77));
+    CHECK_THROWS_AS(runVoidCall(context, [&] { return client.keepLease(lease); }),
+                    proxy::StoreLeaseLost);
+    CHECK_THROWS_AS(runVoidCall(context, [&] { return client.keepLease(lease); }),
+                    proxy::StoreUnreachable);
+}
+
 TEST_CASE("removals, unreadable items and lost history of a watch are told apart")
 {
     int step = 0;
