Fix: [Test] A request may cross the close of its kept connection

The stand-in closes after its answer without saying so; where the daemon sends the next booking before the close has arrived, the booking may have run and 502 is the true answer. The old test took that order for impossible. Change: the case is split by the order of events. After the close has arrived all 20 bookings must succeed with 20 runs, as before; a booking that crosses the close must get 502 and reach no second connection.

--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -378,13 +378,13 @@
     CHECK(upstream.requests() == 1);
 }
 
-TEST_CASE("an upstream that closes a kept connection costs no booking a second run")
+TEST_CASE("a kept connection that the upstream has closed is not used for a booking")
 {
     std::atomic<int> runs {0};
     RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
         ++runs;
         // Says nothing of closing, and closes.
-        return RawReply {sealedReply(request, "ok"), true};
+        return RawReply {.bytes = sealedReply(request, "ok"), .close = true};
     });
     FlowFixture fixture;
     fixture.addUpstream("i-1", upstream);
@@ -392,6 +392,33 @@
         const std::string answer =
             fixture.ask(callerRequest("POST", "/book/", "a" + std::to_string(i), "", "x"));
         CHECK(bodyOf(answer) == "ok");
+        // A request that crosses the close is the subject of the next test.
+        REQUIRE(eventually([&] { return upstream.closed() == i + 1; }));
     }
     CHECK(runs == 20);
 }
+
+TEST_CASE("a booking that crosses the close of its kept connection is neither repeated nor "
+          "reported as not run")
+{
+    Gate sent;
+    std::atomic<int> runs {0};
+    RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+        ++runs;
+        // The close comes when the next request is on its way.
+        return RawReply {.bytes = sealedReply(request, "ok"), .close = true, .beforeClose = [&] {
+                             CHECK(sent.wait());
+                         }};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    CHECK(bodyOf(fixture.ask(callerRequest("POST", "/book/", "a1", "", "x"))) == "ok");
+    const int caller = fixture.connect();
+    standins::sendAll(caller, callerRequest("POST", "/book/", "a2", "Connection: close\r\n", "x"));
+    REQUIRE(eventually([&] { return upstream.hasUnreadBytes(); }));
+    sent.open();
+    CHECK(statusOf(standins::readAll(caller)) == "502");
+    ::close(caller);
+    CHECK(runs == 1);
+    CHECK(upstream.connections() == 1);
+}
--- a/tests/standins/raw_server.h
+++ b/tests/standins/raw_server.h
@@ -1,6 +1,7 @@
 /** @file raw_server.h A scripted server on a loopback address that answers with raw bytes. */
 #pragma once
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <cstdint>
@@ -29,6 +30,8 @@
 {
     std::string bytes;
     bool close = false; ///< Whether to close the connection afterwards.
+    /** Waited for between the answer and the close; nothing if empty. */
+    std::function<void()> beforeClose;
 };
 
 /** Connects to a loopback server. @return The socket. */
@@ -117,6 +120,17 @@
     int requests() const { return requests_; }
     /** @return Number of connections accepted so far. */
     int connections() const { return connections_; }
+    /** @return Number of connections that the server has closed so far. */
+    int closed() const { return closed_; }
+    /** @return Whether bytes have arrived that no handler has read. */
+    bool hasUnreadBytes()
+    {
+        const std::lock_guard lock(mutex_);
+        return std::any_of(sockets_.begin(), sockets_.end(), [](int fd) {
+            char byte = 0;
+            return ::recv(fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
+        });
+    }
 
 private:
     void acceptAll()
@@ -137,10 +151,14 @@
             request.number = ++requests_;
             const RawReply reply = handler_(request);
             sendAll(fd, reply.bytes);
-            if (reply.close)
+            if (reply.close) {
+                if (reply.beforeClose)
+                    reply.beforeClose();
                 break;
+            }
         }
         ::shutdown(fd, SHUT_RDWR);
+        ++closed_;
     }
 
     static bool readRequest(int fd, std::string &input, RawRequest &request)
@@ -177,6 +195,7 @@
     std::uint16_t port_ = 0;
     std::atomic<int> requests_ {0};
     std::atomic<int> connections_ {0};
+    std::atomic<int> closed_ {0};
     std::mutex mutex_;
     std::vector<int> sockets_;
     std::vector<std::thread> threads_;
