Codechange: [Proxy] Waits, refusals and repeats become one decision class without I/O

RequestFlow mixed the order of waiting requests, placement and the retry budget with coroutines and sockets, so that no load could be replayed without them. Dispatcher holds these decisions and takes time and the choice of upstreams as arguments; RequestFlow only sends, waits and answers.

--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -38,15 +38,8 @@
 {
     std::shared_ptr<CallerExchange> exchange;
     std::shared_ptr<const RouteTable> table; ///< Keeps route and account alive.
-    const Route *route = nullptr;
     const Account *account = nullptr;
-    core::ServiceId service;
-    core::MonoTime deadline {};
-    std::vector<core::UpstreamId> tried;
-    int sent = 0; ///< Attempts that may have reached an upstream.
-    int connectFailures = 0;
-    bool mayHaveRun = false;
-    bool repeatGranted = false; ///< By the soft timeout of the present attempt.
+    DispatchRequest request; ///< Without a route as long as none was found.
     core::Micros waited {0};
     std::string outcome = "answered";
 };
@@ -57,21 +50,10 @@
     explicit Waiter(asio::io_context &context)
         : wake(context, asio::steady_timer::time_point::max())
     { }
-    WaitTicket ticket;
-    PlacementRequest request;
-    core::MonoTime arrivedAt {};
-    core::MonoTime deadline {};
     asio::steady_timer wake;
     std::optional<PlacementResult> result;
 };
 
-/** The waiting requests of one service. */
-struct RequestFlow::ServiceQueue
-{
-    WaitQueue order {WaitQueueOptions {}};
-    std::map<WaitTicket, std::shared_ptr<Waiter>> waiters;
-};
-
 /** An answer of the proxy's own. */
 struct RequestFlow::Refusal
 {
@@ -83,6 +65,7 @@
 RequestFlow::RequestFlow(Parts parts, RequestFlowOptions options, std::uint64_t seed)
     : parts_(parts)
     , options_(std::move(options))
+    , dispatcher_(parts.upstreams, options_.dispatch)
     , links_(parts.context)
     , splits_(seed)
 { }
@@ -91,7 +74,7 @@
 {
     Job job {.exchange = exchange, .table = table_};
     if (prepare(job)) {
-        retriesOf(job.service).requestStarted(exchange->receivedAt);
+        dispatcher_.arrived(exchange->receivedAt, job.request.service);
         bool again = true;
         while (again) {
             const PlacementResult result = co_await place(job);
@@ -114,7 +97,9 @@
     const CallerExchange &exchange = *job.exchange;
     const core::MonoTime now = exchange.receivedAt;
     const auto patience = callerDeadline(exchange.request, options_.names);
-    job.deadline = now + std::min(patience.value_or(job.route->timeout), job.route->timeout);
+    const Route &route = *job.request.route;
+    job.request.arrivedAt = now;
+    job.request.deadline = now + std::min(patience.value_or(route.timeout), route.timeout);
     if (job.account != nullptr && !parts_.shares.admit(now, *job.account)) {
         refuse(job,
                {.status = beasthttp::status::too_many_requests,
@@ -122,7 +107,11 @@
                 .retryAfter = parts_.shares.timeToRoom(now, *job.account)});
         return false;
     }
-    job.service = splits_.select(*job.route);
+    if (job.account != nullptr) {
+        job.request.account = job.account->id;
+        job.request.accountPriority = job.account->priority;
+    }
+    job.request.service = splits_.select(route);
     return true;
 }
 
@@ -143,8 +132,9 @@
         refuse(job, {.status = beasthttp::status::bad_request, .code = "malformed_request"});
         return false;
     }
-    job.route = job.table->findRoute({host.data(), host.size()}, {target.data(), target.size()});
-    if (job.route == nullptr) {
+    job.request.route =
+        job.table->findRoute({host.data(), host.size()}, {target.data(), target.size()});
+    if (job.request.route == nullptr) {
         refuse(job, {.status = beasthttp::status::not_found, .code = "unknown_route"});
         return false;
     }
@@ -156,7 +146,8 @@
 {
     const auto key = keyOf(job.exchange->request, options_.names);
     job.account = key ? job.table->findAccount(*key) : nullptr;
-    const bool needsKey = !job.route->isPublic && !job.table->configuration().accounts.empty();
+    const bool needsKey =
+        !job.request.route->isPublic && !job.table->configuration().accounts.empty();
     if (needsKey && job.account == nullptr) {
         refuse(job, {.status = beasthttp::status::unauthorized, .code = "unknown_key"});
         return false;
@@ -164,121 +155,58 @@
     return true;
 }
 
-PlacementRequest RequestFlow::placementRequest(const Job &job, core::MonoTime now) const
+/** Chooses an upstream; waits if all are busy. */
+asio::awaitable<PlacementResult> RequestFlow::place(Job &job)
 {
-    return {.service = job.service,
-            .route = job.route->id,
-            .idempotent = job.route->idempotent && job.sent + 1 < job.route->maxAttempts,
-            .targetLatency = job.route->targetLatency,
-            .elapsed = now - job.exchange->receivedAt,
-            .timeLeft = job.deadline - now,
-            .tried = job.tried};
+    const core::MonoTime now = core::MonoClock::now();
+    DispatchResult result = dispatcher_.submit(now, job.request);
+    if (result.placement)
+        co_return PlacementResult {.placement = std::move(result.placement)};
+    if (result.refusal)
+        co_return PlacementResult {.placement = std::nullopt, .reason = *result.refusal};
+    co_return co_await waitFor(job, *result.wait, now);
 }
 
-/** Chooses an upstream and records the start of the attempt; waits if all are busy. */
-asio::awaitable<PlacementResult> RequestFlow::place(Job &job)
+/** Waits until the dispatcher has decided, or the caller has left. */
+asio::awaitable<PlacementResult> RequestFlow::waitFor(Job &job, WaitTicket ticket,
+                                                      core::MonoTime now)
 {
-    const std::shared_ptr<ServiceQueue> queue = queueOf(job.service);
-    const core::MonoTime now = core::MonoClock::now();
-    if (queue->order.size() == 0) {
-        PlacementResult result = parts_.upstreams.choose(now, placementRequest(job, now));
-        if (result.placement) {
-            parts_.upstreams.started(now, *result.placement);
-            co_return result;
-        }
-        if (result.reason != NoPlacement::AllBusy)
-            co_return result;
-    }
-    const std::shared_ptr<Waiter> waiter = enqueue(job, *queue, now);
-    if (!waiter)
-        co_return PlacementResult {.placement = std::nullopt, .reason = NoPlacement::AllBusy};
+    const auto waiter = std::make_shared<Waiter>(parts_.context);
+    waiters_.emplace(ticket, waiter);
     job.exchange->onCallerLeft = [waiter] { waiter->wake.cancel(); };
     ErrorCode cancelled; // The timer only ever ends by being cancelled.
     co_await waiter->wake.async_wait(storeError(cancelled));
     job.exchange->onCallerLeft = nullptr;
     job.waited += core::MonoClock::now() - now;
-    if (!waiter->result) {
-        queue->order.remove(waiter->ticket, false);
-        queue->waiters.erase(waiter->ticket);
-        co_return PlacementResult {.placement = std::nullopt, .reason = NoPlacement::TooLate};
-    }
-    co_return *waiter->result;
+    waiters_.erase(ticket);
+    if (waiter->result)
+        co_return *waiter->result;
+    dispatcher_.withdraw(job.request.service, ticket);
+    co_return PlacementResult {.placement = std::nullopt, .reason = NoPlacement::TooLate};
 }
 
-/** @return The request's place in the queue, or nullptr if it could not be served in time. */
-std::shared_ptr<RequestFlow::Waiter> RequestFlow::enqueue(const Job &job, ServiceQueue &queue,
-                                                          core::MonoTime now)
+void RequestFlow::wakeWaiters(std::vector<DispatchDecision> decided)
 {
-    const WaitTicket ticket(++lastTicket_);
-    const WaitRequest wait {
-        .ticket = ticket,
-        .account = job.account == nullptr ? core::ClientAccountId() : job.account->id,
-        .accountPriority = job.account == nullptr ? 0 : job.account->priority,
-        .routePriority = job.route->priority,
-        .expectedWork = parts_.upstreams.expectedWork(job.route->id, job.route->targetLatency),
-        .deadline = job.deadline};
-    // The other VMs fill the upstreams as well: only this VM's part of the slots drains its queue.
-    const double ownSlots = fleetPart_ * parts_.upstreams.slotsOf(job.service);
-    if (!queue.order.enqueue(now, wait, ownSlots))
-        return nullptr;
-    auto waiter = std::make_shared<Waiter>(parts_.context);
-    waiter->ticket = ticket;
-    waiter->request = placementRequest(job, now);
-    waiter->arrivedAt = job.exchange->receivedAt;
-    waiter->deadline = job.deadline;
-    queue.waiters.emplace(ticket, waiter);
-    return waiter;
+    for (DispatchDecision &decision : decided) {
+        const std::shared_ptr<Waiter> &waiter = waiters_.at(decision.ticket);
+        waiter->result = std::move(decision.result);
+        waiter->wake.cancel();
+    }
 }
 
 void RequestFlow::pump(core::MonoTime now)
 {
-    for (const auto &[service, queue] : queues_)
-        pumpService(*queue, now);
-}
-
-void RequestFlow::pumpService(ServiceQueue &queue, core::MonoTime now)
-{
-    while (queue.order.size() > 0) {
-        const WaitTurn turn = queue.order.turn(now);
-        for (const WaitTicket ticket : turn.tooLate) {
-            const auto late = queue.waiters.find(ticket);
-            late->second->result = {.placement = std::nullopt, .reason = NoPlacement::TooLate};
-            late->second->wake.cancel();
-            queue.waiters.erase(late);
-        }
-        if (!turn.next)
-            return;
-        const std::shared_ptr<Waiter> waiter = queue.waiters.at(*turn.next);
-        waiter->request.elapsed = now - waiter->arrivedAt;
-        waiter->request.timeLeft = waiter->deadline - now;
-        PlacementResult result = parts_.upstreams.choose(now, waiter->request);
-        if (!result.placement && result.reason == NoPlacement::AllBusy)
-            return;
-        if (result.placement)
-            parts_.upstreams.started(now, *result.placement);
-        queue.order.remove(*turn.next, result.placement.has_value());
-        queue.waiters.erase(*turn.next);
-        waiter->result = std::move(result);
-        waiter->wake.cancel();
-    }
+    wakeWaiters(dispatcher_.pump(now));
 }
 
 LinkOptions RequestFlow::linkOptions(Job &job, const Placement &placement, core::MonoTime now)
 {
-    LinkOptions options {.connectTimeout = options_.connectTimeout, .deadline = job.deadline};
-    if (!job.route->idempotent || job.sent + 1 >= job.route->maxAttempts)
-        return options;
-    const auto soft = std::chrono::duration_cast<core::Micros>(options_.softTimeoutOfTarget
-                                                               * job.route->targetLatency);
-    options.softTimeout =
-        std::max(soft, options_.softTimeoutOfExpected * placement.expectedDuration);
-    if (now + options.softTimeout >= job.deadline)
-        options.softTimeout = core::Micros(0);
-    options.mayAbandon = [this, &job] {
-        job.repeatGranted = retriesOf(job.service).take(core::MonoClock::now(), fleetPart_);
-        return job.repeatGranted;
-    };
-    return options;
+    return {.connectTimeout = options_.connectTimeout,
+            .deadline = job.request.deadline,
+            .softTimeout = dispatcher_.softTimeout(now, job.request, placement),
+            .mayAbandon = [this, &job] {
+                return dispatcher_.mayAbandon(core::MonoClock::now(), job.request);
+            }};
 }
 
 /** Makes one attempt. @return Whether another is to follow. */
@@ -286,7 +214,7 @@
 {
     const core::MonoTime startedAt = core::MonoClock::now();
     const core::Micros maxIdle =
-        job.route->idempotent ? core::Micros::max() : options_.maxIdleForNonIdempotent;
+        job.request.route->idempotent ? core::Micros::max() : options_.maxIdleForNonIdempotent;
     std::unique_ptr<HttpLink> link =
         links_.take(startedAt, {.address = placement.address, .port = placement.port}, maxIdle);
     const HttpRequest forwarded = makeForwarded(job, placement, startedAt);
@@ -294,9 +222,9 @@
     const auto canceller = std::make_shared<LinkCanceller>();
     if (job.exchange->callerLeft)
         canceller->cancel();
-    if (job.route->idempotent)
+    if (job.request.route->idempotent)
         job.exchange->onCallerLeft = [canceller] { canceller->cancel(); };
-    job.repeatGranted = false;
+    job.request.repeatGranted = false;
     const AnswerFilter filter = [this, &attemptId](const HttpResponse &response) {
         return answersAttempt(response, options_.names, attemptId);
     };
@@ -314,12 +242,11 @@
 {
     /** A deadline of nothing would be no deadline to some upstreams. */
     constexpr core::Millis shortestDeadline {1};
-    const core::Micros timeLeft = job.deadline - now - options_.returnTime;
-    return makeForwardRequest(
-        job.exchange->request, options_.names,
-        {.account = job.account == nullptr ? core::ClientAccountId() : job.account->id,
-         .upstream = placement.upstream,
-         .timeLeft = std::max(core::Micros(shortestDeadline), timeLeft)});
+    const core::Micros timeLeft = job.request.deadline - now - options_.returnTime;
+    return makeForwardRequest(job.exchange->request, options_.names,
+                              {.account = job.request.account,
+                               .upstream = placement.upstream,
+                               .timeLeft = std::max(core::Micros(shortestDeadline), timeLeft)});
 }
 
 /** Learns from an attempt and answers the caller. @return Whether another attempt is to follow. */
@@ -329,23 +256,15 @@
     const core::MonoTime now = core::MonoClock::now();
     const UpstreamAnswer answer = interpretLinkResult(result, options_.names);
     const AttemptRecord record {.upstream = placement.upstream,
-                                .route = job.route->id,
+                                .route = job.request.route->id,
                                 .attempt = placement.attempt,
                                 .end = answer.end,
                                 .startedAt = startedAt,
                                 .endedAt = now,
                                 .load = answer.load};
-    parts_.upstreams.finished(record);
     reportAttempt(job, placement, record, result);
-    job.tried.push_back(placement.upstream);
-    if (answer.end == AttemptEnd::NotSent)
-        ++job.connectFailures;
-    else
-        ++job.sent;
-    job.mayHaveRun = job.mayHaveRun || !certainlyNotRun(answer.end);
-    if (const auto queue = queues_.find(job.service); queue != queues_.end())
-        pumpService(*queue->second, now);
-    if (mayRepeat(job, answer.end, now))
+    wakeWaiters(dispatcher_.finished(record, job.request));
+    if (!job.exchange->callerLeft && dispatcher_.mayRepeat(now, job.request, answer.end))
         return true;
     if (answer.end == AttemptEnd::Answered || answer.end == AttemptEnd::ServerError) {
         job.exchange->response = makeCallerAnswer(std::move(result.response), options_.names);
@@ -356,25 +275,6 @@
     return false;
 }
 
-bool RequestFlow::mayRepeat(Job &job, AttemptEnd end, core::MonoTime now)
-{
-    if (end == AttemptEnd::Answered || end == AttemptEnd::CallerLeft || job.exchange->callerLeft)
-        return false;
-    if (!certainlyNotRun(end) && !job.route->idempotent)
-        return false;
-    const core::Micros work =
-        parts_.upstreams.expectedWork(job.route->id, job.route->targetLatency);
-    if (now + work > job.deadline)
-        return false;
-    if (end == AttemptEnd::NotSent)
-        return job.connectFailures < options_.maxConnectFailures;
-    if (job.sent >= job.route->maxAttempts)
-        return false;
-    if (job.repeatGranted)
-        return true;
-    return retriesOf(job.service).take(now, fleetPart_);
-}
-
 void RequestFlow::refuse(Job &job, const Refusal &refusal)
 {
     HttpResponse response(refusal.status, httpVersion11);
@@ -390,11 +290,11 @@
 
 void RequestFlow::refuseUnplaced(Job &job, NoPlacement reason)
 {
-    if (job.mayHaveRun) {
+    if (job.request.mayHaveRun) {
         refuse(job, {.status = beasthttp::status::bad_gateway, .code = "upstream_failed"});
         return;
     }
-    if (job.account != nullptr && job.sent == 0)
+    if (job.account != nullptr && job.request.sent == 0)
         parts_.shares.giveBack(*job.account);
     const std::string_view code = reason == NoPlacement::NoUpstream ? "no_upstream"
         : reason == NoPlacement::AllBusy                            ? "all_upstreams_busy"
@@ -407,7 +307,7 @@
 
 void RequestFlow::answerFailure(Job &job, AttemptEnd end)
 {
-    if (!job.mayHaveRun) {
+    if (!job.request.mayHaveRun) {
         refuse(job,
                {.status = beasthttp::status::service_unavailable,
                 .code = attemptEndName(end),
@@ -425,12 +325,12 @@
 {
     parts_.registry.addCounter(
         "teaselreach_attempts_total",
-        {{"service", job.service.str()}, {"end", text(attemptEndName(record.end))}}, 1);
+        {{"service", job.request.service.str()}, {"end", text(attemptEndName(record.end))}}, 1);
     if (record.end == AttemptEnd::Answered)
         return;
     core::logEvent(core::LogLevel::Info, "attempt_failed",
                    {{"request_id", fieldValue(job.exchange->request, options_.names.attemptId)},
-                    {"service", job.service.str()},
+                    {"service", job.request.service.str()},
                     {"upstream", placement.upstream.str()},
                     {"end", attemptEndName(record.end)},
                     {"detail", result.detail},
@@ -448,47 +348,28 @@
 {
     const core::MonoTime now = core::MonoClock::now();
     const core::Micros duration = now - job.exchange->receivedAt;
-    const std::string route = job.route == nullptr ? "" : job.route->id.str();
+    const std::string route = job.request.route == nullptr ? "" : job.request.route->id.str();
     const std::string account = job.account == nullptr ? "" : job.account->id.str();
     const std::string outcome = job.exchange->callerLeft ? "caller_left" : job.outcome;
-    parts_.registry.countRequest(
-        {.service = job.service, .account = core::ClientAccountId(account), .outcome = outcome},
-        duration, now);
-    core::logEvent(core::LogLevel::Info, "request_done",
-                   {{"request_id", fieldValue(job.exchange->request, options_.names.attemptId)},
-                    {"route", route},
-                    {"account", account},
-                    {"service", job.service.str()},
-                    {"upstream", job.tried.empty() ? std::string() : job.tried.back().str()},
-                    {"sent", job.sent},
-                    {"connect_failures", job.connectFailures},
-                    {"status", static_cast<std::int64_t>(job.exchange->response.result_int())},
-                    {"outcome", outcome},
-                    {"config_version", job.table ? job.table->configuration().version.count() : 0},
-                    {"limit_part_pct", static_cast<std::int64_t>(100 * parts_.shares.part())},
-                    {"waited_ms", millis(job.waited)},
-                    {"duration_ms", millis(duration)}});
-}
-
-RetryShare &RequestFlow::retriesOf(const core::ServiceId &service)
-{
-    return retries_.try_emplace(service, options_.retries).first->second;
-}
-
-std::shared_ptr<RequestFlow::ServiceQueue> RequestFlow::queueOf(const core::ServiceId &service)
-{
-    auto &queue = queues_[service];
-    if (!queue)
-        queue = std::make_shared<ServiceQueue>();
-    return queue;
-}
-
-std::size_t RequestFlow::waiting() const
-{
-    std::size_t count = 0;
-    for (const auto &[service, queue] : queues_)
-        count += queue->order.size();
-    return count;
+    parts_.registry.countRequest({.service = job.request.service,
+                                  .account = core::ClientAccountId(account),
+                                  .outcome = outcome},
+                                 duration, now);
+    core::logEvent(
+        core::LogLevel::Info, "request_done",
+        {{"request_id", fieldValue(job.exchange->request, options_.names.attemptId)},
+         {"route", route},
+         {"account", account},
+         {"service", job.request.service.str()},
+         {"upstream", job.request.tried.empty() ? std::string() : job.request.tried.back().str()},
+         {"sent", job.request.sent},
+         {"connect_failures", job.request.connectFailures},
+         {"status", static_cast<std::int64_t>(job.exchange->response.result_int())},
+         {"outcome", outcome},
+         {"config_version", job.table ? job.table->configuration().version.count() : 0},
+         {"limit_part_pct", static_cast<std::int64_t>(100 * parts_.shares.part())},
+         {"waited_ms", millis(job.waited)},
+         {"duration_ms", millis(duration)}});
 }
 
 } // namespace teaselreach::proxy
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -4,11 +4,9 @@
 #include "metrics/registry_base.h"
 #include "proxy/account_share_base.h"
 #include "proxy/caller_session_base.h"
+#include "proxy/dispatcher_base.h"
 #include "proxy/exchange_func.h"
-#include "proxy/retry_share_base.h"
 #include "proxy/route_table_base.h"
-#include "proxy/upstream_table_base.h"
-#include "proxy/wait_queue_base.h"
 
 #include <map>
 #include <memory>
@@ -26,18 +24,12 @@
 struct RequestFlowOptions
 {
     HeaderNames names;
-    RetryShareOptions retries;
+    DispatcherOptions dispatch;
     /** Idle time after which a kept connection carries no request that may not be repeated: an
      * upstream may drop idle connections, and whatever is sent then may or may not have run. */
     core::Micros maxIdleForNonIdempotent {core::Seconds(3)};
     /** Time for a new connection, besides the way there and back. */
     core::Micros connectTimeout {core::Millis(250)};
-    /** Part of the target latency after which an idempotent request is sent elsewhere. */
-    double softTimeoutOfTarget = 0.8;
-    /** The same as a multiple of the expected duration, if that is longer. */
-    int softTimeoutOfExpected = 3;
-    /** Connections that may fail before a request is refused. */
-    int maxConnectFailures = 3;
     /** Taken off the deadline that is passed on, for the way back of the answer. */
     core::Micros returnTime {core::Millis(10)};
 };
@@ -66,7 +58,7 @@
     const std::shared_ptr<const RouteTable> &table() const { return table_; }
     /** @param part This VM's part of the fleet's traffic, 0 to 1: of its slack for repeats and of
      * the upstreams' slots. */
-    void setFleetPart(double part) { fleetPart_ = part; }
+    void setFleetPart(double part) { dispatcher_.setFleetPart(part); }
     /** Enters a phase of the shutdown. */
     void enter(FlowPhase phase) { phase_ = phase; }
     /** @return The phase. */
@@ -76,45 +68,38 @@
     /** Closes kept connections that are of no use any more. */
     void closeStaleLinks(core::MonoTime now) { links_.closeStale(now); }
     /** @return Waiting requests. */
-    std::size_t waiting() const;
+    std::size_t waiting() const { return dispatcher_.waiting(); }
 
 private:
     struct Job;
     struct Waiter;
-    struct ServiceQueue;
     struct Refusal;
 
     bool prepare(Job &job);
     bool findRoute(Job &job);
     bool findAccount(Job &job);
-    PlacementRequest placementRequest(const Job &job, core::MonoTime now) const;
     asio::awaitable<PlacementResult> place(Job &job);
-    std::shared_ptr<Waiter> enqueue(const Job &job, ServiceQueue &queue, core::MonoTime now);
+    asio::awaitable<PlacementResult> waitFor(Job &job, WaitTicket ticket, core::MonoTime now);
+    void wakeWaiters(std::vector<DispatchDecision> decided);
     asio::awaitable<bool> attempt(Job &job, const Placement &placement);
     HttpRequest makeForwarded(const Job &job, const Placement &placement, core::MonoTime now) const;
     bool settle(Job &job, const Placement &placement, core::MonoTime startedAt, LinkResult result);
     LinkOptions linkOptions(Job &job, const Placement &placement, core::MonoTime now);
-    bool mayRepeat(Job &job, AttemptEnd end, core::MonoTime now);
     void refuse(Job &job, const Refusal &refusal);
     void refuseUnplaced(Job &job, NoPlacement reason);
     void answerFailure(Job &job, AttemptEnd end);
     void report(const Job &job);
     void reportAttempt(const Job &job, const Placement &placement, const AttemptRecord &record,
                        const LinkResult &result);
-    RetryShare &retriesOf(const core::ServiceId &service);
-    std::shared_ptr<ServiceQueue> queueOf(const core::ServiceId &service);
-    void pumpService(ServiceQueue &queue, core::MonoTime now);
 
     Parts parts_;
     RequestFlowOptions options_;
+    Dispatcher<UpstreamTable> dispatcher_;
+    std::map<WaitTicket, std::shared_ptr<Waiter>> waiters_;
     LinkPool links_;
     SplitSelector splits_;
     std::shared_ptr<const RouteTable> table_;
     FlowPhase phase_ = FlowPhase::Serving;
-    std::map<core::ServiceId, RetryShare> retries_;
-    std::map<core::ServiceId, std::shared_ptr<ServiceQueue>> queues_;
-    std::uint64_t lastTicket_ = 0;
-    double fleetPart_ = 0;
 };
 
 } // namespace teaselreach::proxy
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -84,8 +84,8 @@
     CHECK(settings.daemon.self.callerAddress == "10.1.0.5:8405");
     CHECK(settings.daemon.self.peerAddress == "10.1.0.5:7660");
     CHECK(settings.daemon.regionOfZone.at(core::AvailabilityZoneId("z2")) == core::RegionId("r2"));
-    CHECK(settings.daemon.flow.retries.ratio == doctest::Approx(0.3));
-    CHECK(settings.daemon.flow.retries.slack == doctest::Approx(50));
+    CHECK(settings.daemon.flow.dispatch.retries.ratio == doctest::Approx(0.3));
+    CHECK(settings.daemon.flow.dispatch.retries.slack == doctest::Approx(50));
     CHECK(settings.daemon.shares.overrunRequests == doctest::Approx(20));
     CHECK(settings.daemon.shutdown.endAfter < core::Seconds(6));
     CHECK(settings.store.port == 8408);
