--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -299,7 +299,7 @@
 void UpstreamTable::learnOutcome(core::MonoTime now, Upstream &upstream, bool failed,
                                  double soundFailure)
 {
-    const double sick = sickAt(now, upstream);
+    const double sick = std::max(options_.spellOnset, sickAt(now, upstream));
     const double ifSick = failed ? options_.sickFailure : 1 - options_.sickFailure;
     const double ifSound = failed ? soundFailure : 1 - soundFailure;
     upstream.sick = sick * ifSick / (sick * ifSick + (1 - sick) * ifSound);
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -29,6 +29,9 @@
     double maxOccupancy = 2.0;
     /** Probability that an upstream is sick when nothing is known of it. */
     double sickPrior = 0.08;
+    /** Probability that a spell has begun since the last outcome: a good record, however long, says
+     * nothing of it. */
+    double spellOnset = 0.08;
     /** Typical length of a sick spell: older evidence fades towards the prior. */
     core::Micros sickSpell {core::Seconds(8)};
     /** Probability that a sick and that a sound upstream fails a request. A sick one may fail
--- a/tests/proxy/placement_test.cpp
+++ b/tests/proxy/placement_test.cpp
@@ -90,6 +90,22 @@
     CHECK(used);
 }
 
+TEST_CASE("a long good record does not outweigh the first failure of a spell")
+{
+    // After a few answers in a row the estimate was so close to zero that one failure left it below
+    // that of an upstream of which nothing is known, and the next booking failed there too.
+    UpstreamTable table(options(), 1);
+    for (const char *id : {"a", "b", "c", "d"})
+        table.update(start, makeEntry(id));
+    core::MonoTime now = start;
+    for (int i = 0; i < 200; ++i)
+        REQUIRE(!oneAttempt(table, now += core::Millis(50), AttemptEnd::Answered).empty());
+    const core::UpstreamId sick =
+        oneAttempt(table, now += core::Millis(50), AttemptEnd::ServerError);
+    for (int i = 0; i < 20; ++i)
+        REQUIRE(oneAttempt(table, now += core::Millis(50), AttemptEnd::Answered) != sick);
+}
+
 TEST_CASE("an upstream that joins gets requests although the others have a good record")
 {
     // The record of those in use once looked better than that of one of which nothing was known.
--- /dev/null
+++ b/tests/standins/proxy_emulator.h
@@ -0,0 +1,682 @@
+/** @file proxy_emulator.h Dispatchers of many VMs before emulated upstreams, in virtual time. */
+#pragma once
+
+#include "proxy/dispatcher_base.h"
+
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace teaselreach::standins {
+
+/** One kind of request of an emulated load. */
+struct EmulatedKind
+{
+    proxy::Route route;
+    double perSecond = 0; ///< Over all zones.
+    core::Micros meanWork {0};
+    double worth = 1;     ///< Of an answer within the route's target latency.
+    double lateWorth = 0; ///< Of a later one.
+};
+
+/** What is wrong for a while. */
+enum class EmulatedTrouble : std::uint8_t {
+    Burst,   ///< More requests by a factor.
+    Shift,   ///< The callers of all zones use the first zone, by the given share.
+    Slow,    ///< A share of the upstreams works slower by a factor.
+    Errors,  ///< A share of the upstreams fails requests with the factor as probability.
+    Mute,    ///< A share of the upstreams answers nothing.
+    Gone,    ///< A share of the upstreams is lost, and listed until the end.
+    Restart, ///< All VMs lose what they know, at the start.
+    Repeats, ///< A share of the callers sends a refused request again at once, up to factor times.
+};
+
+/** One trouble of a load. */
+struct EmulatedDisturbance
+{
+    EmulatedTrouble trouble = EmulatedTrouble::Burst;
+    core::Micros at {0};
+    core::Micros length {0};
+    double share = 1;
+    double factor = 1;
+};
+
+/** A load pattern with the fleet that carries it. */
+struct EmulatedLoad
+{
+    std::string name;
+    std::vector<EmulatedDisturbance> disturbances;
+    double scale = 1; ///< Of the kinds' rates.
+    core::Micros length {core::Seconds(30)};
+    int zones = 6;
+    int zonesPerRegion = 2;
+    int vmsPerZone = 2;
+    int upstreamsPerZone = 3;
+    int slots = 2;
+    int upstreamQueue = 8;
+};
+
+/** What the callers of one kind of request got. */
+struct EmulatedOutcome
+{
+    int asked = 0;
+    int inTime = 0;
+    int late = 0;
+    int refused = 0; ///< As not run.
+    int failed = 0;  ///< Perhaps run, or failed by the upstream.
+};
+
+/** The outcome of one load under one policy. */
+struct EmulatedReport
+{
+    std::map<std::string, EmulatedOutcome> kinds; ///< By route id.
+    double earned = 0;
+    double owed = 0;
+    int sheds = 0;         ///< Attempts that an upstream refused for want of room.
+    int repeats = 0;       ///< Arrivals at upstreams beyond the first of a request.
+    double worstRepeats = 0; ///< Most repeats of a window, as a part of the budget.
+    core::Micros longestHeldRefusal {0}; ///< Longest time until a refusal, without any attempt.
+
+    double worth() const { return owed == 0 ? 0 : earned / owed; }
+    /** @return Share of a kind's requests that were answered with success. */
+    static double servedShare(const EmulatedOutcome &kind)
+    {
+        return kind.asked == 0 ? 1 : static_cast<double>(kind.inTime + kind.late) / kind.asked;
+    }
+    /** @return The served share of the worst-served kind. */
+    double worstKind() const
+    {
+        double worst = 1;
+        for (const auto &[id, kind] : kinds)
+            worst = std::min(worst, servedShare(kind));
+        return worst;
+    }
+    int refused() const { return sum(&EmulatedOutcome::refused); }
+    int failed() const { return sum(&EmulatedOutcome::failed); }
+    int late() const { return sum(&EmulatedOutcome::late); }
+
+private:
+    int sum(int EmulatedOutcome::*field) const
+    {
+        int total = 0;
+        for (const auto &[id, kind] : kinds)
+            total += kind.*field;
+        return total;
+    }
+};
+
+/**
+ * Plays a load against the product's dispatchers, one for each VM, with upstreams that work, queue,
+ * shed and fail. One thread, virtual time, one seed: each run gives the same result.
+ */
+template <proxy::UpstreamChooser Chooser>
+class ProxyEmulator
+{
+public:
+    /** Makes the chooser of a VM in a zone. */
+    using MakeChooser =
+        std::function<std::unique_ptr<Chooser>(const proxy::UpstreamTableOptions &, std::uint64_t)>;
+
+    ProxyEmulator(EmulatedLoad load, std::vector<EmulatedKind> kinds, MakeChooser makeChooser,
+                  std::uint64_t seed)
+        : load_(std::move(load))
+        , kinds_(std::move(kinds))
+        , makeChooser_(std::move(makeChooser))
+        , random_(seed)
+    {
+        makeUpstreams();
+        makeVms();
+    }
+
+    /** Plays the whole load. @return What came of it. */
+    EmulatedReport run()
+    {
+        for (const EmulatedDisturbance &disturbance : load_.disturbances)
+            schedule(disturbance);
+        for (std::size_t kind = 0; kind < kinds_.size(); ++kind)
+            scheduleArrival(kind);
+        scheduleTick();
+        const core::MonoTime end = start + load_.length;
+        while (!events_.empty()) {
+            const Event event = events_.top();
+            events_.pop();
+            now_ = event.at;
+            if (now_ > end && open_ == 0)
+                break;
+            event.action();
+        }
+        return report_;
+    }
+
+private:
+    static constexpr core::MonoTime start {core::Seconds(1000)};
+    static constexpr core::Millis tickInterval {25};
+    /** Ticks between two exchanges of reports between VMs. */
+    static constexpr int ticksPerReport = 2;
+    /** Part of a request's mean work after which a failing upstream answers with its error. */
+    static constexpr double errorWorkPart = 0.3;
+
+    struct Event
+    {
+        core::MonoTime at;
+        std::uint64_t order;
+        std::function<void()> action;
+        bool operator<(const Event &other) const
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    struct Job;
+    using JobPtr = std::shared_ptr<Job>;
+
+    /** One attempt as its upstream sees it. */
+    struct Work
+    {
+        JobPtr job;
+        std::uint64_t attempt = 0;
+        core::Micros duration {0};
+        bool fails = false;
+        bool running = false;
+    };
+    using WorkPtr = std::shared_ptr<Work>;
+
+    struct Upstream
+    {
+        proxy::UpstreamEntry entry;
+        int zone = 0;
+        std::set<WorkPtr> running;
+        std::deque<WorkPtr> queue;
+        double slowness = 1;
+        double errorShare = 0;
+        bool mute = false;
+        bool gone = false;
+    };
+
+    struct Vm
+    {
+        int zone = 0;
+        std::unique_ptr<Chooser> chooser;
+        std::unique_ptr<proxy::Dispatcher<Chooser>> dispatcher;
+        std::map<proxy::WaitTicket, JobPtr> waiting;
+        int generation = 0; ///< Attempts of an earlier process are not reported to this one.
+    };
+
+    /** A request on its way. */
+    struct Job
+    {
+        std::size_t kind = 0;
+        int vm = 0;
+        int generation = 0;
+        proxy::DispatchRequest request;
+        std::optional<proxy::Placement> placement; ///< Of the attempt under way.
+        core::MonoTime attemptAt {};
+        WorkPtr work;
+        int arrivals = 0;
+        int resends = 0; ///< Left for a caller that repeats at once.
+    };
+
+    void at(core::MonoTime time, std::function<void()> action)
+    {
+        events_.push({time, ++order_, std::move(action)});
+    }
+
+    double chance() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
+    core::Micros oneWay(int fromZone, int toZone) const
+    {
+        constexpr core::Micros inZone {200};
+        constexpr core::Micros inRegion {900};
+        constexpr core::Micros far {core::Millis(20)};
+        if (fromZone == toZone)
+            return inZone;
+        return fromZone / load_.zonesPerRegion == toZone / load_.zonesPerRegion ? inRegion : far;
+    }
+
+    static core::AvailabilityZoneId zoneId(int zone)
+    {
+        return core::AvailabilityZoneId("z" + std::to_string(zone));
+    }
+
+    core::RegionId regionId(int zone) const
+    {
+        return core::RegionId("r" + std::to_string(zone / load_.zonesPerRegion));
+    }
+
+    void makeUpstreams()
+    {
+        for (int i = 0; i < load_.zones * load_.upstreamsPerZone; ++i) {
+            const int zone = i % load_.zones;
+            upstreams_.push_back(
+                {.entry = {.id = core::UpstreamId("u" + std::to_string(100 + i)),
+                           .service = kinds_.front().route.destinations.front().service,
+                           .address = "10.0.0." + std::to_string(i),
+                           .port = 80,
+                           .availabilityZone = zoneId(zone),
+                           .slots = load_.slots},
+                 .zone = zone});
+            byId_[upstreams_.back().entry.id] = upstreams_.size() - 1;
+        }
+    }
+
+    void makeVms()
+    {
+        for (int i = 0; i < load_.zones * load_.vmsPerZone; ++i) {
+            vms_.push_back({.zone = i % load_.zones});
+            startVm(vms_.back());
+        }
+    }
+
+    void startVm(Vm &vm)
+    {
+        proxy::UpstreamTableOptions options {
+            .self = {.availabilityZone = zoneId(vm.zone), .region = regionId(vm.zone)}};
+        for (int zone = 0; zone < load_.zones; ++zone)
+            options.regionOfZone[zoneId(zone)] = regionId(zone);
+        vm.chooser = makeChooser_(options, random_());
+        for (const Upstream &upstream : upstreams_)
+            vm.chooser->update(start, upstream.entry);
+        vm.dispatcher = std::make_unique<proxy::Dispatcher<Chooser>>(*vm.chooser,
+                                                                     proxy::DispatcherOptions {});
+        vm.dispatcher->setFleetPart(1.0 / (load_.zones * load_.vmsPerZone));
+        ++vm.generation;
+    }
+
+    // Disturbances.
+
+    void schedule(const EmulatedDisturbance &disturbance)
+    {
+        const core::MonoTime begin = start + disturbance.at;
+        at(begin, [this, &disturbance] { apply(disturbance, true); });
+        if (disturbance.trouble != EmulatedTrouble::Restart)
+            at(begin + disturbance.length, [this, &disturbance] { apply(disturbance, false); });
+    }
+
+    void apply(const EmulatedDisturbance &disturbance, bool begins)
+    {
+        switch (disturbance.trouble) {
+        case EmulatedTrouble::Burst:
+            rateFactor_ = begins ? disturbance.factor : 1;
+            return;
+        case EmulatedTrouble::Shift:
+            shiftShare_ = begins ? disturbance.share : 0;
+            return;
+        case EmulatedTrouble::Repeats:
+            resendShare_ = begins ? disturbance.share : 0;
+            resends_ = static_cast<int>(disturbance.factor);
+            return;
+        case EmulatedTrouble::Restart:
+            restartVms();
+            return;
+        default:
+            break;
+        }
+        const auto count = static_cast<std::size_t>(
+            std::lround(disturbance.share * static_cast<double>(upstreams_.size())));
+        // Spread over the zones: each takes its part of the trouble.
+        for (std::size_t i = 0; i < count; ++i)
+            afflict(upstreams_[i * 5 % upstreams_.size()], disturbance, begins);
+    }
+
+    void afflict(Upstream &upstream, const EmulatedDisturbance &disturbance, bool begins)
+    {
+        switch (disturbance.trouble) {
+        case EmulatedTrouble::Slow:
+            upstream.slowness = begins ? disturbance.factor : 1;
+            break;
+        case EmulatedTrouble::Errors:
+            upstream.errorShare = begins ? disturbance.factor : 0;
+            break;
+        case EmulatedTrouble::Mute:
+            upstream.mute = begins;
+            break;
+        case EmulatedTrouble::Gone:
+            upstream.gone = begins;
+            if (begins)
+                breakAll(upstream);
+            break;
+        default:
+            break;
+        }
+    }
+
+    void breakAll(Upstream &upstream)
+    {
+        std::vector<WorkPtr> lost(upstream.running.begin(), upstream.running.end());
+        lost.insert(lost.end(), upstream.queue.begin(), upstream.queue.end());
+        upstream.running.clear();
+        upstream.queue.clear();
+        for (const WorkPtr &work : lost)
+            answer(upstream, work, proxy::AttemptEnd::Broken);
+    }
+
+    void restartVms()
+    {
+        for (Vm &vm : vms_) {
+            // Connections break; what waited has not run and what was sent may have run.
+            for (const auto &[ticket, job] : vm.waiting)
+                finish(job, &EmulatedOutcome::failed);
+            vm.waiting.clear();
+            startVm(vm);
+        }
+    }
+
+    // Arrivals.
+
+    void scheduleArrival(std::size_t kind)
+    {
+        const double rate = kinds_[kind].perSecond * load_.scale * rateFactor_;
+        const double wait = -std::log(1 - chance()) / rate;
+        const core::MonoTime time = std::max(now_, start) + seconds(wait);
+        if (time > start + load_.length)
+            return;
+        at(time, [this, kind] {
+            arrive(kind, resendShare_ > 0 && chance() < resendShare_ ? resends_ : 0);
+            scheduleArrival(kind);
+        });
+    }
+
+    static core::Micros seconds(double count)
+    {
+        return std::chrono::duration_cast<core::Micros>(std::chrono::duration<double>(count));
+    }
+
+    void arrive(std::size_t kind, int resends)
+    {
+        const EmulatedKind &of = kinds_[kind];
+        std::size_t vm = random_() % vms_.size();
+        if (shiftShare_ > 0 && chance() < shiftShare_)
+            vm = vm / static_cast<std::size_t>(load_.zones) * static_cast<std::size_t>(load_.zones);
+        const auto job = std::make_shared<Job>();
+        job->kind = kind;
+        job->vm = static_cast<int>(vm);
+        job->generation = vms_[vm].generation;
+        job->resends = resends;
+        job->request = {.service = of.route.destinations.front().service,
+                        .route = &of.route,
+                        .arrivedAt = now_,
+                        .deadline = now_ + of.route.timeout};
+        ++report_.kinds[of.route.id.str()].asked;
+        report_.owed += of.worth;
+        ++open_;
+        requestsAt_.push_back(now_);
+        vms_[vm].dispatcher->arrived(now_, job->request.service);
+        submit(job);
+    }
+
+    // The VM.
+
+    void submit(const JobPtr &job)
+    {
+        Vm &vm = vms_[static_cast<std::size_t>(job->vm)];
+        const proxy::DispatchResult result = vm.dispatcher->submit(now_, job->request);
+        if (result.placement)
+            send(job, *result.placement);
+        else if (result.wait)
+            vm.waiting[*result.wait] = job;
+        else
+            refuse(job);
+    }
+
+    void decide(Vm &vm, const std::vector<proxy::DispatchDecision> &decisions)
+    {
+        for (const proxy::DispatchDecision &decision : decisions) {
+            const JobPtr job = vm.waiting.at(decision.ticket);
+            vm.waiting.erase(decision.ticket);
+            if (decision.result.placement)
+                send(job, *decision.result.placement);
+            else
+                refuse(job);
+        }
+    }
+
+    void refuse(const JobPtr &job)
+    {
+        if (job->request.sent == 0)
+            report_.longestHeldRefusal =
+                std::max(report_.longestHeldRefusal, now_ - job->request.arrivedAt);
+        finish(job,
+               job->request.mayHaveRun ? &EmulatedOutcome::failed : &EmulatedOutcome::refused);
+    }
+
+    void finish(const JobPtr &job, int EmulatedOutcome::*end)
+    {
+        const EmulatedKind &kind = kinds_[job->kind];
+        ++(report_.kinds[kind.route.id.str()].*end);
+        if (end == &EmulatedOutcome::inTime)
+            report_.earned += kind.worth;
+        if (end == &EmulatedOutcome::late)
+            report_.earned += kind.lateWorth;
+        --open_;
+        if (end == &EmulatedOutcome::refused && job->resends > 0)
+            arrive(job->kind, job->resends - 1);
+    }
+
+    void send(const JobPtr &job, const proxy::Placement &placement)
+    {
+        Vm &vm = vms_[static_cast<std::size_t>(job->vm)];
+        Upstream &upstream = upstreams_[byId_.at(placement.upstream)];
+        job->placement = placement;
+        job->attemptAt = now_;
+        job->request.repeatGranted = false;
+        const auto work = std::make_shared<Work>();
+        work->job = job;
+        work->attempt = placement.attempt;
+        work->fails = chance() < upstream.errorShare;
+        work->duration = workTime(kinds_[job->kind], upstream, work->fails);
+        job->work = work;
+        const core::Micros way = oneWay(vm.zone, upstream.zone);
+        at(now_ + way, [this, &upstream, work] { receive(upstream, work); });
+        at(job->request.deadline, [this, work] { giveUp(work); });
+        const core::Micros soft = vm.dispatcher->softTimeout(now_, job->request, placement);
+        if (soft > core::Micros(0))
+            at(now_ + soft, [this, work] { softTimeout(work); });
+    }
+
+    bool isUnderWay(const WorkPtr &work) const { return work->job->work == work; }
+
+    void softTimeout(const WorkPtr &work)
+    {
+        Vm &vm = vms_[static_cast<std::size_t>(work->job->vm)];
+        if (isUnderWay(work) && work->job->generation == vm.generation
+            && vm.dispatcher->mayAbandon(now_, work->job->request))
+            giveUp(work);
+    }
+
+    void giveUp(const WorkPtr &work)
+    {
+        if (!isUnderWay(work))
+            return;
+        Upstream &upstream = upstreams_[byId_.at(work->job->placement->upstream)];
+        // Closing the connection frees the upstream's slot.
+        leave(upstream, work);
+        ended(work, proxy::AttemptEnd::TimedOut, std::nullopt);
+    }
+
+    void ended(const WorkPtr &work, proxy::AttemptEnd end,
+               const std::optional<proxy::LoadReport> &load)
+    {
+        if (!isUnderWay(work))
+            return;
+        const JobPtr job = work->job;
+        job->work = nullptr;
+        Vm &vm = vms_[static_cast<std::size_t>(job->vm)];
+        if (job->generation != vm.generation) {
+            finish(job, &EmulatedOutcome::failed);
+            return;
+        }
+        const proxy::Placement placement = *job->placement;
+        decide(vm, vm.dispatcher->finished({.upstream = placement.upstream,
+                                            .route = job->request.route->id,
+                                            .attempt = placement.attempt,
+                                            .end = end,
+                                            .startedAt = job->attemptAt,
+                                            .endedAt = now_,
+                                            .load = load},
+                                           job->request));
+        if (end == proxy::AttemptEnd::Answered) {
+            const bool inTime =
+                now_ - job->request.arrivedAt <= job->request.route->targetLatency;
+            finish(job, inTime ? &EmulatedOutcome::inTime : &EmulatedOutcome::late);
+        } else if (vm.dispatcher->mayRepeat(now_, job->request, end)) {
+            submit(job);
+        } else {
+            finish(job,
+                   job->request.mayHaveRun ? &EmulatedOutcome::failed : &EmulatedOutcome::refused);
+        }
+    }
+
+    // The upstream.
+
+    core::Micros workTime(const EmulatedKind &kind, const Upstream &upstream, bool fails)
+    {
+        constexpr double spread = 0.4;
+        std::lognormal_distribution<double> distribution(-spread * spread / 2, spread);
+        const double factor =
+            distribution(random_) * upstream.slowness * (fails ? errorWorkPart : 1);
+        return std::chrono::duration_cast<core::Micros>(kind.meanWork * factor);
+    }
+
+    proxy::LoadReport loadOf(const Upstream &upstream) const
+    {
+        return {.running = static_cast<int>(upstream.running.size()),
+                .waiting = static_cast<int>(upstream.queue.size()),
+                .slots = load_.slots};
+    }
+
+    void receive(Upstream &upstream, const WorkPtr &work)
+    {
+        if (!isUnderWay(work))
+            return;
+        if (upstream.gone) {
+            answer(upstream, work, proxy::AttemptEnd::NotSent);
+            return;
+        }
+        if (work->job->arrivals++ > 0)
+            countRepeat();
+        if (static_cast<int>(upstream.running.size()) < load_.slots) {
+            run(upstream, work);
+        } else if (static_cast<int>(upstream.queue.size()) < load_.upstreamQueue) {
+            upstream.queue.push_back(work);
+        } else {
+            ++report_.sheds;
+            answer(upstream, work, proxy::AttemptEnd::NotExecuted);
+        }
+    }
+
+    void run(Upstream &upstream, const WorkPtr &work)
+    {
+        upstream.running.insert(work);
+        work->running = true;
+        if (upstream.mute)
+            return;
+        at(now_ + work->duration, [this, &upstream, work] {
+            if (upstream.running.count(work) == 0)
+                return;
+            const bool fails = work->fails;
+            leave(upstream, work);
+            answer(upstream, work,
+                   fails ? proxy::AttemptEnd::ServerError : proxy::AttemptEnd::Answered);
+        });
+    }
+
+    void leave(Upstream &upstream, const WorkPtr &work)
+    {
+        std::erase(upstream.queue, work);
+        if (upstream.running.erase(work) == 0 || upstream.queue.empty())
+            return;
+        const WorkPtr next = upstream.queue.front();
+        upstream.queue.pop_front();
+        run(upstream, next);
+    }
+
+    void answer(const Upstream &upstream, const WorkPtr &work, proxy::AttemptEnd end)
+    {
+        const auto vm = static_cast<std::size_t>(work->job->vm);
+        std::optional<proxy::LoadReport> load;
+        if (end != proxy::AttemptEnd::NotSent && end != proxy::AttemptEnd::Broken)
+            load = loadOf(upstream);
+        at(now_ + oneWay(vms_[vm].zone, upstream.zone),
+           [this, work, end, load] { ended(work, end, load); });
+    }
+
+    // Budget and ticks.
+
+    void countRepeat()
+    {
+        const proxy::RetryShareOptions budget;
+        ++report_.repeats;
+        repeatsAt_.push_back(now_);
+        for (std::deque<core::MonoTime> *times : {&repeatsAt_, &requestsAt_}) {
+            while (now_ - times->front() > budget.window)
+                times->pop_front();
+        }
+        const double allowed =
+            budget.ratio * static_cast<double>(requestsAt_.size()) + budget.slack;
+        report_.worstRepeats =
+            std::max(report_.worstRepeats, static_cast<double>(repeatsAt_.size()) / allowed);
+    }
+
+    void scheduleTick()
+    {
+        at(std::max(now_, start) + tickInterval, [this] {
+            for (Vm &vm : vms_)
+                decide(vm, vm.dispatcher->pump(now_));
+            if (++ticks_ % ticksPerReport == 0)
+                exchangeReports();
+            scheduleTick();
+        });
+    }
+
+    /** What VMs tell each other, as the daemons do it: all in the region, turns everywhere. */
+    void exchangeReports()
+    {
+        if constexpr (requires(Chooser & chooser) { chooser.takeReports(); }) {
+            for (const Vm &from : vms_) {
+                for (const proxy::OutcomeReport &outcome : from.chooser->takeReports())
+                    tellOthers(from, outcome);
+            }
+        }
+    }
+
+    void tellOthers(const Vm &from, const proxy::OutcomeReport &outcome)
+    {
+        for (Vm &to : vms_) {
+            const bool sameRegion = regionId(to.zone) == regionId(from.zone);
+            if (&to == &from || (!sameRegion && !outcome.isTurn))
+                continue;
+            at(now_ + oneWay(from.zone, to.zone),
+               [this, &to, outcome] { to.chooser->outcomeReported(now_, outcome); });
+        }
+    }
+
+    EmulatedLoad load_;
+    std::vector<EmulatedKind> kinds_;
+    MakeChooser makeChooser_;
+    std::mt19937_64 random_;
+    std::vector<Upstream> upstreams_;
+    std::map<core::UpstreamId, std::size_t> byId_;
+    std::vector<Vm> vms_;
+    std::priority_queue<Event> events_;
+    std::uint64_t order_ = 0;
+    core::MonoTime now_ = start;
+    double rateFactor_ = 1;
+    double shiftShare_ = 0;
+    double resendShare_ = 0;
+    int resends_ = 0;
+    int open_ = 0; ///< Requests without a final answer.
+    int ticks_ = 0;
+    std::deque<core::MonoTime> requestsAt_;
+    std::deque<core::MonoTime> repeatsAt_;
+    EmulatedReport report_;
+};
+
+} // namespace teaselreach::standins
