--- a/tests/standins/proxy_emulator.h
+++ b/tests/standins/proxy_emulator.h
@@ -80,10 +80,12 @@
     std::map<std::string, EmulatedOutcome> kinds; ///< By route id.
     double earned = 0;
     double owed = 0;
-    int sheds = 0;         ///< Attempts that an upstream refused for want of room.
-    int repeats = 0;       ///< Arrivals at upstreams beyond the first of a request.
-    double worstRepeats = 0; ///< Most repeats of a window, as a part of the budget.
+    int sheds = 0;                       ///< Attempts that an upstream refused for want of room.
+    int repeats = 0;                     ///< Arrivals at upstreams beyond the first of a request.
+    double worstRepeats = 0;             ///< Most repeats of a window, as a part of the budget.
     core::Micros longestHeldRefusal {0}; ///< Longest time until a refusal, without any attempt.
+    /** Earned and owed by window of arrival. */
+    std::vector<std::pair<double, double>> windows;
 
     double worth() const { return owed == 0 ? 0 : earned / owed; }
     /** @return Share of a kind's requests that were answered with success. */
@@ -99,6 +101,31 @@
             worst = std::min(worst, servedShare(kind));
         return worst;
     }
+    /** @return What was earned of what was owed in the worst window. */
+    double worstWindow() const
+    {
+        double worst = 1;
+        for (const auto &[windowEarned, windowOwed] : windows)
+            worst = std::min(worst, windowOwed == 0 ? 1 : windowEarned / windowOwed);
+        return worst;
+    }
+    /** @return Share of all requests that were answered with success. */
+    double served() const
+    {
+        int asked = 0;
+        for (const auto &[id, kind] : kinds)
+            asked += kind.asked;
+        return asked == 0 ? 1 : static_cast<double>(sum(&EmulatedOutcome::inTime) + late()) / asked;
+    }
+    /** @return The users' weighing of it all: the served share counted in nines, the whole, the
+     * worst window and the worst kind. */
+    double value() const
+    {
+        constexpr double bestUnserved = 0.005;
+        const double nines =
+            std::log(std::max(bestUnserved, 1 - served())) / std::log(bestUnserved);
+        return 0.35 * nines + 0.35 * worth() + 0.15 * worstWindow() + 0.15 * worstKind();
+    }
     int refused() const { return sum(&EmulatedOutcome::refused); }
     int failed() const { return sum(&EmulatedOutcome::failed); }
     int late() const { return sum(&EmulatedOutcome::late); }
@@ -126,8 +153,9 @@
         std::function<std::unique_ptr<Chooser>(const proxy::UpstreamTableOptions &, std::uint64_t)>;
 
     ProxyEmulator(EmulatedLoad load, std::vector<EmulatedKind> kinds, MakeChooser makeChooser,
-                  std::uint64_t seed)
+                  std::uint64_t seed, proxy::DispatcherOptions options = {})
         : load_(std::move(load))
+        , options_(options)
         , kinds_(std::move(kinds))
         , makeChooser_(std::move(makeChooser))
         , random_(seed)
@@ -284,8 +312,8 @@
         vm.chooser = makeChooser_(options, random_());
         for (const Upstream &upstream : upstreams_)
             vm.chooser->update(start, upstream.entry);
-        vm.dispatcher = std::make_unique<proxy::Dispatcher<Chooser>>(*vm.chooser,
-                                                                     proxy::DispatcherOptions {});
+        vm.dispatcher =
+            std::make_unique<proxy::Dispatcher<Chooser>>(*vm.chooser, proxy::DispatcherOptions {});
         vm.dispatcher->setFleetPart(1.0 / (load_.zones * load_.vmsPerZone));
         ++vm.generation;
     }
@@ -406,6 +434,7 @@
                         .deadline = now_ + of.route.timeout};
         ++report_.kinds[of.route.id.str()].asked;
         report_.owed += of.worth;
+        windowOf(job->request.arrivedAt).second += of.worth;
         ++open_;
         requestsAt_.push_back(now_);
         vms_[vm].dispatcher->arrived(now_, job->request.service);
@@ -443,18 +472,18 @@
         if (job->request.sent == 0)
             report_.longestHeldRefusal =
                 std::max(report_.longestHeldRefusal, now_ - job->request.arrivedAt);
-        finish(job,
-               job->request.mayHaveRun ? &EmulatedOutcome::failed : &EmulatedOutcome::refused);
+        finish(job, job->request.mayHaveRun ? &EmulatedOutcome::failed : &EmulatedOutcome::refused);
     }
 
     void finish(const JobPtr &job, int EmulatedOutcome::*end)
     {
         const EmulatedKind &kind = kinds_[job->kind];
         ++(report_.kinds[kind.route.id.str()].*end);
-        if (end == &EmulatedOutcome::inTime)
-            report_.earned += kind.worth;
-        if (end == &EmulatedOutcome::late)
-            report_.earned += kind.lateWorth;
+        const double earned = end == &EmulatedOutcome::inTime ? kind.worth
+            : end == &EmulatedOutcome::late                   ? kind.lateWorth
+                                                              : 0;
+        report_.earned += earned;
+        windowOf(job->request.arrivedAt).first += earned;
         --open_;
         if (end == &EmulatedOutcome::refused && job->resends > 0)
             arrive(job->kind, job->resends - 1);
@@ -514,17 +543,17 @@
             return;
         }
         const proxy::Placement placement = *job->placement;
-        decide(vm, vm.dispatcher->finished({.upstream = placement.upstream,
-                                            .route = job->request.route->id,
-                                            .attempt = placement.attempt,
-                                            .end = end,
-                                            .startedAt = job->attemptAt,
-                                            .endedAt = now_,
-                                            .load = load},
-                                           job->request));
+        decide(vm,
+               vm.dispatcher->finished({.upstream = placement.upstream,
+                                        .route = job->request.route->id,
+                                        .attempt = placement.attempt,
+                                        .end = end,
+                                        .startedAt = job->attemptAt,
+                                        .endedAt = now_,
+                                        .load = load},
+                                       job->request));
         if (end == proxy::AttemptEnd::Answered) {
-            const bool inTime =
-                now_ - job->request.arrivedAt <= job->request.route->targetLatency;
+            const bool inTime = now_ - job->request.arrivedAt <= job->request.route->targetLatency;
             finish(job, inTime ? &EmulatedOutcome::inTime : &EmulatedOutcome::late);
         } else if (vm.dispatcher->mayRepeat(now_, job->request, end)) {
             submit(job);
@@ -608,7 +637,16 @@
            [this, work, end, load] { ended(work, end, load); });
     }
 
-    // Budget and ticks.
+    // Accounts, budget and ticks.
+
+    std::pair<double, double> &windowOf(core::MonoTime arrivedAt)
+    {
+        constexpr core::Micros length = core::Seconds(2);
+        const auto index = static_cast<std::size_t>((arrivedAt - start) / length);
+        if (index >= report_.windows.size())
+            report_.windows.resize(index + 1);
+        return report_.windows[index];
+    }
 
     void countRepeat()
     {
@@ -659,6 +697,7 @@
     }
 
     EmulatedLoad load_;
+    proxy::DispatcherOptions options_;
     std::vector<EmulatedKind> kinds_;
     MakeChooser makeChooser_;
     std::mt19937_64 random_;
