--- a/src/proxy/dispatcher_base.h
+++ b/src/proxy/dispatcher_base.h
@@ -238,6 +238,8 @@
                 .accountPriority = request.accountPriority,
                 .routePriority = route.priority,
                 .expectedWork = upstreams_.expectedWork(route.id, route.targetLatency),
+                .arrivedAt = request.arrivedAt,
+                .targetLatency = route.targetLatency,
                 .deadline = request.deadline};
     }
 
