--- a/src/proxy/dispatcher_base.h
+++ b/src/proxy/dispatcher_base.h
@@ -238,8 +238,6 @@
                 .accountPriority = request.accountPriority,
                 .routePriority = route.priority,
                 .expectedWork = upstreams_.expectedWork(route.id, route.targetLatency),
-                .arrivedAt = request.arrivedAt,
-                .targetLatency = route.targetLatency,
                 .deadline = request.deadline};
     }
 
--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -310,18 +310,14 @@
 {
     const double duration = seconds(record.endedAt - record.startedAt);
     const auto [work, isNew] = workSeconds_.try_emplace(record.route, duration);
-    // Without a load report, own attempts are the only known cause of a wait at the upstream.
-    if (!record.load && static_cast<int>(upstream.underWay.size()) >= upstream.entry.slots)
+    // A wait at the upstream is not work: only attempts that found a free slot teach it.
+    if (static_cast<int>(upstream.underWay.size()) >= upstream.entry.slots)
         return;
-    const double slots = std::max(1, upstream.entry.slots);
-    const double waiting = record.load ? record.load->waiting : 0;
     const double expected = std::max(shortestWork, work->second);
-    const double ratio =
-        std::clamp(duration / (expected * (1 + waiting / slots)), minSlowness, maxSlowness);
+    const double ratio = std::clamp(duration / expected, minSlowness, maxSlowness);
     upstream.slowness += slownessGain * options_.durationGain * (ratio - upstream.slowness);
     upstream.slowness = std::clamp(upstream.slowness, minSlowness, maxSlowness);
-    // A wait at the upstream is not work: where others wait, this request waited as well.
-    if (!isNew && waiting == 0)
+    if (!isNew)
         work->second +=
             options_.durationGain * (std::min(duration, longestLesson * expected) - expected);
 }
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -26,7 +26,7 @@
     double lateLoss = 0.7;
     /** Requests in an upstream, as a multiple of its slots, above which it is not chosen. More
      * would wait there, out of reach of priorities and deadlines. */
-    double maxOccupancy = 1.15;
+    double maxOccupancy = 2.0;
     /** Probability that an upstream is sick when nothing is known of it. */
     double sickPrior = 0.08;
     /** Probability that a spell has begun since the last outcome: a good record, however long, says
--- a/src/proxy/wait_queue.cpp
+++ b/src/proxy/wait_queue.cpp
@@ -20,19 +20,19 @@
     return now + request.expectedWork > request.deadline;
 }
 
-bool WaitQueue::missesTarget(const WaitRequest &request, core::MonoTime start) const
-{
-    return request.targetLatency > core::Micros(0)
-        && start + (1 + options_.upstreamWait) * request.expectedWork
-        > request.arrivedAt + options_.latestFinish * request.targetLatency;
-}
-
 bool WaitQueue::enqueue(core::MonoTime now, const WaitRequest &request, double slots)
 {
     if (requests_.size() >= options_.maxWaiting || isTooLate(now, request))
         return false;
-    const core::MonoTime start = now + expectedWait(request, slots);
-    if (isTooLate(start, request) || missesTarget(request, start))
+    // Everyone ahead with the same or more importance goes first in the worst case.
+    std::size_t ahead = 0;
+    for (const auto &[key, flow] : flows_) {
+        if (key <= keyOf(request))
+            ahead += flow.tickets.size();
+    }
+    const auto wait = std::chrono::duration_cast<core::Micros>(
+        request.expectedWork * (static_cast<double>(ahead) / std::max(1.0, slots)));
+    if (now + wait + request.expectedWork > request.deadline)
         return false;
     Flow &flow = flows_[keyOf(request)];
     if (flow.tickets.empty()) {
@@ -45,18 +45,6 @@
     return true;
 }
 
-/** @return Time until a request's turn, if all of the same or more importance go before it. */
-core::Micros WaitQueue::expectedWait(const WaitRequest &request, double slots) const
-{
-    std::size_t ahead = 0;
-    for (const auto &[key, flow] : flows_) {
-        if (key <= keyOf(request))
-            ahead += flow.tickets.size();
-    }
-    return std::chrono::duration_cast<core::Micros>(
-        request.expectedWork * (static_cast<double>(ahead) / std::max(1.0, slots)));
-}
-
 WaitTurn WaitQueue::turn(core::MonoTime now)
 {
     WaitTurn result;
--- a/src/proxy/wait_queue_base.h
+++ b/src/proxy/wait_queue_base.h
@@ -21,11 +21,6 @@
      * is starved, whatever the load. */
     double accountStep = 3.0;
     double routeStep = 2.2;
-    /** Latest expected answer of a request that may wait, as a part of its target latency.
-     * Upstreams serve no more requests for a longer queue: it only makes all of them late. */
-    double latestFinish = 0.7;
-    /** Wait at an upstream whose slots are taken, as a part of the work time. */
-    double upstreamWait = 0.3;
 };
 
 /** A request that asks for a place in the queue. */
@@ -36,9 +31,7 @@
     int accountPriority = 0;
     int routePriority = 0;
     core::Micros expectedWork {0};
-    core::MonoTime arrivedAt {};
-    core::Micros targetLatency {0}; ///< For an answer of full value; zero for none.
-    core::MonoTime deadline {};     ///< Latest time at which an answer is of use.
+    core::MonoTime deadline {}; ///< Latest time at which an answer is of use.
 };
 
 /** Requests that can no longer be answered, and the next one to go. */
@@ -84,8 +77,6 @@
 
     static FlowKey keyOf(const WaitRequest &request);
     bool isTooLate(core::MonoTime now, const WaitRequest &request) const;
-    bool missesTarget(const WaitRequest &request, core::MonoTime start) const;
-    core::Micros expectedWait(const WaitRequest &request, double slots) const;
 
     WaitQueueOptions options_;
     double position_ = 0;
