--- a/tests/proxy/platform_main_test.cpp
+++ b/tests/proxy/platform_main_test.cpp
@@ -5,10 +5,13 @@
 
 #include <doctest/doctest.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <sstream>
+#include <thread>
 
 using namespace teaselreach;
 
@@ -39,31 +42,67 @@
     std::string path_;
 };
 
-} // namespace
-
-TEST_CASE("a daemon that cannot bind an address leaves a readable log")
+/** Writes a daemon's settings; nothing answers at its store. */
+void writeSettings(const std::string &folder, const std::string &callerAddress)
 {
-    // The log's buffer was destroyed before its last flush, which then wrote freed memory.
     const std::string address = "127.0.0.1";
-    const TemporaryFolder temporary;
-    const std::string &folder = temporary.path();
     const auto endpoint = [&] {
         return "\"" + address + ":" + std::to_string(standins::freePort(address)) + "\"";
     };
-    // 203.0.113.1 is reserved for documentation, so no VM can bind it.
     std::ofstream(folder + "/vm.json")
         << R"({"nodeName": "vm", "ip": "127.0.0.1", "zone": "z", "region": "r", "zones": {"z": "r"},)"
-        << R"("listen": {"front": "203.0.113.1:8080", "readiness": )" << endpoint()
+        << R"("listen": {"front": ")" << callerAddress << R"(", "readiness": )" << endpoint()
         << R"(, "directory": )" << endpoint() << R"(}, "internalPorts": [)"
-        << standins::freePort(address)
-        << R"(], "limits": {"cpuShare": 1, "cores": 1}, "platform": {"address": )" << endpoint()
+        << standins::freePort(address) << R"(], "bounds": ["grace=2s"],)"
+        << R"("limits": {"cpuShare": 1, "cores": 1}, "platform": {"address": )" << endpoint()
         << "}}";
+}
+
+/** @return The text of a file. */
+std::string readFile(const std::string &path)
+{
+    std::ostringstream text;
+    text << std::ifstream(path).rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+TEST_CASE("a daemon that is told to stop ends by itself within its grace, its log complete")
+{
+    // Static objects of the logging library took processes past their grace; they were killed.
+    const TemporaryFolder temporary;
+    const std::string &folder = temporary.path();
+    writeSettings(folder, "127.0.0.1:" + std::to_string(standins::freePort("127.0.0.1")));
+    soak::DaemonProcess process(DAEMON_PROGRAM, folder + "/vm.json", folder + "/vm.log");
+    process.start();
+    const auto logged = [&](const char *event) {
+        return readFile(folder + "/vm.log").find(event) != std::string::npos;
+    };
+    const auto eventually = [](const std::function<bool()> &condition, core::Micros patience) {
+        const core::MonoTime end = core::MonoClock::now() + patience;
+        while (!condition() && core::MonoClock::now() < end)
+            std::this_thread::sleep_for(core::Millis(10));
+        return condition();
+    };
+    REQUIRE(eventually([&] { return logged("event=daemon_started"); }, core::Seconds(10)));
+    process.signal(SIGTERM);
+    CHECK(eventually([&] { return !process.running(); }, core::Seconds(2)));
+    CHECK(!process.crashed());
+    CHECK(logged("event=daemon_stopped"));
+}
+
+TEST_CASE("a daemon that cannot bind an address leaves a readable log")
+{
+    // The log's buffer was destroyed before its last flush, which then wrote freed memory.
+    const TemporaryFolder temporary;
+    const std::string &folder = temporary.path();
+    // 203.0.113.1 is reserved for documentation, so no VM can bind it.
+    writeSettings(folder, "203.0.113.1:8080");
     soak::DaemonProcess process(DAEMON_PROGRAM, folder + "/vm.json", folder + "/vm.log");
     process.start();
     process.waitForEnd();
-    std::ostringstream text;
-    text << std::ifstream(folder + "/vm.log").rdbuf();
-    const std::string log = text.str();
+    const std::string log = readFile(folder + "/vm.log");
     CHECK(log.find("event=daemon_started") != std::string::npos);
     CHECK(log.find("event=daemon_failed code=http_server_unavailable") != std::string::npos);
     std::istringstream lines(log);
--- a/tests/standins/load_table.h
+++ b/tests/standins/load_table.h
@@ -46,6 +46,10 @@
         {.name = "high_load", .scale = 1.9},
         {.name = "burst",
          .disturbances = {{.trouble = Burst, .at = at, .length = length, .factor = 3}}},
+        {.name = "short_burst",
+         .disturbances =
+             {{.trouble = Burst, .at = at, .length = core::Millis(2700), .factor = 1.7}},
+         .scale = 1.6},
         {.name = "one_zone_takes_all",
          .disturbances = {{.trouble = Shift, .at = at, .length = length, .share = 0.5}}},
         {.name = "half_gone",
--- a/tests/standins/proxy_emulator.h
+++ b/tests/standins/proxy_emulator.h
@@ -312,8 +312,7 @@
         vm.chooser = makeChooser_(options, random_());
         for (const Upstream &upstream : upstreams_)
             vm.chooser->update(start, upstream.entry);
-        vm.dispatcher =
-            std::make_unique<proxy::Dispatcher<Chooser>>(*vm.chooser, proxy::DispatcherOptions {});
+        vm.dispatcher = std::make_unique<proxy::Dispatcher<Chooser>>(*vm.chooser, options_);
         vm.dispatcher->setFleetPart(1.0 / (load_.zones * load_.vmsPerZone));
         ++vm.generation;
     }
