Add: [Test] Load patterns are replayed against the decisions of twelve VMs

Thirteen patterns in virtual time (bursts, one zone for all callers, lost, slow, failing, mute and shedding upstreams, a restart of everything, callers that repeat). Checked: the budget for repeats in every window, no starved kind, and more value than two choices, least loaded and round robin in the same run. The value weighs the served share in nines, the whole, the worst window and the worst kind, as the users do.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 build=${1:-build}
 missed=()
-for bench in fairness_bench config_bench limit_bench limit_message_bench upstream_bench; do
+for bench in placement_experiment fairness_bench config_bench limit_bench limit_message_bench upstream_bench; do
     printf '\n== %s\n' "$bench"
     "$build/bench/$bench" || missed+=("$bench")
 done
--- a/tests/cmake/proxy.cmake
+++ b/tests/cmake/proxy.cmake
@@ -7,3 +7,4 @@
 teaselreach_test(platform_main_test SOURCES proxy/platform_main_test.cpp LIBS tr_soak)
 target_compile_definitions(platform_main_test PRIVATE DAEMON_PROGRAM="$<TARGET_FILE:teaselreachd_platform>")
 add_dependencies(platform_main_test teaselreachd_platform)
+teaselreach_test(proxy_load_replay_test SOURCES proxy/load_replay_test.cpp LIBS tr_proxy_decisions)
--- a/tests/standins/load_table.h
+++ b/tests/standins/load_table.h
@@ -68,6 +68,8 @@
              {{.trouble = Errors, .at = at, .length = length, .share = 0.33, .factor = 0.9}}},
         {.name = "tenth_mute",
          .disturbances = {{.trouble = Mute, .at = at, .length = length, .share = 0.11}}},
+        {.name = "all_shed_half",
+         .disturbances = {{.trouble = Shed, .at = at, .length = length, .factor = 0.5}}},
         {.name = "all_restart_while_half_slow",
          .disturbances = {{.trouble = Slow, .at = at, .length = length, .share = 0.5, .factor = 5},
                           {.trouble = Restart, .at = at + core::Seconds(2)}}},
