--- a/Makefile
+++ b/Makefile
@@ -16,9 +16,10 @@
 demo:
 	BUILD_DIR=$(BUILD_DIR) scripts/demo.sh
 
-# The demo, then the time that a daemon adds, and memory and processor time of idle daemons.
+# The demo, then the time that each daemon adds, and memory and processor time of idle daemons.
 measure:
 	MEASURE=1 BUILD_DIR=$(BUILD_DIR) scripts/demo.sh
+	$(BUILD_DIR)/bench/platform_latency_bench --program=$(BUILD_DIR)/platform/teaselreachd_platform
 
 # Prints the tables of all benchmarks; fails if a bound is missed.
 bench: build
