--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -261,7 +261,6 @@
      * VM is there. */
     void sendMessages(core::MonoTime now)
     {
-        upstreams_.noteLate(now);
         PeerMessage message {.sender = options_.self.id,
                              .leaving = leavingSince_.has_value(),
                              .outcomes = upstreams_.takeReports(),
--- a/src/proxy/peer_messenger.cpp
+++ b/src/proxy/peer_messenger.cpp
@@ -13,16 +13,6 @@
 /** Entries of each list in one datagram, so that it fits into one packet. */
 constexpr std::size_t maxEntries = 40;
 
-/** @return The outcome of a number in a message; one that is not known counts as good. */
-Outcome outcomeOf(int number)
-{
-    for (const Outcome outcome : {Outcome::Failed, Outcome::Late}) {
-        if (static_cast<int>(outcome) == number)
-            return outcome;
-    }
-    return Outcome::Good;
-}
-
 } // namespace
 
 std::string encodeMessage(const PeerMessage &message)
@@ -30,7 +20,7 @@
     nlohmann::json outcomes = nlohmann::json::array();
     for (const OutcomeReport &report : message.outcomes) {
         if (outcomes.size() < maxEntries)
-            outcomes.push_back({report.upstream.str(), static_cast<int>(report.outcome)});
+            outcomes.push_back({report.upstream.str(), report.failed});
     }
     nlohmann::json usage = nlohmann::json::array();
     for (const AccountUsage &entry : message.usage) {
@@ -51,7 +41,7 @@
         for (const nlohmann::json &entry : body.at(1)) {
             message.outcomes.push_back(
                 {.upstream = core::UpstreamId(entry.at(0).get<std::string>()),
-                 .outcome = outcomeOf(entry.at(1).get<int>())});
+                 .failed = entry.at(1).get<bool>()});
         }
         for (const nlohmann::json &entry : body.at(2)) {
             message.usage.push_back(
--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -154,12 +154,8 @@
     const auto patience = std::max(
         overdueMinimum,
         std::chrono::duration_cast<core::Micros>(overdueFactor * placement.expectedDuration));
-    const auto late = std::max(
-        options_.lateMinimum,
-        std::chrono::duration_cast<core::Micros>(options_.lateFactor * placement.expectedDuration));
     found->second.triedAt = now;
-    found->second.underWay.push_back(
-        {.number = placement.attempt, .lateAt = now + late, .overdueAt = now + patience});
+    found->second.underWay.push_back({.number = placement.attempt, .overdueAt = now + patience});
 }
 
 void UpstreamTable::finished(const AttemptRecord &record)
@@ -171,7 +167,6 @@
     const auto ended =
         std::find_if(upstream.underWay.begin(), upstream.underWay.end(),
                      [&](const UnderWay &attempt) { return attempt.number == record.attempt; });
-    const bool wasLate = ended != upstream.underWay.end() && ended->isLate;
     if (ended != upstream.underWay.end())
         upstream.underWay.erase(ended);
     learnLoad(record, upstream);
@@ -189,51 +184,23 @@
     // A failed connection may concern this VM's path only. A good outcome is news to others only
     // if the upstream was taken for sick.
     const bool wasSuspected = failureOf(record.endedAt, upstream) > options_.suspected;
-    const bool isNews = failed ? record.end != AttemptEnd::NotSent : wasSuspected || wasLate;
-    // An attempt that was late and is answered after all was only slow.
-    if (wasLate && !failed)
-        learnEvidence(record.endedAt, upstream, options_.soundLate, options_.sickLate);
+    const bool isNews = failed ? record.end != AttemptEnd::NotSent : wasSuspected;
     learnOutcome(record.endedAt, upstream, failed, options_.soundFailure);
     const bool isSuspected = failureOf(record.endedAt, upstream) > options_.suspected;
     if (isNews)
-        tellOthers(record.upstream, failed ? Outcome::Failed : Outcome::Good,
-                   wasSuspected != isSuspected);
+        reports_.push_back(
+            {.upstream = record.upstream, .failed = failed, .isTurn = wasSuspected != isSuspected});
     if (record.end == AttemptEnd::Answered)
         learnDuration(record, upstream);
 }
 
-void UpstreamTable::noteLate(core::MonoTime now)
-{
-    for (auto &[id, upstream] : upstreams_) {
-        for (UnderWay &attempt : upstream.underWay) {
-            if (attempt.isLate || now < attempt.lateAt)
-                continue;
-            attempt.isLate = true;
-            const bool wasSuspected = failureOf(now, upstream) > options_.suspected;
-            learnEvidence(now, upstream, options_.sickLate, options_.soundLate);
-            const bool isSuspected = failureOf(now, upstream) > options_.suspected;
-            tellOthers(id, Outcome::Late, wasSuspected != isSuspected);
-        }
-    }
-}
-
-void UpstreamTable::tellOthers(const core::UpstreamId &id, Outcome outcome, bool isTurn)
-{
-    reports_.push_back({.upstream = id, .outcome = outcome, .isTurn = isTurn});
-}
-
 void UpstreamTable::outcomeReported(core::MonoTime now, const OutcomeReport &report)
 {
     const auto found = upstreams_.find(report.upstream);
     if (found == upstreams_.end())
         return;
-    if (report.outcome == Outcome::Late) {
-        learnEvidence(now, found->second, options_.sickLate, options_.reportedSoundLate);
-        return;
-    }
     found->second.triedAt = now;
-    learnOutcome(now, found->second, report.outcome == Outcome::Failed,
-                 options_.reportedSoundFailure);
+    learnOutcome(now, found->second, report.failed, options_.reportedSoundFailure);
 }
 
 core::Micros UpstreamTable::expectedWork(const core::RouteId &route,
@@ -328,19 +295,13 @@
     return slownessLoss * surelyInTime + options_.lateLoss * late;
 }
 
-/** Learns from one outcome; see UpstreamTableOptions::sickFailure. */
+/** Bayes' rule on whether the upstream is sick, given one more outcome. */
 void UpstreamTable::learnOutcome(core::MonoTime now, Upstream &upstream, bool failed,
                                  double soundFailure)
-{
-    learnEvidence(now, upstream, failed ? options_.sickFailure : 1 - options_.sickFailure,
-                  failed ? soundFailure : 1 - soundFailure);
-}
-
-/** Bayes' rule on whether the upstream is sick, given how likely the evidence is in both cases. */
-void UpstreamTable::learnEvidence(core::MonoTime now, Upstream &upstream, double ifSick,
-                                  double ifSound)
 {
     const double sick = std::max(options_.spellOnset, sickAt(now, upstream));
+    const double ifSick = failed ? options_.sickFailure : 1 - options_.sickFailure;
+    const double ifSound = failed ? soundFailure : 1 - soundFailure;
     upstream.sick = sick * ifSick / (sick * ifSick + (1 - sick) * ifSound);
     upstream.sickAt = now;
 }
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -40,17 +40,6 @@
     double soundFailure = 0.015;
     /** The same for a failure that another VM saw: it may concern only its own path. */
     double reportedSoundFailure = 0.06;
-    /** Probability that a sick and that a sound upstream lets an attempt become late; see
-     * lateFactor. A mute upstream is noticed by all VMs before the first attempt at it times out.
-     */
-    double sickLate = 0.3;
-    double soundLate = 0.05;
-    /** The same for an attempt of another VM. */
-    double reportedSoundLate = 0.08;
-    /** Duration of an attempt, as a multiple of the expected one, from which it counts as late, and
-     * the shortest such duration. */
-    double lateFactor = 2.5;
-    core::Micros lateMinimum {core::Millis(300)};
     /** Part of the estimate of failures that matters for a request that may be sent again. */
     double repeatableFactor = 0.4;
     /** Estimate of failures below which an upstream counts as sound, and above which a request that
@@ -119,18 +108,11 @@
     std::optional<LoadReport> load;
 };
 
-/** What was seen of one attempt. */
-enum class Outcome : std::uint8_t {
-    Good,
-    Failed,
-    Late, ///< Still under way.
-};
-
 /** An outcome that VMs tell each other. */
 struct OutcomeReport
 {
     core::UpstreamId upstream;
-    Outcome outcome = Outcome::Good;
+    bool failed = false;
     bool isTurn = false; ///< It turned what the sender believes of the upstream.
 };
 
@@ -159,8 +141,6 @@
     void started(core::MonoTime now, Placement &placement);
     /** Records the end of an attempt. */
     void finished(const AttemptRecord &record);
-    /** Counts attempts that have been under way for long against their upstreams, once each. */
-    void noteLate(core::MonoTime now);
     /** Takes in another VM's report of an outcome that changes what is believed of an upstream. */
     void outcomeReported(core::MonoTime now, const OutcomeReport &report);
     /** @return What other VMs should know since the last call. */
@@ -175,9 +155,7 @@
     struct UnderWay
     {
         std::uint64_t number = 0;
-        core::MonoTime lateAt {};    ///< From then on it is evidence against the upstream.
         core::MonoTime overdueAt {}; ///< From then on it counts as stalled.
-        bool isLate = false;         ///< It was counted as late.
     };
 
     /** One upstream and what is known of it. */
@@ -208,8 +186,6 @@
                                   const PlacementRequest &request) const;
     double latenessLoss(core::Micros finish, core::Micros target) const;
     void learnOutcome(core::MonoTime now, Upstream &upstream, bool failed, double soundFailure);
-    void learnEvidence(core::MonoTime now, Upstream &upstream, double ifSick, double ifSound);
-    void tellOthers(const core::UpstreamId &id, Outcome outcome, bool isTurn);
     void learnDuration(const AttemptRecord &record, Upstream &upstream);
     void learnLoad(const AttemptRecord &record, Upstream &upstream) const;
 
