Fix: [Proxy] A long good record does not outweigh the first failure of a spell

Ruled out: a new entry under the same id (none listed), reports of other VMs. Test: 200 answers, then a failure; red before the trial.

--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -31,7 +31,7 @@
     double sickPrior = 0.08;
     /** Probability that a spell has begun since the last outcome: a good record, however long, says
      * nothing of it. */
-    double spellOnset = 0.08;
+    double spellOnset = 0.01;
     /** Typical length of a sick spell: older evidence fades towards the prior. */
     core::Micros sickSpell {core::Seconds(8)};
     /** Probability that a sick and that a sound upstream fails a request. A sick one may fail
