Change: [Proxy] The choice of an upstream looks at its service only, nearest first

Change: an index of upstreams by service in the order of distance; a choice ends where the way alone costs more than the best found, and only the best is copied. What is chosen stays the same but for chance among equals.

--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -66,6 +66,7 @@
 void UpstreamTable::update(core::MonoTime now, const UpstreamEntry &entry)
 {
     Upstream &upstream = upstreams_[entry.id];
+    removeFromService(upstream);
     const bool restarted = upstream.entry.startedAt != entry.startedAt;
     const bool moved = upstream.entry.address != entry.address || upstream.entry.port != entry.port;
     if (upstream.entry.id.empty() || restarted || moved) {
@@ -73,11 +74,33 @@
         upstream = {.warmAt = now + entry.warmupLeft, .underWay = std::move(underWay)};
     }
     upstream.entry = entry;
+    upstream.distance = distanceLoss(entry.availabilityZone);
+    addToService(upstream);
 }
 
 void UpstreamTable::remove(const core::UpstreamId &id)
 {
-    upstreams_.erase(id);
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end())
+        return;
+    removeFromService(found->second);
+    upstreams_.erase(found);
+}
+
+void UpstreamTable::addToService(Upstream &upstream)
+{
+    std::vector<Upstream *> &all = byService_[upstream.entry.service];
+    const auto farther = std::upper_bound(
+        all.begin(), all.end(), upstream.distance,
+        [](double distance, const Upstream *other) { return distance < other->distance; });
+    all.insert(farther, &upstream);
+}
+
+void UpstreamTable::removeFromService(const Upstream &upstream)
+{
+    const auto found = byService_.find(upstream.entry.service);
+    if (found != byService_.end())
+        std::erase(found->second, &upstream);
 }
 
 std::vector<core::UpstreamId> UpstreamTable::ids() const
@@ -96,53 +119,73 @@
 
 PlacementResult UpstreamTable::choose(core::MonoTime now, const PlacementRequest &request)
 {
-    PlacementResult result;
+    const auto service = byService_.find(request.service);
+    if (service == byService_.end())
+        return {};
+    NoPlacement reason = NoPlacement::NoUpstream;
     bool soundIsBusy = false;
-    for (const auto &[id, upstream] : upstreams_) {
-        if (!takesWork(upstream, request))
+    const Upstream *best = nullptr;
+    Expectation bestExpectation;
+    for (const Upstream *upstream : service->second) {
+        // The rest is farther away, and nothing there is a smaller loss than the way.
+        if (best != nullptr && bestExpectation.failure <= options_.hopeless
+            && upstream->distance >= bestExpectation.loss)
+            break;
+        if (!takesWork(*upstream, request))
             continue;
-        if (result.reason == NoPlacement::NoUpstream)
-            result.reason = NoPlacement::AllBusy;
-        const double slots = std::max(1, upstream.entry.slots);
-        if (occupancyOf(now, upstream) + 1 > slots * options_.maxOccupancy) {
-            soundIsBusy = soundIsBusy || failureOf(now, upstream) < options_.suspected;
+        if (reason == NoPlacement::NoUpstream)
+            reason = NoPlacement::AllBusy;
+        const double slots = std::max(1, upstream->entry.slots);
+        if (occupancyOf(now, *upstream) + 1 > slots * options_.maxOccupancy) {
+            soundIsBusy = soundIsBusy || failureOf(now, *upstream) < options_.suspected;
             continue;
         }
-        const Placement candidate = makePlacement(now, upstream, request);
-        if (candidate.expectedDuration > request.timeLeft) {
-            result.reason = NoPlacement::TooLate;
+        const Expectation expectation = expect(now, *upstream, request);
+        if (expectation.duration > request.timeLeft) {
+            reason = NoPlacement::TooLate;
             continue;
         }
-        if (!result.placement || candidate.expectedLoss < result.placement->expectedLoss)
-            result.placement = candidate;
+        if (best == nullptr || expectation.loss < bestExpectation.loss) {
+            best = upstream;
+            bestExpectation = expectation;
+        }
     }
+    if (best == nullptr)
+        return {.placement = std::nullopt, .reason = reason};
     // A sick upstream fails fast and so always has room. A request that may not be sent again waits
     // for a sound one instead.
-    if (result.placement && !request.idempotent && soundIsBusy
-        && result.placement->failureEstimate > options_.hopeless)
+    if (!request.idempotent && soundIsBusy && bestExpectation.failure > options_.hopeless)
         return {.placement = std::nullopt, .reason = NoPlacement::AllBusy};
-    return result;
+    return {.placement = makePlacement(*best, bestExpectation)};
 }
 
 bool UpstreamTable::takesWork(const Upstream &upstream, const PlacementRequest &request)
 {
-    if (upstream.entry.service != request.service || upstream.entry.draining)
+    if (upstream.entry.draining)
         return false;
     return std::find(request.tried.begin(), request.tried.end(), upstream.entry.id)
         == request.tried.end();
 }
 
-Placement UpstreamTable::makePlacement(core::MonoTime now, const Upstream &upstream,
-                                       const PlacementRequest &request)
+UpstreamTable::Expectation UpstreamTable::expect(core::MonoTime now, const Upstream &upstream,
+                                                 const PlacementRequest &request)
 {
     std::uniform_real_distribution<double> chance(0, tieLoss);
     const core::Micros duration = expectedDuration(now, upstream, request);
+    const double failure = failureOf(now, upstream);
+    return {.duration = duration,
+            .loss = expectedLoss(now, upstream, request, duration, failure) + chance(random_),
+            .failure = failure};
+}
+
+Placement UpstreamTable::makePlacement(const Upstream &upstream, const Expectation &expectation)
+{
     return {.upstream = upstream.entry.id,
             .address = upstream.entry.address,
             .port = upstream.entry.port,
-            .expectedDuration = duration,
-            .expectedLoss = expectedLoss(now, upstream, request, duration) + chance(random_),
-            .failureEstimate = failureOf(now, upstream)};
+            .expectedDuration = expectation.duration,
+            .expectedLoss = expectation.loss,
+            .failureEstimate = expectation.failure};
 }
 
 void UpstreamTable::started(core::MonoTime now, Placement &placement)
@@ -212,11 +255,12 @@
 
 int UpstreamTable::slotsOf(const core::ServiceId &service) const
 {
+    const auto found = byService_.find(service);
+    if (found == byService_.end())
+        return 0;
     int slots = 0;
-    for (const auto &[id, upstream] : upstreams_) {
-        if (upstream.entry.service == service && !upstream.entry.draining)
-            slots += upstream.entry.slots;
-    }
+    for (const Upstream *upstream : found->second)
+        slots += upstream->entry.draining ? 0 : upstream->entry.slots;
     return slots;
 }
 
@@ -237,15 +281,14 @@
 }
 
 double UpstreamTable::expectedLoss(core::MonoTime now, const Upstream &upstream,
-                                   const PlacementRequest &request, core::Micros duration) const
+                                   const PlacementRequest &request, core::Micros duration,
+                                   double failure) const
 {
-    const double distance = distanceLoss(upstream);
     const bool untried =
         upstream.underWay.empty() && now - upstream.triedAt > options_.trialInterval;
     if (request.idempotent && untried)
-        return distance;
-    const double failure = failureOf(now, upstream);
-    return distance + latenessLoss(request.elapsed + duration, request.targetLatency)
+        return upstream.distance;
+    return upstream.distance + latenessLoss(request.elapsed + duration, request.targetLatency)
         + (request.idempotent ? failure * options_.repeatableFactor : failure);
 }
 
@@ -264,11 +307,11 @@
         + upstream.othersLoad * decay(now - upstream.loadAt, options_.loadHalfLife);
 }
 
-double UpstreamTable::distanceLoss(const Upstream &upstream) const
+double UpstreamTable::distanceLoss(const core::AvailabilityZoneId &zone) const
 {
-    if (upstream.entry.availabilityZone == options_.self.availabilityZone)
+    if (zone == options_.self.availabilityZone)
         return 0;
-    const auto region = options_.regionOfZone.find(upstream.entry.availabilityZone);
+    const auto region = options_.regionOfZone.find(zone);
     const bool sameRegion =
         region != options_.regionOfZone.end() && region->second == options_.self.region;
     return sameRegion ? options_.crossZoneLoss : options_.crossRegionLoss;
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -162,6 +162,7 @@
     struct Upstream
     {
         UpstreamEntry entry;
+        double distance = 0;      ///< Loss by the way to it; see UpstreamTableOptions.
         core::MonoTime warmAt {}; ///< End of its slow start.
         double othersLoad = 0;    ///< Requests of other VMs when it last reported.
         core::MonoTime loadAt {};
@@ -172,16 +173,28 @@
         core::MonoTime triedAt {};      ///< Last attempt, or last failure that another VM saw.
     };
 
+    /** What a request may expect of an upstream. */
+    struct Expectation
+    {
+        core::Micros duration {0};
+        double loss = 0;
+        double failure = 0;
+    };
+
     static bool takesWork(const Upstream &upstream, const PlacementRequest &request);
-    Placement makePlacement(core::MonoTime now, const Upstream &upstream,
-                            const PlacementRequest &request);
+    Expectation expect(core::MonoTime now, const Upstream &upstream,
+                       const PlacementRequest &request);
+    static Placement makePlacement(const Upstream &upstream, const Expectation &expectation);
+    void addToService(Upstream &upstream);
+    void removeFromService(const Upstream &upstream);
     double sickAt(core::MonoTime now, const Upstream &upstream) const;
     double failureOf(core::MonoTime now, const Upstream &upstream) const;
     double expectedLoss(core::MonoTime now, const Upstream &upstream,
-                        const PlacementRequest &request, core::Micros duration) const;
+                        const PlacementRequest &request, core::Micros duration,
+                        double failure) const;
     double overdueFailure(core::MonoTime now, const Upstream &upstream) const;
     double occupancyOf(core::MonoTime now, const Upstream &upstream) const;
-    double distanceLoss(const Upstream &upstream) const;
+    double distanceLoss(const core::AvailabilityZoneId &zone) const;
     core::Micros expectedDuration(core::MonoTime now, const Upstream &upstream,
                                   const PlacementRequest &request) const;
     double latenessLoss(core::Micros finish, core::Micros target) const;
@@ -192,6 +205,8 @@
     UpstreamTableOptions options_;
     std::mt19937_64 random_;
     std::map<core::UpstreamId, Upstream> upstreams_;
+    /** The upstreams of each service, nearest first. */
+    std::unordered_map<core::ServiceId, std::vector<Upstream *>, core::StrongHash> byService_;
     std::unordered_map<core::RouteId, double, core::StrongHash> workSeconds_;
     std::vector<OutcomeReport> reports_;
     std::uint64_t lastAttempt_ = 0;
