--- a/tests/standins/free_port.h
+++ b/tests/standins/free_port.h
@@ -3,7 +3,9 @@
 
 #include <arpa/inet.h>
 #include <cstdint>
+#include <mutex>
 #include <netinet/in.h>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <sys/socket.h>
@@ -11,8 +13,10 @@
 
 namespace teaselreach::standins {
 
+namespace detail {
+
 /** @return A port that was free on the loopback address a moment ago. */
-inline std::uint16_t freePort(const std::string &address)
+inline std::uint16_t anyFreePort(const std::string &address)
 {
     sockaddr_in local {.sin_family = AF_INET};
     inet_pton(AF_INET, address.c_str(), &local.sin_addr);
@@ -25,4 +29,24 @@
     return ntohs(local.sin_port);
 }
 
+} // namespace detail
+
+/**
+ * @return A port that was free on the loopback address a moment ago and that this process has not
+ * named before: whoever was told of one may bind it much later.
+ */
+inline std::uint16_t freePort(const std::string &address)
+{
+    static std::mutex mutex;
+    static std::set<std::uint16_t> named;
+    const std::lock_guard lock(mutex);
+    // Far more tries than a process that names some hundreds of ports needs.
+    for (int tries = 0; tries < 1000; ++tries) {
+        const std::uint16_t port = detail::anyFreePort(address);
+        if (named.insert(port).second)
+            return port;
+    }
+    throw std::runtime_error("no port of " + address + " is left that was not named before");
+}
+
 } // namespace teaselreach::standins
--- a/tests/unit/standins_test.cpp
+++ b/tests/unit/standins_test.cpp
@@ -1,4 +1,5 @@
 /** @file standins_test.cpp Tests of the adapters against the stand-ins, and of the stand-ins. */
+#include "standins/free_port.h"
 #include "standins/kv_store_base.h"
 #include "standins/relay_base.h"
 #include "standins/upstream_base.h"
@@ -10,6 +11,7 @@
 
 #include <array>
 #include <future>
+#include <set>
 #include <thread>
 
 using namespace teaselreach;
@@ -40,6 +42,14 @@
 
 } // namespace
 
+TEST_CASE("a free port is named once, also while nobody has bound it")
+{
+    // Two daemons of soak seed 404 were given the same port; one could not start again.
+    std::set<std::uint16_t> ports;
+    for (int i = 0; i < 2000; ++i)
+        REQUIRE(ports.insert(standins::freePort("127.0.0.1")).second);
+}
+
 TEST_CASE("compare-and-swap reports the present version to the writer that lost")
 {
     standins::KvStore service({});
