Fix: [Proxy] A VM shares its pool's limit only after a whole window in the pool

The registration of a VM lapsed; while it was out of the pool the others sent it no usage reports, and those that came were ignored. Once back it counted against the pool's part as if nothing had been admitted. An idle VM that takes over had the same gap. Ruled out: the time after a restart (the process ran on), lost datagrams (the reports were not sent at all). After: 0.46 for a whole window, then 0.92.

--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -4,6 +4,7 @@
 #include "metrics/registry_base.h"
 #include "proxy/fleet_sync_base.h"
 #include "proxy/peer_messenger_base.h"
+#include "proxy/pool_knowledge_base.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -77,6 +78,7 @@
         , upstreams_({.self = options_.self.location, .regionOfZone = options_.regionOfZone},
                      options_.seed)
         , shares_(options_.shares)
+        , knowledge_(options_.shares.window, core::MonoClock::now(), options_.firstStart)
         , entries_({})
         , flow_({.context = context,
                  .upstreams = upstreams_,
@@ -265,7 +267,9 @@
                              .leaving = leavingSince_.has_value(),
                              .outcomes = upstreams_.takeReports(),
                              .usage = shares_.takeUsage()};
-        if (!entries_.isActive(options_.self.id))
+        const bool isActive = entries_.isActive(options_.self.id);
+        knowledge_.observe(now, isActive);
+        if (!isActive)
             message.usage.clear(); // Counted against a part of its own.
         const bool due = now - messageSentAt_ > messageInterval;
         const bool isNews = !message.outcomes.empty();
@@ -279,9 +283,9 @@
             }
         }
         message.usage.clear();
-        const bool isActive = entries_.isActive(options_.self.id) || leavingSince_;
+        const bool isHeeded = isActive || leavingSince_;
         for (const EntryMember &neighbour : entries_.neighboursOf(options_.self.id)) {
-            if ((isNews || (due && isActive)) && !told.contains(neighbour.id))
+            if ((isNews || (due && isHeeded)) && !told.contains(neighbour.id))
                 peers_.send(neighbour.peerAddress, message);
         }
         // Traffic between regions is paid for: only what turns a belief goes there.
@@ -298,8 +302,10 @@
         heard_[message.sender] = {.at = now, .leaving = message.leaving};
         for (const OutcomeReport &report : message.outcomes)
             upstreams_.outcomeReported(now, report);
-        if (!entries_.isActive(options_.self.id))
+        if (!entries_.isActive(options_.self.id)) {
+            knowledge_.observe(now, false);
             return;
+        }
         for (const AccountUsage &usage : message.usage)
             shares_.reported(now, usage);
     }
@@ -326,9 +332,9 @@
         ownPart_ = entries_.partOf(now, options_.self.id);
         flow_.setFleetPart(ownPart_);
         double pool = ownPart_;
-        // A process that has just started does not know what the pool admitted before.
-        const bool knowsPool = options_.firstStart || now - startedAt_ > options_.shares.window;
-        if (knowsPool && entries_.isActive(options_.self.id)) {
+        const bool isActive = entries_.isActive(options_.self.id);
+        knowledge_.observe(now, isActive);
+        if (isActive && knowledge_.isComplete(now)) {
             for (const EntryMember &peer : entries_.peersOf(options_.self.id)) {
                 const auto heard = heard_.find(peer.id);
                 if (heard != heard_.end() && now - heard->second.at < peerTimeout
@@ -378,6 +384,7 @@
     metrics::Registry registry_;
     UpstreamTable upstreams_;
     AccountShare shares_;
+    PoolKnowledge knowledge_;
     EntryChoice entries_;
     RequestFlow flow_;
     FleetState state_;
@@ -391,7 +398,6 @@
     std::optional<core::MonoTime> leavingSince_;
     core::MonoTime messageSentAt_ {};
     std::map<core::VmId, Heard> heard_;
-    core::MonoTime startedAt_ = core::MonoClock::now();
     double ownPart_ = 0;
 };
 
--- a/tests/proxy/decisions_test.cpp
+++ b/tests/proxy/decisions_test.cpp
@@ -1,6 +1,7 @@
 /** @file decisions_test.cpp Tests of routes, limits, repeats, removals and entry addresses. */
 #include "proxy/account_share_base.h"
 #include "proxy/entry_choice_base.h"
+#include "proxy/pool_knowledge_base.h"
 #include "proxy/removal_hold_base.h"
 #include "proxy/retry_share_base.h"
 #include "proxy/route_table_base.h"
@@ -300,6 +301,31 @@
     CHECK(more == 6); // 12 in all: a tenth of 20 * 5 + 20.
 }
 
+TEST_CASE("a VM knows its pool's use of limits only after a whole window in the pool")
+{
+    // An idle VM that took over, and one that was back after a lapse, used the pool's part without
+    // having heard what the others had admitted (soak seed 302).
+    constexpr core::Seconds window {5};
+    PoolKnowledge fresh(window, start, true);
+    fresh.observe(start + core::Seconds(1), false); // Not registered yet.
+    fresh.observe(start + core::Seconds(2), true);
+    CHECK(fresh.isComplete(start + core::Seconds(2)));
+    fresh.observe(start + core::Seconds(3), false);
+    fresh.observe(start + core::Seconds(4), true);
+    CHECK(!fresh.isComplete(start + core::Seconds(4)));
+    CHECK(!fresh.isComplete(start + core::Micros(7'999'999)));
+    CHECK(fresh.isComplete(start + core::Seconds(8)));
+    PoolKnowledge idle(window, start, true);
+    for (int second = 1; second <= 20; ++second)
+        idle.observe(start + core::Seconds(second), second == 20);
+    CHECK(!idle.isComplete(start + core::Seconds(20)));
+    CHECK(idle.isComplete(start + core::Seconds(24)));
+    PoolKnowledge restarted(window, start, false);
+    restarted.observe(start + core::Seconds(1), true);
+    CHECK(!restarted.isComplete(start + core::Seconds(4)));
+    CHECK(restarted.isComplete(start + core::Seconds(5)));
+}
+
 TEST_CASE("a refused account is told when there is room")
 {
     const Account account {.id = core::ClientAccountId("a"), .ratePerSecond = 2, .burst = 2};
--- a/tests/proxy/loop_daemon_test.cpp
+++ b/tests/proxy/loop_daemon_test.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/** Shorter than in the product, so that tests can wait for its end. */
+constexpr core::Millis limitWindow {1500};
+
 /** Answers with the addresses, one a line. */
 struct PlainDirectory
 {
@@ -103,6 +106,15 @@
         return ask(readinessPort, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").starts_with("200");
     }
 
+    /** Sends a message to this daemon. */
+    void tell(const PeerMessage &message)
+    {
+        asio::io_context context;
+        PeerMessenger messenger(context, "127.0.0.1", 0, [](const PeerMessage &) {});
+        messenger.send("127.0.0.1:" + std::to_string(internalPort), message);
+        context.poll();
+    }
+
     const std::uint16_t callerPort = freePort();
     const std::uint16_t readinessPort = freePort();
     const std::uint16_t directoryPort = freePort();
@@ -120,6 +132,7 @@
         options.directory = {.address = "127.0.0.1", .port = directoryPort};
         options.peers = {.address = "127.0.0.1", .port = internalPort};
         options.flow.names = testNames();
+        options.shares.window = limitWindow;
         options.seed = 1;
         return options;
     }
@@ -175,6 +188,35 @@
         CHECK(book(i).starts_with("200"));
 }
 
+TEST_CASE("a VM whose registration lapsed shares the pool's limit only after a whole window")
+{
+    // Others send no usage to a VM that is out of the pool. Once it was back it counted against
+    // the pool's part as if they had admitted nothing (soak seed 302).
+    DaemonFixture fixture;
+    const FleetItem self {.subject = FleetSubject::Member, .id = "me", .value = "registered"};
+    fixture.store.items.push_back(self);
+    fixture.store.items.push_back(
+        {.subject = FleetSubject::Member, .id = "b", .value = "registered"});
+    fixture.start();
+    const auto partAfterMessage = [&] {
+        fixture.tell({.sender = core::VmId("b")});
+        return fixture.metric("teaselreach_limit_part");
+    };
+    // Each of the two has 0.46 of every limit; a new fleet shares from the start.
+    REQUIRE(eventually([&] { return partAfterMessage() > 0.9; }));
+    fixture.onLoop([&] {
+        fixture.store.events = {
+            {.subject = FleetSubject::Member, .id = "me", .value = std::nullopt}};
+    });
+    REQUIRE(eventually([&] { return partAfterMessage() < 0.1; }));
+    const core::MonoTime returned = core::MonoClock::now();
+    fixture.onLoop([&] { fixture.store.events = {self}; });
+    REQUIRE(eventually([&] { return partAfterMessage() > 0.4; }));
+    CHECK(fixture.metric("teaselreach_limit_part") < 0.5);
+    REQUIRE(eventually([&] { return partAfterMessage() > 0.9; }));
+    CHECK(core::MonoClock::now() - returned >= limitWindow);
+}
+
 TEST_CASE("a VM without a configuration is not ready, and names itself only once it is")
 {
     DaemonFixture fixture;
