Change: [Daemon] Watchers of each zone follow the store, member table in the exchange

SpreadPolicy and MemberTable were proved and measured but not wired in: every daemon held a watch, and the exchange chose its peers with code of its own. Both are now used by the daemon, and ConfigService reads through updateFromStore() and updateFromPeer() instead of copies of them. A contact with the store that a peer reports counts for the age of keys only if this VM holds the peer's revision; before, keys that the peer had withdrawn could count as fresh.

--- a/src/daemon/config_service_base.h
+++ b/src/daemon/config_service_base.h
@@ -3,14 +3,15 @@
 #pragma once
 
 #include "config/config_state_base.h"
-#include "config/fetch_func.h"
+#include "config/update_func.h"
 #include "core/ticker_base.h"
 #include "core/work_queue_base.h"
 #include "daemon/peer_directory_base.h"
-#include "daemon/shared_config_base.h"
+#include "daemon/spread_service_base.h"
 #include "rpc/http_transport_base.h"
 #include "store/http_store_base.h"
 
+#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -20,12 +21,15 @@
 /** How a ConfigService waits for the store. */
 struct ConfigServiceOptions
 {
-    core::Millis watch {20000};      ///< Longest time that one watch stays pending.
+    core::Millis watch {5000};       ///< Longest time that one watch stays pending.
     core::Millis retryPause {500};   ///< After the store could not be reached.
     core::Millis peerTimeout {2000}; ///< For an answer to `config.fetch`.
 };
 
-/** Watches `head` in the store and fetches higher revisions that peers report. */
+/**
+ * Follows `head`: watchers of the zone watch it in the store, the others fetch higher revisions
+ * that peers report and poll the store after a silence.
+ */
 class ConfigService
 {
 public:
@@ -36,7 +40,7 @@
     /** What the service works with; all of it must outlive the object. */
     struct Parts
     {
-        SharedConfig &shared;
+        SpreadService &spread;
         store::HttpStore &store;
         const PeerDirectory &directory;
         rpc::HttpTransport &transport;
@@ -49,8 +53,8 @@
     ConfigService(const ConfigService &) = delete;
     ConfigService &operator=(const ConfigService &) = delete;
 
-    /** A peer has reported the revision it has in force; a higher one is fetched from it. */
-    void peerReported(const core::VmId &peer, core::Revision revision);
+    /** Fetches the configuration of a peer that has a higher revision, unless a fetch is on. */
+    void fetchFrom(const core::VmId &peer);
     /** Answers `config.fetch`. @throws config::UnreadableConfig if params are malformed. */
     nlohmann::json answerFetch(const nlohmann::json &params) const;
 
@@ -63,20 +67,21 @@
 
 private:
     void followStore();
-    void takeHead(const std::string &text);
-    config::GroupValues readGroups(const config::GroupDigests &needed);
-    void fetchFrom(const core::VmId &peer);
-    config::FetchAnswer ask(const rpc::Endpoint &endpoint, const config::FetchRequest &request);
-    bool apply(const std::string &head, const config::GroupValues &values,
-               config::GroupDigests *needed);
+    void waitForChange();
+    void readStore();
+    void readPeer(const core::VmId &peer);
+    void announce();
 
     ConfigServiceOptions options_;
     Parts parts_;
     mutable std::mutex mutex_;
     config::ConfigState state_;
-    std::mutex applyMutex_; ///< Held while listeners run, so that revisions reach them in order.
+    std::mutex announceMutex_; ///< Held while listeners run, so that revisions reach them in order.
+    core::Revision announced_; ///< The last that the listener was told of.
     store::StoreVersion seenVersion_; ///< Only used by the store's thread.
     bool fetching_ = false;           ///< Whether a fetch from a peer is queued or running.
+    bool stopping_ = false;
+    std::condition_variable stopped_;
     // Destroyed first: their threads use all of the above.
     core::WorkQueue fetches_;
     core::Ticker follower_;
--- a/src/daemon/daemon_handlers.cpp
+++ b/src/daemon/daemon_handlers.cpp
@@ -103,13 +103,17 @@
 {
     const core::MonoTime now = core::MonoClock::now();
     json members = json::array();
-    for (const auto &[vm, contact] : feeds().peers().contacts()) {
+    for (const auto &[vm, known] : feeds().peers().members()) {
+        if (!known.newest)
+            continue;
+        const bool leaving = known.newest->state == core::VmState::Leaving;
         json member = {{"vm", vm.str()},
-                       {"heard_ms_ago", ageMillis(contact.heardAt, now)},
-                       {"state", contact.leaving ? "leaving" : "live"},
-                       {"revision", contact.configRevision.count()}};
-        if (contact.answeredAt != core::MonoTime())
-            member["answered_ms_ago"] = ageMillis(contact.answeredAt, now);
+                       {"state", leaving ? "leaving" : "live"},
+                       {"revision", known.newest->revision.count()}};
+        if (known.heardAt)
+            member["heard_ms_ago"] = ageMillis(*known.heardAt, now);
+        if (known.hearsUsAt)
+            member["hears_this_vm_ms_ago"] = ageMillis(*known.hearsUsAt, now);
         members.push_back(std::move(member));
     }
     return members;
--- a/src/daemon/feeds.cpp
+++ b/src/daemon/feeds.cpp
@@ -32,8 +32,10 @@
     : parts_(std::move(parts))
     , store_(storeOptions(parts_.settings.store))
     , vmList_(vmListOptions(parts_.settings.vmList))
+    , spread_(parts_.settings.vm.id, parts_.settings.vm.location, parts_.incarnation.count(),
+              parts_.shared)
     , config_({.watch = parts_.settings.store.watch},
-              {.shared = parts_.shared,
+              {.spread = spread_,
                .store = store_,
                .directory = parts_.directory,
                .transport = parts_.transport,
@@ -44,11 +46,10 @@
                            peers->push();
                    }})
     , placement_(parts_.settings.vm.id, parts_.limits, store_)
-    , peers_({.self = parts_.settings.vm.id,
-              .location = parts_.settings.vm.location,
-              .incarnation = parts_.incarnation},
+    , peers_({.self = parts_.settings.vm.id, .incarnation = parts_.incarnation},
              {.lifecycle = parts_.lifecycle,
               .shared = parts_.shared,
+              .spread = spread_,
               .config = config_,
               .limits = parts_.limits,
               .upstreams = parts_.upstreams,
@@ -70,6 +71,7 @@
 {
     try {
         core::VmList list = vmList_.read();
+        spread_.onVmList(list);
         peers_.onVmList(list);
         parts_.onVmList(std::move(list));
     } catch (const vmlist::VmListUnavailable &error) {
--- a/src/daemon/feeds_base.h
+++ b/src/daemon/feeds_base.h
@@ -54,6 +54,7 @@
     std::atomic<PeerService *> startedPeers_ {nullptr};
     store::HttpStore store_;
     vmlist::HttpVmList vmList_;
+    SpreadService spread_;
     ConfigService config_;
     PlacementService placement_;
     PeerService peers_;
--- a/src/daemon/peer_service.cpp
+++ b/src/daemon/peer_service.cpp
@@ -1,12 +1,9 @@
 /** @file peer_service.cpp Exchange of revisions and evidence with other daemons. */
-#include "core/digest_func.h"
 #include "core/log_func.h"
 #include "daemon/peer_service_base.h"
 
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-
 namespace teaselreach::daemon {
 
 namespace {
@@ -16,8 +13,6 @@
 constexpr core::Millis urgentInterval {50};
 /** Most digests in one message. */
 constexpr std::size_t maxDigests = 64;
-/** Peers that an applied configuration is pushed to. */
-constexpr std::size_t pushPeers = 4;
 /** Threads for calls: a peer that does not answer holds one for the timeout. */
 constexpr int callThreads = 6;
 
@@ -26,7 +21,7 @@
 PeerService::PeerService(PeerServiceOptions options, Parts parts)
     : options_(std::move(options))
     , parts_(parts)
-    , random_(core::stableHash(options_.self.str()) ^ options_.incarnation.count())
+    , table_(options_.self, options_.incarnation)
     , calls_({.threads = callThreads, .maxQueued = 64})
     , rounds_(exchangeInterval, [this] { exchangeRound(); })
     , urgent_(urgentInterval, [this] { pushUrgent(); })
@@ -37,7 +32,11 @@
 /** Calls this second's peers. */
 void PeerService::exchangeRound()
 {
-    for (const core::VmId &peer : choosePeers())
+    {
+        const std::lock_guard lock(mutex_);
+        table_.beginRound();
+    }
+    for (const core::VmId &peer : parts_.spread.exchangeTargets())
         calls_.add([this, peer] { exchangeWith(peer); });
 }
 
@@ -50,51 +49,21 @@
 
 void PeerService::push()
 {
-    for (const core::VmId &peer : choosePushPeers())
+    for (const core::VmId &peer : parts_.spread.pushTargets())
         calls_.add([this, peer] { exchangeWith(peer); });
 }
 
-/** @return One peer in the zone, one in another zone of the region, one in another region. */
-std::vector<core::VmId> PeerService::choosePeers()
-{
-    const std::lock_guard lock(mutex_);
-    std::array<std::vector<core::VmId>, 3> byDistance;
-    for (const core::EntryVm &peer : peers_) {
-        const bool sameRegion = peer.location.region == options_.location.region;
-        const bool sameZone = peer.location == options_.location;
-        byDistance[sameZone ? 0 : (sameRegion ? 1 : 2)].push_back(peer.id);
-    }
-    std::vector<core::VmId> chosen;
-    for (const auto &candidates : byDistance) {
-        if (!candidates.empty())
-            chosen.push_back(candidates[random_() % candidates.size()]);
-    }
-    return chosen;
-}
-
-/** @return Random peers of the whole fleet. */
-std::vector<core::VmId> PeerService::choosePushPeers()
-{
-    const std::lock_guard lock(mutex_);
-    std::vector<core::VmId> chosen;
-    std::vector<core::EntryVm> sample;
-    std::sample(peers_.begin(), peers_.end(), std::back_inserter(sample), pushPeers, random_);
-    chosen.reserve(sample.size());
-    for (const core::EntryVm &peer : sample)
-        chosen.push_back(peer.id);
-    return chosen;
-}
-
 /** Sends this VM's message to a peer and takes in its answer. */
 void PeerService::exchangeWith(const core::VmId &peer)
 {
     const auto endpoint = parts_.directory.endpointOf(peer);
     if (!endpoint)
         return;
+    const core::MonoTime sentAt = core::MonoClock::now();
     try {
         const nlohmann::json answer = parts_.transport.call(
-            *endpoint, "peer.exchange", toJson(makeMessage()), options_.timeout);
-        takeMessage(peerMessageFromJson(answer), true);
+            *endpoint, "peer.exchange", toJson(makeMessage(peer)), options_.timeout);
+        takeMessage(peerMessageFromJson(answer), sentAt);
     } catch (const core::Error &error) {
         core::logEvent(core::LogLevel::Debug, "peer_unanswered",
                        {{"peer", peer.str()}, {"reason", error.what()}});
@@ -106,33 +75,35 @@
 
 nlohmann::json PeerService::answerExchange(const nlohmann::json &params)
 {
-    takeMessage(peerMessageFromJson(params), false);
-    return toJson(makeMessage());
+    const PeerMessage message = peerMessageFromJson(params);
+    takeMessage(message, core::MonoClock::now());
+    return toJson(makeMessage(message.membership.sender.vm));
 }
 
-/** Takes in what a peer says, in a call or in an answer. */
-void PeerService::takeMessage(const PeerMessage &message, bool isAnswer)
+/**
+ * Takes in what a peer says, in a call or in an answer.
+ * @param sentAt When the message was sent, at the latest.
+ */
+void PeerService::takeMessage(const PeerMessage &message, core::MonoTime sentAt)
 {
-    const core::MonoTime now = core::MonoClock::now();
+    const member::MemberEntry &sender = message.membership.sender;
+    const core::Revision own = parts_.config.inForce().revision;
+    std::vector<core::VmId> ahead;
     {
         const std::lock_guard lock(mutex_);
-        PeerContact &contact = contacts_[message.vm];
-        contact.heardAt = now;
-        if (isAnswer)
-            contact.answeredAt = now;
-        contact.incarnation = message.incarnation;
-        contact.configRevision = message.configRevision;
-        contact.leaving = message.leaving;
+        table_.receive(message.membership, core::MonoClock::now());
+        ahead = table_.withHigherRevision(own);
     }
-    parts_.shared.noteUpdate(now);
-    if (message.storeSilence.count() >= 0)
-        parts_.shared.noteStoreContact(now - message.storeSilence);
+    parts_.shared.noteUpdate(core::MonoClock::now());
+    if (message.membership.storeAge)
+        parts_.spread.notePeerContact(sentAt - *message.membership.storeAge, sender.revision, own);
     for (const upstream::EvidenceDigest &digest : message.digests)
         parts_.upstreams.digestReceived(digest);
-    parts_.config.peerReported(message.vm, message.configRevision);
+    if (!ahead.empty())
+        parts_.config.fetchFrom(ahead.front());
     const auto placement = parts_.limits.placement();
     if (message.placementRevision > (placement ? placement->revision : core::Revision(0)))
-        calls_.add([this, peer = message.vm] { fetchPlacement(peer); });
+        calls_.add([this, peer = sender.vm] { fetchPlacement(peer); });
 }
 
 /** Fetches the placement from a peer that has a higher revision. */
@@ -163,36 +134,39 @@
 void PeerService::onVmList(const core::VmList &list)
 {
     const std::lock_guard lock(mutex_);
-    peers_.clear();
-    std::map<core::VmId, PeerContact> listed;
+    table_.setVmList(list.entryVms);
+    listed_.clear();
     for (const core::EntryVm &vm : list.entryVms) {
-        if (vm.id == options_.self)
-            continue;
-        peers_.push_back(vm);
-        const auto found = contacts_.find(vm.id);
-        if (found != contacts_.end())
-            listed.insert(*found);
+        if (vm.id != options_.self)
+            listed_.push_back(vm.id);
     }
-    contacts_ = std::move(listed);
 }
 
-std::map<core::VmId, PeerContact> PeerService::contacts() const
+std::map<core::VmId, member::Knowledge> PeerService::members() const
 {
     const std::lock_guard lock(mutex_);
-    return contacts_;
+    std::map<core::VmId, member::Knowledge> members;
+    for (const core::VmId &vm : listed_)
+        members[vm] = table_.knowledgeOf(vm);
+    return members;
 }
 
-/** @return What this VM tells its peers now. */
-PeerMessage PeerService::makeMessage()
+/** @return What this VM tells a peer now. */
+PeerMessage PeerService::makeMessage(const core::VmId &receiver)
 {
     const auto placement = parts_.limits.placement();
-    return {.vm = options_.self,
-            .incarnation = options_.incarnation,
-            .leaving = parts_.lifecycle.phase() != Phase::Serving,
-            .configRevision = parts_.config.inForce().revision,
-            .placementRevision = placement ? placement->revision : core::Revision(0),
-            .storeSilence = parts_.shared.storeSilence(core::MonoClock::now()),
-            .digests = parts_.upstreams.digestsToSend(maxDigests)};
+    const auto storeAge = parts_.spread.storeAge(core::MonoClock::now());
+    PeerMessage message {.membership = {},
+                         .placementRevision = placement ? placement->revision : core::Revision(0),
+                         .digests = parts_.upstreams.digestsToSend(maxDigests)};
+    const std::lock_guard lock(mutex_);
+    table_.setOwn(parts_.lifecycle.phase() == Phase::Serving ? core::VmState::Live
+                                                             : core::VmState::Leaving,
+                  parts_.config.inForce().revision);
+    message.membership = table_.makeMessage(receiver);
+    if (storeAge)
+        message.membership.storeAge = std::chrono::duration_cast<core::Millis>(*storeAge);
+    return message;
 }
 
 } // namespace teaselreach::daemon
--- a/src/daemon/peer_service_base.h
+++ b/src/daemon/peer_service_base.h
@@ -7,11 +7,12 @@
 #include "daemon/lifecycle_base.h"
 #include "daemon/limit_service_base.h"
 #include "daemon/peer_message_func.h"
+#include "daemon/spread_service_base.h"
 #include "daemon/upstream_service_base.h"
+#include "member/member_table_base.h"
 
 #include <map>
 #include <mutex>
-#include <random>
 #include <vector>
 
 namespace teaselreach::daemon {
@@ -20,21 +21,10 @@
 struct PeerServiceOptions
 {
     core::VmId self;
-    core::Location location;
     core::Incarnation incarnation;
     core::Millis timeout {500}; ///< For one exchange.
 };
 
-/** When a peer was last heard, in each direction. */
-struct PeerContact
-{
-    core::MonoTime heardAt;    ///< A message or answer of the peer arrived.
-    core::MonoTime answeredAt; ///< The peer answered a call, so it hears this VM.
-    core::Incarnation incarnation;
-    core::Revision configRevision;
-    bool leaving = false;
-};
-
 /**
  * Calls three peers each second: one in the zone, one in the region, one anywhere. Pushes at once
  * to a few more when a configuration was applied or an upstream became suspect.
@@ -47,6 +37,7 @@
     {
         const Lifecycle &lifecycle;
         SharedConfig &shared;
+        SpreadService &spread;
         ConfigService &config;
         LimitService &limits;
         UpstreamService &upstreams;
@@ -60,7 +51,8 @@
     PeerService(const PeerService &) = delete;
     PeerService &operator=(const PeerService &) = delete;
 
-    /** Answers `peer.exchange`. @throws nlohmann::json::exception if params are malformed. */
+    /** Answers `peer.exchange`. @throws member::MalformedMessage, nlohmann::json::exception if
+     * params are malformed. */
     nlohmann::json answerExchange(const nlohmann::json &params);
     /** Answers `limit.placement`: the stored form in force, or null. */
     nlohmann::json answerPlacement() const;
@@ -69,25 +61,22 @@
     /** Tells some peers at once. */
     void push();
 
-    /** @return When each peer was last heard. */
-    std::map<core::VmId, PeerContact> contacts() const;
+    /** @return What is known of each listed VM but this one. */
+    std::map<core::VmId, member::Knowledge> members() const;
 
 private:
     void exchangeRound();
     void pushUrgent();
-    std::vector<core::VmId> choosePeers();
-    std::vector<core::VmId> choosePushPeers();
     void exchangeWith(const core::VmId &peer);
-    void takeMessage(const PeerMessage &message, bool isAnswer);
+    void takeMessage(const PeerMessage &message, core::MonoTime sentAt);
     void fetchPlacement(const core::VmId &peer);
-    PeerMessage makeMessage();
+    PeerMessage makeMessage(const core::VmId &receiver);
 
     PeerServiceOptions options_;
     Parts parts_;
     mutable std::mutex mutex_;
-    std::mt19937_64 random_;
-    std::vector<core::EntryVm> peers_; ///< Without this VM.
-    std::map<core::VmId, PeerContact> contacts_;
+    member::MemberTable table_;
+    std::vector<core::VmId> listed_; ///< Without this VM.
     // Destroyed first: their threads use all of the above.
     core::WorkQueue calls_;
     core::Ticker rounds_;
--- a/src/member/member_type.h
+++ b/src/member/member_type.h
@@ -1,6 +1,7 @@
 /** @file member_type.h What daemons tell each other about VMs. */
 #pragma once
 
+#include "core/clock_type.h"
 #include "core/error_type.h"
 #include "core/id_type.h"
 #include "core/vm_type.h"
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -69,7 +69,9 @@
 {
     std::vector<ServiceEndpoint> endpoints;
     core::Millis timeout {1000};
-    core::Millis watch {20000}; ///< Longest time one watch call stays pending.
+    /** Longest time one watch call stays pending; under config::SpreadOptions::pollAfter, so that
+     * the other VMs hear of the contact before they read the store themselves. */
+    core::Millis watch {5000};
 };
 
 /** The platform's list of VMs. */
