Remove: [Upstream] Hedged requests, which the daemon never sent

HedgePolicy decided on second copies of slow requests and nothing but the emulator sent them; the event-driven path gives up a slow attempt for another one instead.

--- a/src/upstream/evidence.cpp
+++ b/src/upstream/evidence.cpp
@@ -52,16 +52,6 @@
     median_ = *middle;
 }
 
-core::Micros MedianDuration::quantile95() const
-{
-    if (count_ < minSamples)
-        return core::Micros(0);
-    auto sorted = ring_;
-    const std::size_t filled = std::min(count_, window);
-    std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(filled));
-    return sorted[filled * 19 / 20];
-}
-
 core::Micros MedianDuration::overdueAfter() const
 {
     if (median_ == core::Micros(0))
@@ -99,10 +89,6 @@
     case Outcome::Shed:
     case Outcome::Cancelled:
         return;
-    case Outcome::Superseded:
-        if (result.duration > overdueAfter / 2)
-            addBad(now, {.overdue = supersededWeight});
-        return;
     case Outcome::Success:
         if (result.duration <= overdueAfter) {
             counts_.add(now, {.good = 1});
--- a/src/upstream/evidence_base.h
+++ b/src/upstream/evidence_base.h
@@ -36,8 +36,6 @@
     void add(core::Micros duration);
     /** @return The median; 0 while too few durations are known. */
     core::Micros median() const { return median_; }
-    /** @return The duration that 19 of 20 attempts stay under; 0 while too few are known. */
-    core::Micros quantile95() const;
     /** @return The time after which an attempt is overdue. */
     core::Micros overdueAfter() const;
 
--- a/src/upstream/retry.cpp
+++ b/src/upstream/retry.cpp
@@ -1,16 +1,11 @@
-/** @file retry.cpp Retries and hedges, and the budget that bounds both. */
+/** @file retry.cpp Retries, and the budget that bounds them. */
 #include "upstream/retry_base.h"
 
 #include <algorithm>
 
 namespace teaselreach::upstream {
 
-namespace {
-
-/** Earliest second copy, so that a fast service is not hedged because of scheduling noise. */
-constexpr core::Millis minHedgeDelay {10};
-
-} // namespace
+namespace { } // namespace
 
 table::Execution executionOf(Outcome outcome)
 {
@@ -24,7 +19,6 @@
     case Outcome::Truncated:
     case Outcome::TimedOut:
     case Outcome::Cancelled:
-    case Outcome::Superseded:
         return table::Execution::Unknown;
     }
     return table::Execution::Unknown;
@@ -59,8 +53,7 @@
 
 RetryDecision decideRetry(core::MonoTime now, const RetryRequest &request, RetryBudget &budget)
 {
-    if (request.outcome == Outcome::Success || request.outcome == Outcome::Cancelled
-        || request.outcome == Outcome::Superseded)
+    if (request.outcome == Outcome::Success || request.outcome == Outcome::Cancelled)
         return RetryDecision::NotNeeded;
     const bool notRun =
         executionOf(request.outcome) == table::Execution::NotRun && !request.mayHaveRunBefore;
@@ -73,16 +66,4 @@
     return budget.take(now) ? RetryDecision::Retry : RetryDecision::BudgetSpent;
 }
 
-std::optional<core::Micros> HedgePolicy::delay(const MedianDuration &durations, bool idempotent,
-                                               core::Micros timeLeft) const
-{
-    const core::Micros slow = durations.quantile95();
-    if (!idempotent || slow == core::Micros(0))
-        return std::nullopt;
-    const core::Micros delay = std::max<core::Micros>(slow, minHedgeDelay);
-    if (delay + durations.median() >= timeLeft)
-        return std::nullopt;
-    return delay;
-}
-
 } // namespace teaselreach::upstream
--- a/src/upstream/retry_base.h
+++ b/src/upstream/retry_base.h
@@ -1,4 +1,4 @@
-/** @file retry_base.h Retries and hedges, and the budget that bounds both. */
+/** @file retry_base.h Retries, and the budget that bounds them. */
 #pragma once
 
 #include "table/refusal_table.h"
@@ -12,7 +12,7 @@
 /** @return What is known of the execution of an attempt that ended in an outcome. */
 table::Execution executionOf(Outcome outcome);
 
-/** Bounds the additional load by retries and hedges: 10% of requests plus 1 per second. */
+/** Bounds the additional load by retries: 10% of requests plus 1 per second. */
 class RetryBudget
 {
 public:
@@ -61,18 +61,4 @@
 /** Decides on a retry and takes it from the budget if granted. */
 RetryDecision decideRetry(core::MonoTime now, const RetryRequest &request, RetryBudget &budget);
 
-/** When a slow request gets a second copy. */
-class HedgePolicy
-{
-public:
-    /**
-     * @param durations Durations of the service.
-     * @param idempotent Whether the request may be sent twice.
-     * @param timeLeft Time until the deadline.
-     * @return The time after the start of the first copy; nothing if there must be no second one.
-     */
-    std::optional<core::Micros> delay(const MedianDuration &durations, bool idempotent,
-                                      core::Micros timeLeft) const;
-};
-
 } // namespace teaselreach::upstream
--- a/src/upstream/service_state.cpp
+++ b/src/upstream/service_state.cpp
@@ -132,11 +132,6 @@
     return upstream::decideRetry(now, request, budget_);
 }
 
-std::optional<core::Micros> ServiceState::hedgeAfter(bool idempotent, core::Micros timeLeft) const
-{
-    return hedge_.delay(health_.durations(), idempotent, timeLeft);
-}
-
 std::vector<Explanation> ServiceState::explainAll(core::MonoTime now) const
 {
     std::vector<Explanation> all;
--- a/src/upstream/service_state_base.h
+++ b/src/upstream/service_state_base.h
@@ -27,7 +27,7 @@
 struct ChoiceRequest
 {
     bool idempotent = false;
-    bool firstAttempt = true;              ///< False for retries and hedges.
+    bool firstAttempt = true;              ///< False for retries.
     std::vector<core::UpstreamId> exclude; ///< Upstreams already tried for the request.
 };
 
@@ -82,10 +82,6 @@
     }
     /** Decides whether a failed attempt is retried; a granted retry uses up budget. */
     RetryDecision decideRetry(core::MonoTime now, RetryRequest request);
-    /** @return When a second copy of a request is due; nothing if there must be none. */
-    std::optional<core::Micros> hedgeAfter(bool idempotent, core::Micros timeLeft) const;
-    /** @return Whether the budget grants a hedge that is due; takes it from the budget. */
-    bool takeHedge(core::MonoTime now) { return budget_.take(now); }
     /** @return The changes since the last call, for the log. */
     std::vector<HealthEvent> takeEvents() { return health_.takeEvents(); }
 
@@ -115,7 +111,6 @@
     Chooser chooser_;
     TwoChoices strategy_;
     RetryBudget budget_;
-    HedgePolicy hedge_;
 };
 
 } // namespace teaselreach::upstream
--- a/src/upstream/upstream_type.h
+++ b/src/upstream/upstream_type.h
@@ -25,7 +25,6 @@
     ConnectFailed, ///< No connection, so nothing was sent.
     Shed,          ///< Refused with X-Not-Run: load shedding or draining.
     Cancelled,     ///< The caller went away.
-    Superseded,    ///< Given up because the other copy of a hedged request was faster.
 };
 
 /** What an upstream reported of its own load. */
@@ -157,8 +156,6 @@
 inline constexpr core::Millis coldOverdue {2000};
 /** Time after its first listing for which an upstream counts as in cold start. */
 inline constexpr core::Millis coldStart {30000};
-/** Weight of a superseded attempt as overdue evidence. */
-inline constexpr double supersededWeight = 0.3;
 /** Most evidence that one VM contributes, so that one faulty VM cannot eject. */
 inline constexpr double maxBadPerVm = 3;
 /** Evidence from peers at which VMs with few observations of their own send a request to look. */
