Fix: [Proxy] A slow attempt is given up only for another one that can be made

After SIGTERM nothing at work is given up. Ruled out: the route's timeout (1.5 s, 0.2 s left) and the caller's deadline (3 s).

--- a/src/proxy/dispatcher_base.h
+++ b/src/proxy/dispatcher_base.h
@@ -42,6 +42,9 @@
     double softTimeoutOfTarget = 0.8;
     /** The same as a multiple of the expected duration, if that is longer. */
     int softTimeoutOfExpected = 3;
+    /** Interval at which a slow attempt is looked at again: a place elsewhere becomes free within
+     * some work times. */
+    core::Micros softTimeoutInterval {core::Millis(50)};
     /** Connections that may fail before a request is refused. */
     int maxConnectFailures = 3;
 };
@@ -173,9 +176,20 @@
         return now + time >= request.deadline ? core::Micros(0) : time;
     }
 
-    /** @return Whether an attempt is given up at its soft timeout; the repeat is then granted. */
-    bool mayAbandon(core::MonoTime now, DispatchRequest &request)
+    /**
+     * Decides at or after the soft timeout of an attempt.
+     * @param upstream Where the attempt is under way.
+     * @return Whether it is given up for one at another upstream that has room now and can answer
+     * in time; the repeat is then granted.
+     */
+    bool mayAbandon(core::MonoTime now, DispatchRequest &request, const core::UpstreamId &upstream)
     {
+        if (!leavesTime(now, request) || queueLength(request.service) > 0)
+            return false;
+        PlacementRequest next = placementRequest(now, request);
+        next.tried.push_back(upstream);
+        if (!upstreams_.choose(now, next).placement)
+            return false;
         request.repeatGranted = retriesOf(request.service).take(now, fleetPart_);
         return request.repeatGranted;
     }
@@ -189,7 +203,7 @@
             return false;
         if (!certainlyNotRun(end) && !route.idempotent)
             return false;
-        if (now + upstreams_.expectedWork(route.id, route.targetLatency) > request.deadline)
+        if (!leavesTime(now, request))
             return false;
         if (end == AttemptEnd::NotSent)
             return request.connectFailures < options_.maxConnectFailures;
@@ -218,6 +232,19 @@
         std::map<WaitTicket, DispatchRequest> requests;
     };
 
+    /** @return Whether another attempt can be expected to end before the deadline. */
+    bool leavesTime(core::MonoTime now, const DispatchRequest &request) const
+    {
+        const Route &route = *request.route;
+        return now + upstreams_.expectedWork(route.id, route.targetLatency) <= request.deadline;
+    }
+
+    std::size_t queueLength(const core::ServiceId &service) const
+    {
+        const auto queue = queues_.find(service);
+        return queue == queues_.end() ? 0 : queue->second.order.size();
+    }
+
     PlacementRequest placementRequest(core::MonoTime now, const DispatchRequest &request) const
     {
         const Route &route = *request.route;
--- a/src/proxy/http_link.cpp
+++ b/src/proxy/http_link.cpp
@@ -59,17 +59,26 @@
     CloseTimer(const CloseTimer &) = delete;
     CloseTimer &operator=(const CloseTimer &) = delete;
 
-    /** @param mayClose Asked when the time is over; nothing happens if it says no. */
-    void arm(core::Micros time, std::function<bool()> mayClose = nullptr)
+    void arm(core::Micros time)
+    {
+        arm(time, core::Micros(0), [] { return true; });
+    }
+    /** @param mayClose Asked when the time is over, and again at the interval if it says no. */
+    void arm(core::Micros time, core::Micros interval, std::function<bool()> mayClose)
     {
         timer_.expires_after(time);
-        timer_.async_wait([state = state_, mayClose = std::move(mayClose)](ErrorCode error) {
-            if (error || state->socket == nullptr || (mayClose && !mayClose()))
-                return;
-            state->fired = true;
-            ErrorCode ignored; // The socket is given up; a failure to close it changes nothing.
-            state->socket->close(ignored);
-        });
+        timer_.async_wait(
+            [this, interval, state = state_, mayClose = std::move(mayClose)](ErrorCode error) {
+                if (error || state->socket == nullptr)
+                    return;
+                if (!mayClose()) {
+                    arm(interval, interval, mayClose);
+                    return;
+                }
+                state->fired = true;
+                ErrorCode ignored; // The socket is given up; a failure to close it changes nothing.
+                state->socket->close(ignored);
+            });
     }
     void disarm()
     {
@@ -191,7 +200,7 @@
     hardTimer.arm(options.deadline - core::MonoClock::now());
     CloseTimer softTimer(context_, socket_);
     if (options.softTimeout > core::Micros(0))
-        softTimer.arm(options.softTimeout, options.mayAbandon);
+        softTimer.arm(options.softTimeout, options.softTimeoutInterval, options.mayAbandon);
     co_await beasthttp::async_write(socket_, request, storeError(error));
     // A server may answer before it has read the whole request and then close.
     ErrorCode readError;
--- a/src/proxy/http_link_base.h
+++ b/src/proxy/http_link_base.h
@@ -40,9 +40,10 @@
 {
     core::Micros connectTimeout {core::Millis(300)};
     core::MonoTime deadline {}; ///< For the whole answer.
-    /** Time after which mayAbandon is asked once; zero for never. */
+    /** Time after which mayAbandon is asked; zero for never. */
     core::Micros softTimeout {0};
-    /** Whether the attempt may be given up at the soft timeout, because another will be made. */
+    core::Micros softTimeoutInterval {0}; ///< After which it is asked again.
+    /** Whether the attempt is to be given up, because another will be made. */
     std::function<bool()> mayAbandon;
 };
 
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -204,8 +204,11 @@
     return {.connectTimeout = options_.connectTimeout,
             .deadline = job.request.deadline,
             .softTimeout = dispatcher_.softTimeout(now, job.request, placement),
-            .mayAbandon = [this, &job] {
-                return dispatcher_.mayAbandon(core::MonoClock::now(), job.request);
+            .softTimeoutInterval = options_.dispatch.softTimeoutInterval,
+            // A VM that shuts down finishes what is at work.
+            .mayAbandon = [this, &job, upstream = placement.upstream] {
+                return phase_ == FlowPhase::Serving
+                    && dispatcher_.mayAbandon(core::MonoClock::now(), job.request, upstream);
             }};
 }
 
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -378,6 +378,34 @@
     CHECK(upstream.requests() == 1);
 }
 
+TEST_CASE("a daemon that shuts down does not give up a slow attempt at which an upstream works")
+{
+    // After SIGTERM a lookup was given up for another attempt, and its caller got an answer of the
+    // daemon's own.
+    Gate release;
+    std::atomic<int> requests {0};
+    const auto slow = [&](const RawRequest &request) {
+        ++requests;
+        release.wait();
+        return RawReply {sealedReply(request, "slow but whole")};
+    };
+    RawServer first("127.0.0.1", slow);
+    RawServer second("127.0.0.1", slow);
+    FlowFixture fixture(testConfiguration(core::Millis(2000)));
+    fixture.addUpstream("i-1", first);
+    fixture.addUpstream("i-2", second);
+    fixture.onLoop([&] { fixture.flow().enter(FlowPhase::Leaving); });
+    auto answer = std::async(std::launch::async, [&fixture] {
+        return fixture.ask(callerRequest("GET", "/read/", "a1"));
+    });
+    REQUIRE(eventually([&] { return requests == 1; }));
+    // Past the soft timeout of 0.8 s; a second attempt would go to the other upstream.
+    CHECK(answer.wait_for(core::Millis(1200)) == std::future_status::timeout);
+    CHECK(requests == 1);
+    release.open();
+    CHECK(bodyOf(answer.get()) == "slow but whole");
+}
+
 TEST_CASE("a kept connection that the upstream has closed is not used for a booking")
 {
     std::atomic<int> runs {0};
--- a/tests/standins/proxy_emulator.h
+++ b/tests/standins/proxy_emulator.h
@@ -396,9 +396,12 @@
     void softTimeout(const WorkPtr &work)
     {
         Vm &vm = vms_[static_cast<std::size_t>(work->job->vm)];
-        if (isUnderWay(work) && work->job->generation == vm.generation
-            && vm.dispatcher->mayAbandon(now_, work->job->request))
+        if (!isUnderWay(work) || work->job->generation != vm.generation)
+            return;
+        if (vm.dispatcher->mayAbandon(now_, work->job->request, work->job->placement->upstream))
             giveUp(work);
+        else
+            at(now_ + options_.softTimeoutInterval, [this, work] { softTimeout(work); });
     }
 
     void giveUp(const WorkPtr &work)
