Fix: [Test] The queue of the refusal case has room for six requests, not nearly six

Traced: five of six requests waited and the sixth was refused at once. The expected work is a third of the target latency, so six waits of 166.666 ms ended 4 us before the deadline of 1 s, and any delay between arrival and queue made the sixth too late: the refusal was right. The route's time is now 1080 ms, between six waits (1000 ms) and seven (1167 ms).

--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -305,7 +305,11 @@
         stop.wait();
         return RawReply {sealedReply(request, "")};
     });
-    FlowFixture fixture;
+    Configuration configuration = testConfiguration();
+    // The expected work is a third of the target latency: six waits take 1000 ms, seven 1167 ms.
+    for (Route &route : configuration.routes)
+        route.timeout = core::Millis(1080);
+    FlowFixture fixture(std::move(configuration));
     fixture.addUpstream("i-1", upstream);
     fixture.onLoop([&] { fixture.flow().setFleetPart(0.1); });
     std::vector<int> busy;
