Change: [Proxy] The loop of attempts apart from what it asks of the deciding side

RequestLoop carries a request out over a RequestModel: admission, placement, attempts with kept connections, answers.

--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -66,53 +66,51 @@
     : parts_(parts)
     , options_(std::move(options))
     , dispatcher_(parts.upstreams, options_.dispatch)
-    , links_(parts.context)
+    , loop_(parts.context, *this)
     , splits_(seed)
 { }
 
 asio::awaitable<void> RequestFlow::serve(std::shared_ptr<CallerExchange> exchange)
 {
-    Job job {.exchange = exchange, .table = table_};
-    if (prepare(job)) {
-        dispatcher_.arrived(exchange->receivedAt, job.request.service);
-        bool again = true;
-        while (again) {
-            const PlacementResult result = co_await place(job);
-            if (!result.placement) {
-                refuseUnplaced(job, result.reason);
-                break;
-            }
-            again = co_await attempt(job, *result.placement);
-        }
-    }
-    exchange->onCallerLeft = nullptr;
-    report(job);
+    return loop_.serve(std::move(exchange));
+}
+
+RequestFlow::Job RequestFlow::open(const std::shared_ptr<CallerExchange> &exchange) const
+{
+    return {.exchange = exchange, .table = table_};
 }
 
 /** Finds route, account and deadline. @return Whether the request may be sent. */
-bool RequestFlow::prepare(Job &job)
+asio::awaitable<bool> RequestFlow::admit(Job &job)
 {
-    if (!findRoute(job) || !findAccount(job))
-        return false;
+    if (!findRoute(job) || !findAccount(job) || !checkLimit(job))
+        co_return false;
     const CallerExchange &exchange = *job.exchange;
     const core::MonoTime now = exchange.receivedAt;
     const auto patience = callerDeadline(exchange.request, options_.names);
     const Route &route = *job.request.route;
     job.request.arrivedAt = now;
     job.request.deadline = now + std::min(patience.value_or(route.timeout), route.timeout);
-    if (job.account != nullptr && !parts_.shares.admit(now, *job.account)) {
-        refuse(job,
-               {.status = beasthttp::status::too_many_requests,
-                .code = "rate_limited",
-                .retryAfter = parts_.shares.timeToRoom(now, *job.account)});
-        return false;
-    }
     if (job.account != nullptr) {
         job.request.account = job.account->id;
         job.request.accountPriority = job.account->priority;
     }
     job.request.service = splits_.select(route);
-    return true;
+    dispatcher_.arrived(now, job.request.service);
+    co_return true;
+}
+
+/** @return Whether the request is within its account's limit; it is refused if not. */
+bool RequestFlow::checkLimit(Job &job)
+{
+    const core::MonoTime now = job.exchange->receivedAt;
+    if (job.account == nullptr || parts_.shares.admit(now, *job.account))
+        return true;
+    refuse(job,
+           {.status = beasthttp::status::too_many_requests,
+            .code = "rate_limited",
+            .retryAfter = parts_.shares.timeToRoom(now, *job.account)});
+    return false;
 }
 
 /** @return Whether the request has a route; it is refused if not. */
@@ -155,8 +153,16 @@
     return true;
 }
 
+asio::awaitable<std::optional<Placement>> RequestFlow::place(Job &job)
+{
+    PlacementResult result = co_await findPlace(job);
+    if (!result.placement)
+        refuseUnplaced(job, result.reason);
+    co_return std::move(result.placement);
+}
+
 /** Chooses an upstream; waits if all are busy. */
-asio::awaitable<PlacementResult> RequestFlow::place(Job &job)
+asio::awaitable<PlacementResult> RequestFlow::findPlace(Job &job)
 {
     const core::MonoTime now = core::MonoClock::now();
     DispatchResult result = dispatcher_.submit(now, job.request);
@@ -212,31 +218,27 @@
             }};
 }
 
-/** Makes one attempt. @return Whether another is to follow. */
-asio::awaitable<bool> RequestFlow::attempt(Job &job, const Placement &placement)
+AttemptPlan RequestFlow::plan(Job &job, const Placement &placement, core::MonoTime now)
 {
-    const core::MonoTime startedAt = core::MonoClock::now();
-    const core::Micros maxIdle =
-        job.request.route->idempotent ? core::Micros::max() : options_.maxIdleForNonIdempotent;
-    std::unique_ptr<HttpLink> link =
-        links_.take(startedAt, {.address = placement.address, .port = placement.port}, maxIdle);
-    const HttpRequest forwarded = makeForwarded(job, placement, startedAt);
-    const std::string attemptId = text(fieldValue(forwarded, options_.names.attemptId));
-    const auto canceller = std::make_shared<LinkCanceller>();
-    if (job.exchange->callerLeft)
-        canceller->cancel();
-    if (job.request.route->idempotent)
-        job.exchange->onCallerLeft = [canceller] { canceller->cancel(); };
-    job.request.repeatGranted = false;
-    const AnswerFilter filter = [this, &attemptId](const HttpResponse &response) {
+    const bool idempotent = job.request.route->idempotent;
+    AttemptPlan plan {.target = {.address = placement.address, .port = placement.port},
+                      .request = makeForwarded(job, placement, now),
+                      .times = linkOptions(job, placement, now),
+                      .filter = {},
+                      .maxIdle =
+                          idempotent ? core::Micros::max() : options_.maxIdleForNonIdempotent,
+                      .endsWithCaller = idempotent};
+    plan.filter = [this, attemptId = text(fieldValue(plan.request, options_.names.attemptId))](
+                      const HttpResponse &response) {
         return answersAttempt(response, options_.names, attemptId);
     };
-    const LinkOptions times = linkOptions(job, placement, startedAt);
-    LinkResult result = co_await link->exchange(forwarded, times, canceller, filter);
-    // A connection with an answer that cannot be trusted carries no further request.
-    if (interpretLinkResult(result, options_.names).end != AttemptEnd::Broken)
-        links_.give(core::MonoClock::now(), std::move(link));
-    co_return settle(job, placement, startedAt, std::move(result));
+    job.request.repeatGranted = false;
+    return plan;
+}
+
+bool RequestFlow::isTrusted(const LinkResult &result) const
+{
+    return interpretLinkResult(result, options_.names).end != AttemptEnd::Broken;
 }
 
 /** @return What is sent to an upstream for a request. */
@@ -347,7 +349,7 @@
                     {"duration_ms", millis(record.endedAt - record.startedAt)}});
 }
 
-void RequestFlow::report(const Job &job)
+void RequestFlow::close(const Job &job)
 {
     const core::MonoTime now = core::MonoClock::now();
     const core::Micros duration = now - job.exchange->receivedAt;
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -3,9 +3,9 @@
 
 #include "metrics/registry_base.h"
 #include "proxy/account_share_base.h"
-#include "proxy/caller_session_base.h"
 #include "proxy/dispatcher_base.h"
 #include "proxy/exchange_func.h"
+#include "proxy/request_loop_base.h"
 #include "proxy/route_table_base.h"
 
 #include <map>
@@ -34,10 +34,14 @@
     core::Micros returnTime {core::Millis(10)};
 };
 
-/** Routes, limits, waits, placement, repeats and answers of the requests of one VM. */
+/** Routes, limits, waits, placement, repeats and answers of the requests of one VM; the model of a
+ * RequestLoop. */
 class RequestFlow
 {
 public:
+    struct Job;
+    using Place = Placement;
+
     /** Collaborators; all must outlive the flow. */
     struct Parts
     {
@@ -66,29 +70,35 @@
     /** Sends waiting requests for which there is room, and refuses those that are too late. */
     void pump(core::MonoTime now);
     /** Closes kept connections that are of no use any more. */
-    void closeStaleLinks(core::MonoTime now) { links_.closeStale(now); }
+    void closeStaleLinks(core::MonoTime now) { loop_.closeStaleLinks(now); }
     /** @return Waiting requests. */
     std::size_t waiting() const { return dispatcher_.waiting(); }
 
 private:
-    struct Job;
+    friend class RequestLoop<RequestFlow>;
     struct Waiter;
     struct Refusal;
 
-    bool prepare(Job &job);
+    // What the loop calls; see RequestModel.
+    Job open(const std::shared_ptr<CallerExchange> &exchange) const;
+    asio::awaitable<bool> admit(Job &job);
+    asio::awaitable<std::optional<Placement>> place(Job &job);
+    AttemptPlan plan(Job &job, const Placement &placement, core::MonoTime now);
+    bool isTrusted(const LinkResult &result) const;
+    bool settle(Job &job, const Placement &placement, core::MonoTime startedAt, LinkResult result);
+    void close(const Job &job);
+
     bool findRoute(Job &job);
     bool findAccount(Job &job);
-    asio::awaitable<PlacementResult> place(Job &job);
+    bool checkLimit(Job &job);
+    asio::awaitable<PlacementResult> findPlace(Job &job);
     asio::awaitable<PlacementResult> waitFor(Job &job, WaitTicket ticket, core::MonoTime now);
     void wakeWaiters(std::vector<DispatchDecision> decided);
-    asio::awaitable<bool> attempt(Job &job, const Placement &placement);
     HttpRequest makeForwarded(const Job &job, const Placement &placement, core::MonoTime now) const;
-    bool settle(Job &job, const Placement &placement, core::MonoTime startedAt, LinkResult result);
     LinkOptions linkOptions(Job &job, const Placement &placement, core::MonoTime now);
     void refuse(Job &job, const Refusal &refusal);
     void refuseUnplaced(Job &job, NoPlacement reason);
     void answerFailure(Job &job, AttemptEnd end);
-    void report(const Job &job);
     void reportAttempt(const Job &job, const Placement &placement, const AttemptRecord &record,
                        const LinkResult &result);
 
@@ -96,7 +106,7 @@
     RequestFlowOptions options_;
     Dispatcher<UpstreamTable> dispatcher_;
     std::map<WaitTicket, std::shared_ptr<Waiter>> waiters_;
-    LinkPool links_;
+    RequestLoop<RequestFlow> loop_;
     SplitSelector splits_;
     std::shared_ptr<const RouteTable> table_;
     FlowPhase phase_ = FlowPhase::Serving;
