Change: [Queue] The dispatch gate also serves requests that are no threads

enter() queues a request and tells of the end of its wait through a function, called without the lock; acquire() for threads is built on it. dispatch_gate_test unchanged, passes.

--- a/src/queue/dispatch_gate.cpp
+++ b/src/queue/dispatch_gate.cpp
@@ -1,7 +1,9 @@
-/** @file dispatch_gate.cpp Lets request threads of one service through in fair order. */
+/** @file dispatch_gate.cpp Lets requests of one service through in fair order. */
 #include "queue/dispatch_gate_base.h"
 
-#include <chrono>
+#include <algorithm>
+#include <future>
+#include <memory>
 
 namespace teaselreach::queue {
 
@@ -10,57 +12,88 @@
     , limit_(limit)
 { }
 
-GateResult DispatchGate::acquire(const GateRequest &request)
+GateEntry DispatchGate::enter(const GateRequest &request, Wake wake)
 {
-    std::unique_lock lock(mutex_);
-    const core::MonoTime now = core::MonoClock::now();
-    const Ticket ticket(++lastTicket_);
-    const EnqueueResult result = queue_.enqueue({.ticket = ticket,
-                                                 .account = request.account,
-                                                 .routeClass = request.routeClass,
-                                                 .weight = request.weight,
-                                                 .deadline = request.deadline,
-                                                 .expectedService = request.expectedService},
-                                                now);
-    if (result == EnqueueResult::QueueFull)
-        return GateResult::QueueFull;
-    if (result == EnqueueResult::DeadlineTooClose)
-        return GateResult::DeadlineExceeded;
+    std::optional<GateResult> own;
+    Decided decided;
+    GateEntry entry;
+    {
+        const std::lock_guard lock(mutex_);
+        const core::MonoTime now = core::MonoClock::now();
+        entry.ticket = Ticket(++lastTicket_);
+        const EnqueueResult result = queue_.enqueue({.ticket = entry.ticket,
+                                                     .account = request.account,
+                                                     .routeClass = request.routeClass,
+                                                     .weight = request.weight,
+                                                     .deadline = request.deadline,
+                                                     .expectedService = request.expectedService},
+                                                    now);
+        if (result == EnqueueResult::QueueFull)
+            entry.result = GateResult::QueueFull;
+        if (result == EnqueueResult::DeadlineTooClose)
+            entry.result = GateResult::DeadlineExceeded;
+        if (entry.result)
+            return entry;
+        waiters_.emplace(entry.ticket, [&own](GateResult turn) { own = turn; });
+        decided = grantTurns(now);
+        if (const auto waiter = waiters_.find(entry.ticket); waiter != waiters_.end())
+            waiter->second = std::move(wake);
+    }
+    tell(decided);
+    entry.result = own;
+    return entry;
+}
 
-    Waiter waiter;
-    waiters_.emplace(ticket, &waiter);
-    grantTurns(now);
-    const core::MonoTime latest = request.deadline - request.expectedService;
-    while (!waiter.granted && !waiter.expired) {
-        const core::Micros left = latest - core::MonoClock::now();
-        if (left < core::Micros(0)) {
-            queue_.cancel(ticket);
-            break;
-        }
-        // One microsecond more, so that the wait does not end just before the deadline.
-        waiter.wake.wait_for(lock, left + core::Micros(1));
+bool DispatchGate::cancel(Ticket ticket)
+{
+    const std::lock_guard lock(mutex_);
+    queue_.cancel(ticket);
+    return waiters_.erase(ticket) > 0;
+}
+
+GateResult DispatchGate::acquire(const GateRequest &request)
+{
+    const auto promise = std::make_shared<std::promise<GateResult>>();
+    std::future<GateResult> turn = promise->get_future();
+    const GateEntry entry =
+        enter(request, [promise](GateResult result) { promise->set_value(result); });
+    if (entry.result)
+        return *entry.result;
+    // One microsecond more, so that the wait does not end just before the deadline.
+    const core::MonoTime latest = request.deadline - request.expectedService + core::Micros(1);
+    while (turn.wait_for(std::max(core::Micros(0), latest - core::MonoClock::now()))
+           != std::future_status::ready) {
+        if (core::MonoClock::now() >= latest && cancel(entry.ticket))
+            return GateResult::DeadlineExceeded;
     }
-    waiters_.erase(ticket);
-    return waiter.granted ? GateResult::Granted : GateResult::DeadlineExceeded;
+    return turn.get();
 }
 
 void DispatchGate::release(GateOutcome outcome)
 {
-    const std::lock_guard lock(mutex_);
-    const core::MonoTime now = core::MonoClock::now();
-    --inFlight_;
-    if (outcome == GateOutcome::Shed)
-        limit_.shed(now);
-    if (outcome == GateOutcome::Answered)
-        limit_.answered();
-    grantTurns(now);
+    Decided decided;
+    {
+        const std::lock_guard lock(mutex_);
+        const core::MonoTime now = core::MonoClock::now();
+        --inFlight_;
+        if (outcome == GateOutcome::Shed)
+            limit_.shed(now);
+        if (outcome == GateOutcome::Answered)
+            limit_.answered();
+        decided = grantTurns(now);
+    }
+    tell(decided);
 }
 
 void DispatchGate::setSlots(double slots)
 {
-    const std::lock_guard lock(mutex_);
-    limit_.setMaximum(slots);
-    grantTurns(core::MonoClock::now());
+    Decided decided;
+    {
+        const std::lock_guard lock(mutex_);
+        limit_.setMaximum(slots);
+        decided = grantTurns(core::MonoClock::now());
+    }
+    tell(decided);
 }
 
 std::size_t DispatchGate::waiting() const
@@ -75,23 +108,31 @@
     return inFlight_;
 }
 
-/** Wakes the threads whose turn it is and those whose deadline has passed. The lock is held. */
-void DispatchGate::grantTurns(core::MonoTime now)
+/** @return The requests whose turn it is and those whose deadline has passed. The lock is held. */
+DispatchGate::Decided DispatchGate::grantTurns(core::MonoTime now)
 {
-    for (const Ticket ticket : queue_.takeExpired(now)) {
-        Waiter &waiter = *waiters_.at(ticket);
-        waiter.expired = true;
-        waiter.wake.notify_one();
-    }
+    Decided decided;
+    const auto decide = [&](Ticket ticket, GateResult result) {
+        const auto waiter = waiters_.find(ticket);
+        decided.emplace_back(std::move(waiter->second), result);
+        waiters_.erase(waiter);
+    };
+    for (const Ticket ticket : queue_.takeExpired(now))
+        decide(ticket, GateResult::DeadlineExceeded);
     while (inFlight_ < limit_.current()) {
         const std::optional<Ticket> ticket = queue_.takeNext();
         if (!ticket)
-            return;
+            break;
         ++inFlight_;
-        Waiter &waiter = *waiters_.at(*ticket);
-        waiter.granted = true;
-        waiter.wake.notify_one();
+        decide(*ticket, GateResult::Granted);
     }
+    return decided;
+}
+
+void DispatchGate::tell(const Decided &decided)
+{
+    for (const auto &[wake, result] : decided)
+        wake(result);
 }
 
 } // namespace teaselreach::queue
--- a/src/queue/dispatch_gate_base.h
+++ b/src/queue/dispatch_gate_base.h
@@ -1,23 +1,24 @@
-/** @file dispatch_gate_base.h Lets request threads of one service through in fair order. */
+/** @file dispatch_gate_base.h Lets requests of one service through in fair order. */
 #pragma once
 
 #include "queue/concurrency_limit_base.h"
 #include "queue/fair_queue_base.h"
 
-#include <condition_variable>
-#include <memory>
+#include <functional>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace teaselreach::queue {
 
-/** Why a request thread was let through or turned away. */
+/** Why a request was let through or turned away. */
 enum class GateResult : std::uint8_t { Granted, QueueFull, DeadlineExceeded };
 
 /** How a request that was let through has ended. */
 enum class GateOutcome : std::uint8_t { Answered, Shed, Failed };
 
-/** What a request thread asks to be let through with. */
+/** What a request asks to be let through with. */
 struct GateRequest
 {
     core::ClientAccountId account;
@@ -27,17 +28,33 @@
     core::Micros expectedService {0}; ///< Time the upstream is expected to need.
 };
 
-/** A FairQueue and a ConcurrencyLimit under one lock, for threads that wait for their turn. */
+/** The start of a request's wait. */
+struct GateEntry
+{
+    std::optional<GateResult> result; ///< Set if it need not wait.
+    Ticket ticket;                    ///< For cancel().
+};
+
+/** A FairQueue and a ConcurrencyLimit under one lock, for requests that wait for their turn. */
 class DispatchGate
 {
 public:
+    /** Tells of the end of a wait. Called at most once, by any thread, without the lock. */
+    using Wake = std::function<void(GateResult)>;
+
     /** @param queue Bounds of the queue. @param limit Bounds of the requests in flight. */
     DispatchGate(FairQueueOptions queue, ConcurrencyLimitOptions limit);
 
     /**
-     * Waits until the request may be dispatched. Each Granted is to be followed by one release().
-     * @return Granted, or why the request was not run.
+     * Lets the request through or queues it. Each Granted, also one that wake tells of, is to be
+     * followed by one release().
+     * @param wake Called unless the result is returned. Somebody has to call cancel() once the
+     * request is too late.
      */
+    GateEntry enter(const GateRequest &request, Wake wake);
+    /** Ends the wait of a request. @return Whether it waited; its wake is not called any more. */
+    bool cancel(Ticket ticket);
+    /** enter() for a thread that waits for the result, at the latest until the deadline. */
     GateResult acquire(const GateRequest &request);
     /** Ends a granted request and lets the next one through. */
     void release(GateOutcome outcome);
@@ -50,22 +67,18 @@
     int inFlight() const;
 
 private:
-    /** A waiting thread. */
-    struct Waiter
-    {
-        std::condition_variable wake;
-        bool granted = false;
-        bool expired = false;
-    };
+    /** Wakes that are due once the lock is released. */
+    using Decided = std::vector<std::pair<Wake, GateResult>>;
 
-    void grantTurns(core::MonoTime now);
+    Decided grantTurns(core::MonoTime now);
+    static void tell(const Decided &decided);
 
     mutable std::mutex mutex_;
     FairQueue queue_;
     ConcurrencyLimit limit_;
     int inFlight_ = 0;
     std::uint64_t lastTicket_ = 0;
-    std::unordered_map<Ticket, Waiter *, core::StrongHash> waiters_;
+    std::unordered_map<Ticket, Wake, core::StrongHash> waiters_;
 };
 
 } // namespace teaselreach::queue
