Change: [Daemon] Callers and upstreams on the event loop of the proxy: one request path

teaselreachd had a path of its own: ulfius with a thread for each connection, and libcurl. Its pipeline is now the second model of RequestLoop beside RequestFlow; connections of callers, pipelining, kept connections to upstreams and time-outs are one code for both daemons. Control, JSON-RPC and the tool stay on ulfius and libcurl. The limits and the queue tell a waiting request through a function instead of waking its thread. CallerSession answers slow senders and unreadable requests with the daemon's typed refusals, also those that libmicrohttpd refused itself. Tests: all 18 cases of daemon_test pass unchanged, six runs at once.

--- a/src/daemon/attempt.cpp
+++ b/src/daemon/attempt.cpp
@@ -80,6 +80,7 @@
     case AttemptOutcome::Success:
     case AttemptOutcome::ServerError:
     case AttemptOutcome::Cut:
+    case AttemptOutcome::CallerLeft:
         break;
     }
     return table::Refusal::UpstreamCut;
--- a/src/daemon/collaborator_type.h
+++ b/src/daemon/collaborator_type.h
@@ -5,10 +5,13 @@
 #include "core/clock_type.h"
 #include "core/id_type.h"
 #include "http/http_type.h"
+#include "limit/limit_type.h"
+#include "queue/queue_type.h"
 #include "record/record_type.h"
 
 #include <concepts>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -35,14 +38,40 @@
     DeadlineExceeded,
 };
 
-/** The limits: admit() may wait for a token, but not beyond the deadline. */
+/** A request that waits for a token. */
+struct WaitingAdmission
+{
+    core::ClientAccountId account;
+    limit::TicketId ticket;
+    core::MonoTime latest; ///< It is decided then.
+};
+
+/** Where a request stands with its limit. */
+struct AdmissionState
+{
+    std::optional<AdmissionVerdict> verdict; ///< Nothing while it waits.
+    WaitingAdmission waiting;                ///< For lookAgain() while it waits.
+    core::MonoTime nextLook;                 ///< When lookAgain() is to be called at the latest.
+};
+
+/**
+ * The limits. admit() may let a request wait for a token, but not beyond the deadline; wake is
+ * called by any thread when lookAgain() has news. A wait that is given up ends with abandon().
+ */
 template <typename T>
 concept Admission = requires(T &admission, const record::ClientAccount &account,
-                             const record::Limit *limit, core::MonoTime deadline)
+                             const record::Limit *limit, core::MonoTime time,
+                             std::function<void()> wake, const WaitingAdmission &waiting)
 {
     {
-        admission.admit(account, limit, deadline)
-        } -> std::same_as<AdmissionVerdict>;
+        admission.admit(account, limit, time, std::move(wake))
+        } -> std::same_as<AdmissionState>;
+    {
+        admission.lookAgain(waiting, time)
+        } -> std::same_as<AdmissionState>;
+    {
+        admission.abandon(waiting)
+        } -> std::same_as<void>;
 };
 
 /** Answer of the queue in front of a service's slots. */
@@ -58,13 +87,27 @@
     core::MonoTime deadline;
 };
 
-/** The queue: each Granted enter() is followed by one leave(), told whether an upstream shed. */
+/** Where a request stands with the queue. */
+struct GateState
+{
+    std::optional<GateVerdict> verdict; ///< Nothing while it waits.
+    queue::Ticket ticket;               ///< For cancel() while it waits.
+};
+
+/**
+ * The queue: each Granted is followed by one leave(), told whether an upstream shed. At the end of
+ * a wait wake is called by any thread, unless cancel() returned true before.
+ */
 template <typename T>
-concept DispatchGate = requires(T &gate, const GateRequest &request, bool shed)
+concept DispatchGate = requires(T &gate, const GateRequest &request, bool shed,
+                                std::function<void(GateVerdict)> wake, queue::Ticket ticket)
 {
     {
-        gate.enter(request)
-        } -> std::same_as<GateVerdict>;
+        gate.enter(request, std::move(wake))
+        } -> std::same_as<GateState>;
+    {
+        gate.cancel(request.service, ticket)
+        } -> std::same_as<bool>;
     {
         gate.leave(request.service, shed)
         } -> std::same_as<void>;
@@ -93,7 +136,8 @@
     Shed,        ///< 503 with X-Not-Run: certainly not run.
     NotSent,     ///< No connection.
     Timeout,
-    Cut, ///< Sent, but no whole answer.
+    Cut,        ///< Sent, but no whole answer.
+    CallerLeft, ///< Given up because the caller has left.
 };
 
 /** One attempt, for outlier ejection and load reports. */
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -6,6 +6,7 @@
 #include "daemon/feeds_base.h"
 
 #include <condition_variable>
+#include <future>
 
 namespace teaselreach::daemon {
 
@@ -15,13 +16,10 @@
 constexpr core::Seconds maxHandOverWait {5};
 /** Interval at which a leaving daemon tries to hand over. */
 constexpr core::Millis handOverInterval {100};
-
-http::ClientOptions clientOptions(const settings::UpstreamSettings &upstream)
-{
-    return {.connectTimeout = upstream.connectTimeout,
-            .idleConnection = upstream.idleConnection,
-            .maxIdleConnections = static_cast<std::size_t>(upstream.maxIdleConnections)};
-}
+/** Interval at which stale connections are looked for. */
+constexpr core::Millis tidyInterval {50};
+/** Interval at which a leaving daemon looks whether all callers have their answers. */
+constexpr core::Millis idleCheckInterval {5};
 
 /** @return A number that no other process of this VM id has, without a clock or a disk. */
 core::Incarnation makeIncarnation()
@@ -54,24 +52,28 @@
               directory_, transport_)
     , upstreams_(
           {.self = settings_.vm.id, .location = settings_.vm.location, .incarnation = incarnation_})
-    , client_(clientOptions(settings_.upstream))
     , vmList_(std::make_shared<const core::VmList>())
-    , pipeline_({.config = config_,
+    , pipeline_({.context = context_,
+                 .config = config_,
                  .limits = limits_,
                  .gate = gate_,
                  .chooser = upstreams_,
-                 .client = client_,
                  .lifecycle = lifecycle_,
-                 .observer = observer_})
+                 .observer = observer_},
+                {.connectTimeout = settings_.upstream.connectTimeout,
+                 .idleConnection = settings_.upstream.idleConnection})
+    , callerServer_(context_, settings_.vm.address, settings_.listen.callerPort, callerHandlers())
     , control_({.settings = settings_,
                 .lifecycle = lifecycle_,
                 .config = config_,
                 .observer = observer_,
                 .handlers = handlers_})
-    , controlServer_((addHandlers(), serverOptions(settings_.listen.controlPort)),
-                     controlHandlers())
-    , callerServer_(serverOptions(settings_.listen.callerPort), callerHandlers())
+    , controlServer_((addHandlers(), controlOptions()), controlHandlers())
+    , loopWork_(context_.get_executor())
+    , loop_([this] { context_.run(); })
 {
+    proxy::asio::co_spawn(
+        context_, [this]() { return tidyForever(); }, proxy::asio::detached);
     core::logEvent(core::LogLevel::Info, "daemon_started",
                    {{"vm", settings_.vm.id.str()}, {"address", settings_.vm.address}});
 }
@@ -79,7 +81,7 @@
 Daemon::~Daemon()
 {
     // The feeds' threads call into the other parts, and server threads call the feeds.
-    callerServer_.stop();
+    stopLoop();
     controlServer_.stop();
     startedFeeds_.store(nullptr);
     feeds_.reset();
@@ -136,8 +138,8 @@
     core::logEvent(core::LogLevel::Info, "daemon_leaving", {{"vm", settings_.vm.id.str()}});
     waitFor(settings_.shutdown.entryHold);
     lifecycle_.enter(Phase::Refusing);
-    callerServer_.waitUntilIdle();
-    callerServer_.stop();
+    finishCallers();
+    stopLoop();
     handOverLimits();
     controlServer_.stop();
     core::logEvent(core::LogLevel::Info, "daemon_stopped", {{"vm", settings_.vm.id.str()}});
@@ -158,30 +160,101 @@
         waitFor(handOverInterval);
 }
 
-http::ServerHandlers Daemon::callerHandlers()
+/** Runs a task on the event loop and waits for its end. */
+void Daemon::onLoop(const std::function<void()> &task)
+{
+    std::promise<void> done;
+    proxy::asio::post(context_, [&] {
+        task();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+/** Waits until every request has its answer, and takes no further connection. */
+void Daemon::finishCallers()
 {
-    return {.onRequest = [this](const auto &request) { return answerCaller(request); },
-            .onFault = [this](http::ServerFault fault) { return answerFault(fault); }};
+    std::size_t pending = 1;
+    while (pending > 0) {
+        onLoop([&] { pending = callerServer_.pending(); });
+        if (pending > 0)
+            waitFor(idleCheckInterval);
+    }
+    onLoop([this] {
+        callerServer_.stopAccepting();
+        callerServer_.closeIdle();
+    });
+}
+
+void Daemon::stopLoop()
+{
+    context_.stop();
+    if (loop_.joinable())
+        loop_.join();
+}
+
+proxy::asio::awaitable<void> Daemon::tidyForever()
+{
+    proxy::asio::steady_timer timer(context_);
+    while (!context_.stopped()) {
+        timer.expires_after(tidyInterval);
+        proxy::ErrorCode ignored; // Nothing cancels the timer.
+        co_await timer.async_wait(proxy::storeError(ignored));
+        const core::MonoTime now = core::MonoClock::now();
+        callerServer_.closeStale(now);
+        pipeline_.closeStaleLinks(now);
+    }
+}
+
+proxy::CallerHandlers Daemon::callerHandlers()
+{
+    return {.serve =
+                [this](std::shared_ptr<proxy::CallerExchange> exchange) {
+                    return answerCaller(std::move(exchange));
+                },
+            .limits = [this] { return callerLimits(); },
+            .closing = [this] { return lifecycle_.phase() != Phase::Serving; },
+            .fault =
+                [this](proxy::RequestFault fault) {
+                    return toHttpResponse(answerFault(fault == proxy::RequestFault::BodyTooLarge));
+                }};
+}
+
+proxy::SessionLimits Daemon::callerLimits() const
+{
+    return {.maxBodyBytes = settings_.listen.maxBodyBytes,
+            .headerTimeout = settings_.listen.headerTimeout,
+            .idleTimeout = settings_.listen.idleTimeout,
+            .requestTimeout = settings_.listen.headerTimeout};
 }
 
 http::ServerHandlers Daemon::controlHandlers()
 {
     return {.onRequest = [this](const auto &request) { return control_.handle(request); },
-            .onFault = [this](http::ServerFault fault) { return answerFault(fault); }};
+            .onFault =
+                [this](http::ServerFault fault) {
+                    return answerFault(fault == http::ServerFault::BodyTooLarge);
+                }};
 }
 
-http::ServerOptions Daemon::serverOptions(std::uint16_t port) const
+http::ServerOptions Daemon::controlOptions() const
 {
     return {.address = settings_.vm.address,
-            .port = port,
+            .port = settings_.listen.controlPort,
             .maxBodyBytes = settings_.listen.maxBodyBytes,
             .idleTimeout = settings_.listen.idleTimeout,
             .requestTimeout = settings_.listen.headerTimeout};
 }
 
-http::ServerResponse Daemon::answerCaller(const http::ServerRequest &request)
+proxy::asio::awaitable<void> Daemon::answerCaller(std::shared_ptr<proxy::CallerExchange> exchange)
 {
-    return request.path == entryPath ? answerEntryRequest(request) : pipeline_.handle(request);
+    const auto target = exchange->request.target();
+    const std::string_view path(target.data(), std::min(target.find('?'), target.size()));
+    if (path != entryPath) {
+        co_await pipeline_.serve(std::move(exchange));
+        co_return;
+    }
+    putResponse(answerEntryRequest(takeRequest(*exchange)), *exchange);
 }
 
 http::ServerResponse Daemon::answerEntryRequest(const http::ServerRequest &request)
@@ -201,12 +274,10 @@
     }
 }
 
-http::ServerResponse Daemon::answerFault(http::ServerFault fault)
+http::ServerResponse Daemon::answerFault(bool bodyTooLarge)
 {
-    const table::Refusal refusal = fault == http::ServerFault::BodyTooLarge
-        ? table::Refusal::BodyTooLarge
-        : table::Refusal::MalformedRequest;
-    return refuse(refusal, fault == http::ServerFault::BodyTooLarge ? "body" : "slow_sender");
+    return bodyTooLarge ? refuse(table::Refusal::BodyTooLarge, "body")
+                        : refuse(table::Refusal::MalformedRequest, "unreadable");
 }
 
 /** Refuses a request that does not pass through the pipeline. */
--- a/src/daemon/daemon_base.h
+++ b/src/daemon/daemon_base.h
@@ -11,9 +11,12 @@
 #include "daemon/upstream_service_base.h"
 #include "http/server_base.h"
 
+#include <boost/asio/executor_work_guard.hpp>
+
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <thread>
 
 namespace teaselreach::daemon {
 
@@ -62,15 +65,21 @@
     nlohmann::json answerMembers() const;
     nlohmann::json answerExplain(const nlohmann::json &params) const;
     nlohmann::json answerBurn() const;
-    http::ServerHandlers callerHandlers();
+    proxy::CallerHandlers callerHandlers();
     http::ServerHandlers controlHandlers();
-    http::ServerOptions serverOptions(std::uint16_t port) const;
-    http::ServerResponse answerCaller(const http::ServerRequest &request);
+    http::ServerOptions controlOptions() const;
+    proxy::SessionLimits callerLimits() const;
+    proxy::asio::awaitable<void> answerCaller(std::shared_ptr<proxy::CallerExchange> exchange);
     http::ServerResponse answerEntryRequest(const http::ServerRequest &request);
-    http::ServerResponse answerFault(http::ServerFault fault);
+    http::ServerResponse answerFault(bool bodyTooLarge);
+    proxy::asio::awaitable<void> tidyForever();
+    void onLoop(const std::function<void()> &task);
+    void finishCallers();
+    void stopLoop();
     std::shared_ptr<const core::VmList> vmList() const;
 
     settings::Settings settings_;
+    proxy::asio::io_context context_ {1}; ///< Callers and upstreams; one thread runs it.
     core::Incarnation incarnation_;
     Lifecycle lifecycle_;
     RequestObserver observer_;
@@ -80,17 +89,18 @@
     LimitService limits_;
     GateService gate_;
     UpstreamService upstreams_;
-    http::Client client_;
     rpc::HandlerTable handlers_;
     mutable std::mutex vmListMutex_;
     std::shared_ptr<const core::VmList> vmList_;
     Pipeline pipeline_;
+    proxy::CallerServer callerServer_;
     Control control_;
     std::unique_ptr<Feeds> feeds_;
     std::atomic<Feeds *> startedFeeds_ {nullptr}; ///< For server threads; set once.
     // Destroyed first: their threads use all of the above.
     http::Server controlServer_;
-    http::Server callerServer_;
+    proxy::asio::executor_work_guard<proxy::asio::io_context::executor_type> loopWork_;
+    std::thread loop_;
 };
 
 } // namespace teaselreach::daemon
--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -3,13 +3,11 @@
 
 namespace teaselreach::daemon {
 
-GateVerdict GateService::enter(const GateRequest &request)
+namespace {
+
+GateVerdict verdictOf(queue::GateResult result)
 {
-    switch (gateOf(request.service)
-                .acquire({.account = request.account,
-                          .routeClass = request.routeClass,
-                          .weight = request.weight,
-                          .deadline = request.deadline})) {
+    switch (result) {
     case queue::GateResult::Granted:
         return GateVerdict::Granted;
     case queue::GateResult::QueueFull:
@@ -20,6 +18,28 @@
     return GateVerdict::QueueFull;
 }
 
+} // namespace
+
+GateState GateService::enter(const GateRequest &request, std::function<void(GateVerdict)> wake)
+{
+    const queue::GateEntry entry =
+        gateOf(request.service)
+            .enter({.account = request.account,
+                    .routeClass = request.routeClass,
+                    .weight = request.weight,
+                    .deadline = request.deadline},
+                   [wake = std::move(wake)](queue::GateResult result) { wake(verdictOf(result)); });
+    GateState state {.verdict = std::nullopt, .ticket = entry.ticket};
+    if (entry.result)
+        state.verdict = verdictOf(*entry.result);
+    return state;
+}
+
+bool GateService::cancel(const core::ServiceId &service, queue::Ticket ticket)
+{
+    return gateOf(service).cancel(ticket);
+}
+
 void GateService::leave(const core::ServiceId &service, bool shed)
 {
     gateOf(service).release(shed ? queue::GateOutcome::Shed : queue::GateOutcome::Answered);
--- a/src/daemon/gate_service_base.h
+++ b/src/daemon/gate_service_base.h
@@ -14,8 +14,11 @@
 class GateService
 {
 public:
-    /** Waits for the request's turn. */
-    GateVerdict enter(const GateRequest &request);
+    /** Lets a request through or queues it. @param wake Called by any thread at the end of a wait.
+     */
+    GateState enter(const GateRequest &request, std::function<void(GateVerdict)> wake);
+    /** Ends a wait. @return Whether the request waited; its wake is not called any more. */
+    bool cancel(const core::ServiceId &service, queue::Ticket ticket);
     /** Ends a granted request. @param shed Whether an upstream shed it. */
     void leave(const core::ServiceId &service, bool shed);
     /** @param slots Slots of the service's upstreams that are in use. */
--- /dev/null
+++ b/src/daemon/http_form.cpp
@@ -0,0 +1,100 @@
+/** @file http_form.cpp Messages of the event loop in the forms of the daemon, and back. */
+#include "daemon/http_form_func.h"
+
+namespace teaselreach::daemon {
+
+namespace {
+
+std::string text(auto view)
+{
+    return {view.data(), view.size()};
+}
+
+template <typename Fields>
+http::Headers readHeaders(const Fields &fields)
+{
+    http::Headers headers;
+    for (const auto &field : fields)
+        headers.push_back({text(field.name_string()), text(field.value())});
+    return headers;
+}
+
+template <typename Message>
+void writeHeaders(const http::Headers &headers, Message &message)
+{
+    for (const http::Header &header : headers)
+        message.insert(header.name, header.value);
+}
+
+} // namespace
+
+http::ServerRequest takeRequest(proxy::CallerExchange &exchange)
+{
+    proxy::HttpRequest &request = exchange.request;
+    const std::string target = text(request.target());
+    return {.method = text(request.method_string()),
+            .path = target.substr(0, target.find('?')),
+            .target = target,
+            .headers = readHeaders(request),
+            .body = std::move(request.body()),
+            .receivedAt = exchange.receivedAt};
+}
+
+void putResponse(http::ServerResponse response, proxy::CallerExchange &exchange)
+{
+    exchange.closeAfter = response.closeConnection;
+    exchange.response = toHttpResponse(std::move(response));
+}
+
+proxy::HttpResponse toHttpResponse(http::ServerResponse response)
+{
+    proxy::HttpResponse answer;
+    answer.version(proxy::httpVersion11);
+    answer.result(static_cast<unsigned>(response.status));
+    writeHeaders(response.headers, answer);
+    answer.body() = std::move(response.body);
+    answer.prepare_payload();
+    return answer;
+}
+
+proxy::HttpRequest toHttpRequest(http::Request request, const http::Target &target)
+{
+    proxy::HttpRequest message;
+    message.version(proxy::httpVersion11);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(proxy::beasthttp::field::host, target.address + ":" + std::to_string(target.port));
+    writeHeaders(request.headers, message);
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+http::Result takeResult(proxy::LinkResult result)
+{
+    http::Result taken {.detail = std::move(result.detail)};
+    switch (result.failure) {
+    case proxy::LinkFailure::None:
+        taken.progress = http::Progress::Answered;
+        taken.status = static_cast<int>(result.response.result_int());
+        taken.headers = readHeaders(result.response);
+        taken.body = std::move(result.response.body());
+        break;
+    case proxy::LinkFailure::NotConnected:
+        taken.progress = http::Progress::NotSent;
+        taken.cause = http::Cause::Connect;
+        break;
+    case proxy::LinkFailure::TimedOut:
+        taken.progress = http::Progress::SentOnly;
+        taken.cause = http::Cause::Timeout;
+        break;
+    case proxy::LinkFailure::Broken:
+    case proxy::LinkFailure::Cancelled:
+        taken.progress = http::Progress::SentOnly;
+        taken.cause = http::Cause::Cut;
+        break;
+    }
+    return taken;
+}
+
+} // namespace teaselreach::daemon
--- a/src/daemon/limit_service.cpp
+++ b/src/daemon/limit_service.cpp
@@ -1,4 +1,4 @@
-/** @file limit_service.cpp The distributed limits as request threads of one daemon use them. */
+/** @file limit_service.cpp The distributed limits as the requests of one daemon use them. */
 #include "core/digest_func.h"
 #include "core/log_func.h"
 #include "daemon/limit_service_base.h"
@@ -56,48 +56,65 @@
     }
 }
 
-AdmissionVerdict LimitService::admit(const record::ClientAccount &account,
-                                     const record::Limit *limit, core::MonoTime deadline)
+AdmissionState LimitService::admit(const record::ClientAccount &account, const record::Limit *limit,
+                                   core::MonoTime deadline, std::function<void()> wake)
 {
     if (limit == nullptr)
-        return AdmissionVerdict::Admitted;
+        return {.verdict = AdmissionVerdict::Admitted};
     Shard &shard = shardOf(account.id);
-    std::unique_lock lock(shard.mutex);
+    const std::lock_guard lock(shard.mutex);
     const core::MonoTime now = core::MonoClock::now();
     const core::Micros untilDeadline = std::max(core::Micros(0), deadline - now);
     const core::Micros maxWait = std::min<core::Micros>(options_.maxWait, untilDeadline);
     const limit::Admission admission = shard.state->tryAdmit(now, account.id, maxWait);
+    if (admission.decision != limit::Decision::Waits) {
+        carryOut(shard);
+        return {.verdict = verdictOf(admission.decision)};
+    }
+    // Registered first: the state's output may already decide on the ticket.
+    shard.waiters[admission.ticket].wake = std::move(wake);
     carryOut(shard);
-    if (admission.decision != limit::Decision::Waits)
-        return verdictOf(admission.decision);
-    return verdictOf(waitForDecision(shard, lock, admission.ticket, now + maxWait));
+    return stateOf(
+        shard, {.account = account.id, .ticket = admission.ticket, .latest = now + maxWait}, now);
 }
 
-/** Waits for a ticket and does the shard's due work meanwhile, so that no token comes late. */
-limit::Decision LimitService::waitForDecision(Shard &shard, std::unique_lock<std::mutex> &lock,
-                                              limit::TicketId ticket, core::MonoTime latest)
+AdmissionState LimitService::lookAgain(const WaitingAdmission &waiting, core::MonoTime now)
 {
-    Waiter waiter;
-    shard.waiters.emplace(ticket, &waiter);
-    // The state resolves each ticket by `latest`; work done at that time includes this one.
-    shard.state->onTime(core::MonoClock::now());
+    Shard &shard = shardOf(waiting.account);
+    const std::lock_guard lock(shard.mutex);
+    shard.state->onTime(now);
     carryOut(shard);
-    while (!waiter.decision) {
-        const core::MonoTime now = core::MonoClock::now();
-        const core::MonoTime due = std::min(shard.state->nextDue().value_or(latest), latest);
-        if (due <= now) {
-            shard.state->onTime(now);
-            carryOut(shard);
-            if (waiter.decision || now > latest)
-                break;
-        }
-        waiter.wake.wait_for(lock, std::max<core::Micros>(due - now, core::Micros(100)));
+    return stateOf(shard, waiting, now);
+}
+
+void LimitService::abandon(const WaitingAdmission &waiting)
+{
+    Shard &shard = shardOf(waiting.account);
+    const std::lock_guard lock(shard.mutex);
+    shard.waiters.erase(waiting.ticket);
+}
+
+/** @return Where a waiting request stands; one that is decided is forgotten. The lock is held. */
+AdmissionState LimitService::stateOf(Shard &shard, const WaitingAdmission &waiting,
+                                     core::MonoTime now)
+{
+    const auto found = shard.waiters.find(waiting.ticket);
+    std::optional<limit::Decision> decision;
+    if (found != shard.waiters.end())
+        decision = found->second.decision;
+    // The state resolves each ticket by `latest`; work done at that time includes this one.
+    if (!decision && now > waiting.latest)
+        decision = limit::Decision::RateLimited;
+    if (decision) {
+        shard.waiters.erase(waiting.ticket);
+        return {.verdict = verdictOf(*decision)};
     }
-    shard.waiters.erase(ticket);
-    return waiter.decision.value_or(limit::Decision::RateLimited);
+    const core::MonoTime due = shard.state->nextDue().value_or(waiting.latest);
+    return {.waiting = waiting, .nextLook = std::min(due, waiting.latest)};
 }
 
-/** Sends the requests and wakes the threads that the state's output names. The lock is held. */
+/** Sends the requests and wakes the waiting ones that the state's output names. The lock is held.
+ */
 void LimitService::carryOut(Shard &shard)
 {
     const limit::LimitOutput output = shard.state->takeOutput();
@@ -105,8 +122,8 @@
         const auto found = shard.waiters.find(resolved.ticket);
         if (found == shard.waiters.end())
             continue;
-        found->second->decision = resolved.decision;
-        found->second->wake.notify_one();
+        found->second.decision = resolved.decision;
+        found->second.wake();
     }
     for (const limit::OutgoingBorrow &outgoing : output.requests)
         send(shard, outgoing);
--- a/src/daemon/limit_service_base.h
+++ b/src/daemon/limit_service_base.h
@@ -1,4 +1,4 @@
-/** @file limit_service_base.h The distributed limits as request threads of one daemon use them. */
+/** @file limit_service_base.h The distributed limits as the requests of one daemon use them. */
 #pragma once
 
 #include "core/ticker_base.h"
@@ -10,7 +10,7 @@
 
 #include <array>
 #include <atomic>
-#include <condition_variable>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
@@ -39,14 +39,21 @@
      */
     LimitService(LimitServiceOptions options, const PeerDirectory &directory,
                  rpc::HttpTransport &transport);
-    /** Stops the threads. No request may be waiting in admit(). */
+    /** Stops the threads. No request may be waiting. */
     ~LimitService();
     LimitService(const LimitService &) = delete;
     LimitService &operator=(const LimitService &) = delete;
 
-    /** Takes a token, or waits for one until `maxWait` or the deadline. */
-    AdmissionVerdict admit(const record::ClientAccount &account, const record::Limit *limit,
-                           core::MonoTime deadline);
+    /**
+     * Takes a token, or lets the request wait for one until `maxWait` or the deadline.
+     * @param wake Called with a lock held; must not call the service.
+     */
+    AdmissionState admit(const record::ClientAccount &account, const record::Limit *limit,
+                         core::MonoTime deadline, std::function<void()> wake);
+    /** Does what is due for a waiting request. @return Its verdict, or when to look again. */
+    AdmissionState lookAgain(const WaitingAdmission &waiting, core::MonoTime now);
+    /** Forgets a request that waits no more. */
+    void abandon(const WaitingAdmission &waiting);
     /** Answers `limit.borrow`. @throws nlohmann::json::exception if params are malformed. */
     nlohmann::json answerBorrow(const nlohmann::json &params);
 
@@ -71,10 +78,10 @@
 private:
     static constexpr std::size_t shardCount = 8;
 
-    /** A request thread that waits for the decision on its ticket. */
+    /** A request that waits for the decision on its ticket. */
     struct Waiter
     {
-        std::condition_variable wake;
+        std::function<void()> wake;
         std::optional<limit::Decision> decision;
     };
 
@@ -82,7 +89,7 @@
     {
         mutable std::mutex mutex;
         std::unique_ptr<limit::LimitState> state;
-        std::unordered_map<limit::TicketId, Waiter *, core::StrongHash> waiters;
+        std::unordered_map<limit::TicketId, Waiter, core::StrongHash> waiters;
     };
 
     /** The shards, each with its state. */
@@ -92,8 +99,8 @@
     };
 
     Shard &shardOf(const core::ClientAccountId &account);
-    limit::Decision waitForDecision(Shard &shard, std::unique_lock<std::mutex> &lock,
-                                    limit::TicketId ticket, core::MonoTime latest);
+    static AdmissionState stateOf(Shard &shard, const WaitingAdmission &waiting,
+                                  core::MonoTime now);
     void carryOut(Shard &shard);
     void send(Shard &shard, const limit::OutgoingBorrow &borrow);
     void borrow(Shard &shard, const limit::OutgoingBorrow &borrow);
--- a/src/daemon/request_pipeline_base.h
+++ b/src/daemon/request_pipeline_base.h
@@ -3,19 +3,36 @@
 
 #include "daemon/attempt_func.h"
 #include "daemon/collaborator_type.h"
+#include "daemon/http_form_func.h"
 #include "daemon/lifecycle_base.h"
 #include "daemon/refusal_func.h"
 #include "daemon/request_check_func.h"
 #include "daemon/request_observer_base.h"
-#include "http/client_base.h"
+#include "proxy/request_loop_base.h"
 
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
 #include <utility>
 
 namespace teaselreach::daemon {
 
+/** Times of connections to upstreams. */
+struct PipelineOptions
+{
+    core::Micros connectTimeout {core::Millis(500)};
+    core::Micros idleConnection {core::Seconds(30)}; ///< Older idle connections are not used again.
+    /** The same for requests that may not be repeated: an upstream may drop idle connections, and
+     * whatever is sent then may or may not have run. */
+    core::Micros idleForNonIdempotent {core::Seconds(3)};
+};
+
 /**
- * Finds the route, checks the key, asks the limits and the queue, and sends the request to an
- * upstream. All members may be called by several threads at a time.
+ * Finds the route, checks the key, asks the limits and the queue, and chooses upstreams; the model
+ * of a proxy::RequestLoop. Runs on the event loop; the collaborators may also be called by other
+ * threads.
  */
 template <ConfigSource Config, Admission Limits, DispatchGate Gate, UpstreamChooser Chooser>
 class RequestPipeline
@@ -24,47 +41,20 @@
     /** What the pipeline works with; all of it must outlive the pipeline. */
     struct Parts
     {
+        proxy::asio::io_context &context;
         Config &config;
         Limits &limits;
         Gate &gate;
         Chooser &chooser;
-        http::Client &client;
         const Lifecycle &lifecycle;
         RequestObserver &observer;
     };
 
-    /** @param parts The collaborators. */
-    explicit RequestPipeline(Parts parts)
-        : parts_(parts)
-    { }
-
-    /**
-     * Carries out one request.
-     * @param request The caller's request.
-     * @return The upstream's answer, or a typed refusal; never throws for a refusal.
-     */
-    http::ServerResponse handle(const http::ServerRequest &request)
-    {
-        Progress progress {.request = request, .id = makeRequestId()};
-        http::ServerResponse response;
-        try {
-            response = run(progress);
-            finish(progress, response.status, answeredOutcome, "");
-        } catch (const RequestRefused &refused) {
-            response = refuse(progress, refused.refusal(), refused.what());
-        } catch (const http::ClientUnavailable &error) {
-            response = refuse(progress, table::Refusal::NoUpstream, error.what());
-        }
-        if (parts_.lifecycle.phase() != Phase::Serving)
-            response.closeConnection = true;
-        return response;
-    }
-
-private:
     /** State of one request. */
-    struct Progress
+    struct Job
     {
-        const http::ServerRequest &request;
+        std::shared_ptr<proxy::CallerExchange> exchange;
+        http::ServerRequest request;
         core::RequestId id;
         Authorization authorization;
         core::MonoTime deadline;
@@ -72,7 +62,10 @@
         /** Set once an upstream may have run the request. A later refusal must not report
          * "not run", whatever its cause. */
         std::optional<table::Refusal> maybeRun;
+        bool isThroughGate = false;
         bool shed = false; ///< Whether an upstream shed an attempt.
+        std::string outcome;
+        std::string reason;
 
         core::ClientAccountId account() const
         {
@@ -81,58 +74,187 @@
         }
     };
 
-    /** Leaves the gate at the end of a scope. */
-    struct GateSlot
+    using Place = ChosenUpstream;
+
+    /** @param parts The collaborators. @param options Times. */
+    RequestPipeline(Parts parts, PipelineOptions options)
+        : parts_(parts)
+        , options_(options)
+        , loop_(parts.context, *this)
+    { }
+
+    /** Carries out one request and fills its answer: the upstream's, or a typed refusal. */
+    proxy::asio::awaitable<void> serve(std::shared_ptr<proxy::CallerExchange> exchange)
     {
-        Gate &gate;
-        core::ServiceId service;
-        const bool &shed;
+        return loop_.serve(std::move(exchange));
+    }
+    /** Closes kept connections that are of no use any more. */
+    void closeStaleLinks(core::MonoTime now) { loop_.closeStaleLinks(now); }
 
-        GateSlot(Gate &entered, core::ServiceId id, const bool &wasShed)
-            : gate(entered)
-            , service(std::move(id))
-            , shed(wasShed)
-        { }
-        ~GateSlot() { gate.leave(service, shed); }
-        GateSlot(const GateSlot &) = delete;
-        GateSlot &operator=(const GateSlot &) = delete;
-    };
+    // What the loop calls; see proxy::RequestModel.
 
-    http::ServerResponse refuse(const Progress &progress, table::Refusal cause,
-                                std::string_view detail)
+    Job open(const std::shared_ptr<proxy::CallerExchange> &exchange) const
     {
-        const table::Refusal refusal = progress.maybeRun.value_or(cause);
-        http::ServerResponse response = makeRefusal(refusal, progress.id);
-        finish(progress, response.status, table::refusalRow(refusal).code, detail);
-        return response;
+        return {.exchange = exchange, .request = takeRequest(*exchange), .id = makeRequestId()};
     }
 
-    http::ServerResponse run(Progress &progress)
+    proxy::asio::awaitable<bool> admit(Job &job)
     {
-        checkWellFormed(progress.request);
-        if (parts_.lifecycle.phase() == Phase::Refusing)
-            throw RequestRefused(table::Refusal::ShuttingDown);
-        progress.authorization = authorizeNow(progress.request);
-        progress.deadline = deadlineOf(progress.request, *progress.authorization.route);
-        checkLimits(progress);
-        enterGate(progress);
-        const GateSlot slot(parts_.gate, progress.authorization.route->service, progress.shed);
-        return dispatch(progress);
+        try {
+            checkWellFormed(job.request);
+            if (parts_.lifecycle.phase() == Phase::Refusing)
+                throw RequestRefused(table::Refusal::ShuttingDown);
+            job.authorization = authorizeNow(job.request);
+            job.deadline = deadlineOf(job.request, *job.authorization.route);
+            const AdmissionVerdict verdict = co_await waitForToken(job);
+            checkAdmitted(verdict);
+            const GateVerdict turn = co_await waitForTurn(job);
+            checkGranted(turn);
+            job.isThroughGate = true;
+            co_return true;
+        } catch (const RequestRefused &refused) {
+            refuse(job, refused.refusal(), refused.what());
+        }
+        co_return false;
     }
 
-    Authorization authorizeNow(const http::ServerRequest &request) const
+    proxy::asio::awaitable<std::optional<ChosenUpstream>> place(Job &job)
     {
-        const bool usable = parts_.config.keysUsable(core::MonoClock::now());
-        return authorize(parts_.config.current(), usable, request);
+        try {
+            recheckKey(job);
+            co_return choose(job);
+        } catch (const RequestRefused &refused) {
+            refuse(job, refused.refusal(), refused.what());
+        }
+        co_return std::nullopt;
     }
 
-    void checkLimits(const Progress &progress)
+    proxy::AttemptPlan plan(const Job &job, const ChosenUpstream &chosen, core::MonoTime now) const
     {
-        const Authorization &authorization = progress.authorization;
+        const record::Route &route = *job.authorization.route;
+        return {
+            .target = chosen.target,
+            .request = toHttpRequest(
+                makeUpstreamRequest(
+                    job.request,
+                    {.requestId = job.id,
+                     .account = job.account(),
+                     .remaining = std::chrono::duration_cast<core::Millis>(job.deadline - now)}),
+                chosen.target),
+            .times = {.connectTimeout = options_.connectTimeout, .deadline = job.deadline},
+            .filter = {},
+            .maxIdle = route.idempotent ? options_.idleConnection : options_.idleForNonIdempotent,
+            .endsWithCaller = route.idempotent};
+    }
+
+    bool isTrusted(const proxy::LinkResult &result) const
+    {
+        return result.failure == proxy::LinkFailure::None;
+    }
+
+    bool settle(Job &job, const ChosenUpstream &chosen, core::MonoTime startedAt,
+                proxy::LinkResult ended)
+    {
+        const bool callerLeft = ended.failure == proxy::LinkFailure::Cancelled;
+        http::Result result = takeResult(std::move(ended));
+        const AttemptOutcome outcome = callerLeft ? AttemptOutcome::CallerLeft : outcomeOf(result);
+        report(job, chosen, result, outcome, startedAt);
+        job.shed = job.shed || outcome == AttemptOutcome::Shed;
+        if (outcome == AttemptOutcome::Success || outcome == AttemptOutcome::ServerError) {
+            job.outcome = answeredOutcome;
+            putResponse(makeCallerResponse(std::move(result), job.id), *job.exchange);
+            return false;
+        }
+        if (!surelyNotRun(outcome))
+            job.maybeRun = refusalOf(outcome);
+        if (!callerLeft && mayTryAgain(job, outcome))
+            return true;
+        refuse(job, refusalOf(outcome), result.detail);
+        return false;
+    }
+
+    void close(const Job &job)
+    {
+        if (job.isThroughGate)
+            parts_.gate.leave(job.authorization.route->service, job.shed);
+        finish(job);
+    }
+
+private:
+    /** Lets other threads end a wait of the event loop. */
+    struct Wait
+    {
+        explicit Wait(proxy::asio::io_context &context)
+            : timer(context)
+        { }
+        proxy::asio::steady_timer timer;
+        std::optional<GateVerdict> turn;
+    };
+
+    /** Waits until a time, or until the timer is cancelled. */
+    proxy::asio::awaitable<void> waitUntil(std::shared_ptr<Wait> wait, core::MonoTime time)
+    {
+        constexpr core::Micros shortest {100};
+        wait->timer.expires_after(std::max(shortest, time - core::MonoClock::now()));
+        proxy::ErrorCode cancelled; // Either way it is looked at again.
+        co_await wait->timer.async_wait(proxy::storeError(cancelled));
+    }
+
+    proxy::asio::awaitable<AdmissionVerdict> waitForToken(const Job &job)
+    {
+        const Authorization &authorization = job.authorization;
         if (authorization.account == nullptr)
-            return;
+            co_return AdmissionVerdict::Admitted;
         const record::Limit *limit = authorization.snapshot->findLimit(authorization.account->id);
-        switch (parts_.limits.admit(*authorization.account, limit, progress.deadline)) {
+        const auto wait = std::make_shared<Wait>(parts_.context);
+        const auto wake = [&context = parts_.context, wait] {
+            proxy::asio::post(context, [wait] { wait->timer.cancel(); });
+        };
+        AdmissionState state =
+            parts_.limits.admit(*authorization.account, limit, job.deadline, wake);
+        while (!state.verdict && !job.exchange->callerLeft) {
+            co_await waitUntil(wait, state.nextLook);
+            state = parts_.limits.lookAgain(state.waiting, core::MonoClock::now());
+        }
+        if (!state.verdict)
+            parts_.limits.abandon(state.waiting);
+        co_return state.verdict.value_or(AdmissionVerdict::RateLimited);
+    }
+
+    proxy::asio::awaitable<GateVerdict> waitForTurn(const Job &job)
+    {
+        const Authorization &authorization = job.authorization;
+        const core::ServiceId &service = authorization.route->service;
+        const int weight = authorization.account == nullptr ? 1 : authorization.account->weight;
+        const auto wait = std::make_shared<Wait>(parts_.context);
+        const auto wake = [&context = parts_.context, wait](GateVerdict verdict) {
+            proxy::asio::post(context, [wait, verdict] {
+                wait->turn = verdict;
+                wait->timer.cancel();
+            });
+        };
+        const GateState state = parts_.gate.enter({.service = service,
+                                                   .account = job.account(),
+                                                   .routeClass = authorization.route->routeClass,
+                                                   .weight = weight,
+                                                   .deadline = job.deadline},
+                                                  wake);
+        if (state.verdict)
+            co_return *state.verdict;
+        job.exchange->onCallerLeft = [wait] { wait->timer.cancel(); };
+        while (!wait->turn) {
+            co_await waitUntil(wait, job.deadline);
+            const bool over = core::MonoClock::now() >= job.deadline || job.exchange->callerLeft;
+            if (!wait->turn && over && parts_.gate.cancel(service, state.ticket))
+                co_return GateVerdict::DeadlineExceeded;
+        }
+        job.exchange->onCallerLeft = nullptr;
+        co_return *wait->turn;
+    }
+
+    static void checkAdmitted(AdmissionVerdict verdict)
+    {
+        switch (verdict) {
         case AdmissionVerdict::Admitted:
             return;
         case AdmissionVerdict::RateLimited:
@@ -144,15 +266,9 @@
         }
     }
 
-    void enterGate(const Progress &progress)
+    static void checkGranted(GateVerdict verdict)
     {
-        const Authorization &authorization = progress.authorization;
-        const int weight = authorization.account == nullptr ? 1 : authorization.account->weight;
-        switch (parts_.gate.enter({.service = authorization.route->service,
-                                   .account = progress.account(),
-                                   .routeClass = authorization.route->routeClass,
-                                   .weight = weight,
-                                   .deadline = progress.deadline})) {
+        switch (verdict) {
         case GateVerdict::Granted:
             return;
         case GateVerdict::QueueFull:
@@ -162,104 +278,93 @@
         }
     }
 
-    /** Sends the request until it is answered or may not be sent again. */
-    http::ServerResponse dispatch(Progress &progress)
+    void refuse(Job &job, table::Refusal cause, std::string_view detail)
     {
-        while (true) {
-            recheckKey(progress);
-            http::Result result;
-            const AttemptOutcome outcome = attempt(progress, result);
-            progress.shed = progress.shed || outcome == AttemptOutcome::Shed;
-            const bool whole =
-                outcome == AttemptOutcome::Success || outcome == AttemptOutcome::ServerError;
-            if (whole)
-                return makeCallerResponse(std::move(result), progress.id);
-            if (!surelyNotRun(outcome))
-                progress.maybeRun = refusalOf(outcome);
-            if (!mayTryAgain(progress, outcome))
-                throw RequestRefused(refusalOf(outcome), result.detail);
-        }
+        const table::Refusal refusal = job.maybeRun.value_or(cause);
+        job.outcome = table::refusalRow(refusal).code;
+        job.reason = detail;
+        putResponse(makeRefusal(refusal, job.id), *job.exchange);
+    }
+
+    Authorization authorizeNow(const http::ServerRequest &request) const
+    {
+        const bool usable = parts_.config.keysUsable(core::MonoClock::now());
+        return authorize(parts_.config.current(), usable, request);
     }
 
     /** Checks the key again, since a revocation may have arrived while the request waited. */
-    void recheckKey(const Progress &progress) const
+    void recheckKey(const Job &job) const
     {
-        const Authorization now = authorizeNow(progress.request);
-        if (now.route->id != progress.authorization.route->id)
+        const Authorization now = authorizeNow(job.request);
+        if (now.route->id != job.authorization.route->id)
             throw RequestRefused(table::Refusal::UnknownRoute, "the route was replaced");
         const core::ClientAccountId account =
             now.account == nullptr ? core::ClientAccountId() : now.account->id;
-        if (account != progress.account())
+        if (account != job.account())
             throw RequestRefused(table::Refusal::UnknownKey, "the key changed its account");
     }
 
-    AttemptOutcome attempt(Progress &progress, http::Result &result)
+    ChosenUpstream choose(Job &job)
     {
-        const record::Route &route = *progress.authorization.route;
-        const core::MonoTime startedAt = core::MonoClock::now();
-        const auto remaining =
-            std::chrono::duration_cast<core::Millis>(progress.deadline - startedAt);
-        if (remaining.count() <= 0)
+        const record::Route &route = *job.authorization.route;
+        const core::MonoTime now = core::MonoClock::now();
+        // What is left is passed on in milliseconds, and none would be no deadline.
+        if (job.deadline - now < core::Millis(1))
             throw RequestRefused(table::Refusal::DeadlineExceeded);
         const std::optional<ChosenUpstream> chosen = parts_.chooser.choose(
-            {.service = route.service, .idempotent = route.idempotent, .tried = progress.tried},
-            startedAt);
+            {.service = route.service, .idempotent = route.idempotent, .tried = job.tried}, now);
         if (!chosen)
-            throw RequestRefused(progress.tried.empty() ? table::Refusal::NoUpstream
-                                                        : table::Refusal::UpstreamRefused);
-        progress.tried.push_back(chosen->id);
-        const http::Request forwarded = makeUpstreamRequest(
-            progress.request,
-            {.requestId = progress.id, .account = progress.account(), .remaining = remaining});
-        result = parts_.client.send(chosen->target, forwarded, remaining);
-        return report(progress, *chosen, result, startedAt);
+            throw RequestRefused(job.tried.empty() ? table::Refusal::NoUpstream
+                                                   : table::Refusal::UpstreamRefused);
+        job.tried.push_back(chosen->id);
+        return *chosen;
     }
 
-    AttemptOutcome report(const Progress &progress, const ChosenUpstream &chosen,
-                          const http::Result &result, core::MonoTime startedAt)
+    void report(const Job &job, const ChosenUpstream &chosen, const http::Result &result,
+                AttemptOutcome outcome, core::MonoTime startedAt)
     {
         AttemptReport attempt {.upstream = chosen.id,
                                .attempt = chosen.attempt,
-                               .service = progress.authorization.route->service,
-                               .outcome = outcomeOf(result),
+                               .service = job.authorization.route->service,
+                               .outcome = outcome,
                                .startedAt = startedAt,
                                .endedAt = core::MonoClock::now()};
         readLoadReport(result.headers, attempt);
         parts_.chooser.report(attempt);
-        return attempt.outcome;
     }
 
-    bool mayTryAgain(const Progress &progress, AttemptOutcome outcome)
+    bool mayTryAgain(const Job &job, AttemptOutcome outcome)
     {
-        const record::Route &route = *progress.authorization.route;
+        const record::Route &route = *job.authorization.route;
         const core::MonoTime now = core::MonoClock::now();
         return parts_.chooser.mayRetry({.service = route.service,
                                         .outcome = outcome,
                                         .idempotent = route.idempotent,
-                                        .mayHaveRunBefore = progress.maybeRun.has_value(),
-                                        .attempts = static_cast<int>(progress.tried.size()),
-                                        .timeLeft = progress.deadline - now},
+                                        .mayHaveRunBefore = job.maybeRun.has_value(),
+                                        .attempts = static_cast<int>(job.tried.size()),
+                                        .timeLeft = job.deadline - now},
                                        now);
     }
 
-    void finish(const Progress &progress, int status, std::string_view outcome,
-                std::string_view reason)
+    void finish(const Job &job)
     {
-        const record::Route *route = progress.authorization.route;
+        const record::Route *route = job.authorization.route;
         parts_.observer.finished(
-            {.id = progress.id,
-             .account = progress.account(),
+            {.id = job.id,
+             .account = job.account(),
              .route = route == nullptr ? core::RouteId() : route->id,
              .service = route == nullptr ? core::ServiceId() : route->service,
-             .upstream = progress.tried.empty() ? core::UpstreamId() : progress.tried.back(),
-             .attempts = static_cast<int>(progress.tried.size()),
-             .status = status,
-             .outcome = std::string(outcome),
-             .reason = std::string(reason),
-             .duration = core::MonoClock::now() - progress.request.receivedAt});
+             .upstream = job.tried.empty() ? core::UpstreamId() : job.tried.back(),
+             .attempts = static_cast<int>(job.tried.size()),
+             .status = static_cast<int>(job.exchange->response.result_int()),
+             .outcome = job.outcome,
+             .reason = job.reason,
+             .duration = core::MonoClock::now() - job.request.receivedAt});
     }
 
     Parts parts_;
+    PipelineOptions options_;
+    proxy::RequestLoop<RequestPipeline> loop_;
 };
 
 } // namespace teaselreach::daemon
--- a/src/daemon/upstream_service.cpp
+++ b/src/daemon/upstream_service.cpp
@@ -25,6 +25,8 @@
         return upstream::Outcome::TimedOut;
     case AttemptOutcome::Cut:
         return upstream::Outcome::Truncated;
+    case AttemptOutcome::CallerLeft:
+        return upstream::Outcome::Cancelled;
     }
     return upstream::Outcome::Failed;
 }
--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -16,13 +16,25 @@
 /** Pause after a failed accept, usually for want of descriptors. */
 constexpr core::Millis acceptPause {50};
 
-beasthttp::status statusOf(const ErrorCode &error)
+RequestFault faultOf(const ErrorCode &error)
 {
     if (error == beasthttp::error::header_limit)
-        return beasthttp::status::request_header_fields_too_large;
+        return RequestFault::HeaderTooLarge;
     if (error == beasthttp::error::body_limit)
-        return beasthttp::status::payload_too_large;
-    return beasthttp::status::bad_request;
+        return RequestFault::BodyTooLarge;
+    return RequestFault::Malformed;
+}
+
+/** @return The answer to a request that cannot be read, without a body. */
+HttpResponse plainAnswer(RequestFault fault)
+{
+    const beasthttp::status status = fault == RequestFault::HeaderTooLarge
+        ? beasthttp::status::request_header_fields_too_large
+        : fault == RequestFault::BodyTooLarge ? beasthttp::status::payload_too_large
+                                              : beasthttp::status::bad_request;
+    HttpResponse response(status, httpVersion11);
+    response.prepare_payload();
+    return response;
 }
 
 bool isProtocolError(const ErrorCode &error)
@@ -91,8 +103,10 @@
     reading_ = false;
     if (!error)
         co_return true;
-    if (isProtocolError(error) && !ended_)
-        refuseMalformed(error);
+    if (tooSlow_ && !ended_)
+        refuseUnread(RequestFault::TooSlow);
+    else if (isProtocolError(error) && !ended_)
+        refuseUnread(faultOf(error));
     co_return false;
 }
 
@@ -117,11 +131,10 @@
         [self = shared_from_this(), exchange]() { return self->work(exchange); }, asio::detached);
 }
 
-void CallerSession::refuseMalformed(const ErrorCode &error)
+void CallerSession::refuseUnread(RequestFault fault)
 {
     auto exchange = std::make_shared<CallerExchange>();
-    exchange->response = HttpResponse(statusOf(error), httpVersion11);
-    exchange->response.prepare_payload();
+    exchange->response = handlers_.fault ? handlers_.fault(fault) : plainAnswer(fault);
     exchange->answered = true;
     lastRequest_ = true;
     pending_.push_back(exchange);
@@ -151,10 +164,13 @@
     const auto self = shared_from_this();
     while (!ended_ && !pending_.empty() && pending_.front()->answered) {
         const std::shared_ptr<CallerExchange> exchange = pending_.front();
-        const bool last = pending_.size() == 1 && (lastRequest_ || handlers_.closing());
+        const bool last =
+            pending_.size() == 1 && (lastRequest_ || exchange->closeAfter || handlers_.closing());
         // A request that is read from now on would be cut off by the close.
         lastRequest_ = lastRequest_ || last;
         exchange->response.keep_alive(!last);
+        if (exchange->request.method() == beasthttp::verb::head)
+            exchange->response.body().clear(); // The header tells of the body of a GET.
         ErrorCode error;
         co_await beasthttp::async_write(socket_, exchange->response, storeError(error));
         if (ended_)
@@ -214,10 +230,18 @@
     if (ended_ || !pending_.empty())
         return;
     const SessionLimits limits = handlers_.limits();
-    const bool slowHeader = reading_ && !headerRead_ && now - readingSince_ > limits.headerTimeout;
+    const core::Micros reading = now - readingSince_;
+    const bool slowHeader = reading_ && !headerRead_ && reading > limits.headerTimeout;
+    const bool slowRequest =
+        reading_ && limits.requestTimeout > core::Micros(0) && reading > limits.requestTimeout;
     const bool idle = !reading_ && now - idleSince_ > limits.idleTimeout;
-    if (slowHeader || idle)
+    if ((slowHeader || slowRequest) && handlers_.fault) {
+        tooSlow_ = true;
+        ErrorCode ignored; // What is being read ends, and the sender is answered.
+        socket_.cancel(ignored);
+    } else if (slowHeader || slowRequest || idle) {
         close();
+    }
 }
 
 void CallerSession::closeIfIdle()
--- a/src/proxy/caller_session_base.h
+++ b/src/proxy/caller_session_base.h
@@ -4,6 +4,7 @@
 #include "core/clock_type.h"
 #include "proxy/asio_type.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -20,6 +21,7 @@
     HttpResponse response;
     bool answered = false;
     bool callerLeft = false;
+    bool closeAfter = false;            ///< The connection is closed after the answer.
     std::function<void()> onCallerLeft; ///< Set by whoever works on the request.
 };
 
@@ -30,8 +32,12 @@
     std::size_t maxBodyBytes = 1048576;
     core::Micros headerTimeout {core::Seconds(3)};
     core::Micros idleTimeout {core::Seconds(15)};
+    core::Micros requestTimeout {0}; ///< From the first byte to the last; zero for none.
 };
 
+/** Why a request cannot be read. */
+enum class RequestFault : std::uint8_t { Malformed, HeaderTooLarge, BodyTooLarge, TooSlow };
+
 /** What a server does with requests. */
 struct CallerHandlers
 {
@@ -41,6 +47,9 @@
     std::function<SessionLimits()> limits;
     /** @return Whether connections are to be closed after the present answer. */
     std::function<bool()> closing;
+    /** Makes the answer to a request that cannot be read. If empty, it is a plain status, and none
+     * for a slow sender. */
+    std::function<HttpResponse(RequestFault)> fault;
 };
 
 /** One connection of a caller. */
@@ -71,7 +80,7 @@
     asio::awaitable<void> watchForEnd();
     asio::awaitable<void> lingerAndClose();
     void accept(HttpRequest request);
-    void refuseMalformed(const ErrorCode &error);
+    void refuseUnread(RequestFault fault);
     void startWriter();
     void callerLeft();
     void close();
@@ -87,6 +96,7 @@
     bool headerRead_ = false;
     bool writing_ = false;
     bool lastRequest_ = false; ///< Nothing is read after the answers that are due.
+    bool tooSlow_ = false;     ///< The sender is to be told so.
     bool lingering_ = false;   ///< The last answer is out; only the caller's end is awaited.
     bool ended_ = false;
 };
