--- a/src/daemon/attempt.cpp
+++ b/src/daemon/attempt.cpp
@@ -45,16 +45,17 @@
     return forwarded;
 }
 
-AttemptOutcome outcomeOf(const http::Result &result)
+proxy::AttemptEnd endOf(const http::Result &result)
 {
     if (result.progress == http::Progress::NotSent)
-        return AttemptOutcome::NotSent;
+        return proxy::AttemptEnd::NotSent;
     if (result.progress == http::Progress::SentOnly)
-        return result.cause == http::Cause::Timeout ? AttemptOutcome::Timeout : AttemptOutcome::Cut;
+        return result.cause == http::Cause::Timeout ? proxy::AttemptEnd::TimedOut
+                                                    : proxy::AttemptEnd::Broken;
     if (result.status == serviceUnavailable && isSet(result.headers, "X-Not-Run"))
-        return AttemptOutcome::Shed;
-    return result.status >= firstServerError ? AttemptOutcome::ServerError
-                                             : AttemptOutcome::Success;
+        return proxy::AttemptEnd::NotExecuted;
+    return result.status >= firstServerError ? proxy::AttemptEnd::ServerError
+                                             : proxy::AttemptEnd::Answered;
 }
 
 void readLoadReport(const http::Headers &headers, AttemptReport &report)
@@ -64,23 +65,19 @@
     report.draining = isSet(headers, "X-Draining");
 }
 
-bool surelyNotRun(AttemptOutcome outcome)
+table::Refusal refusalOf(proxy::AttemptEnd end)
 {
-    return outcome == AttemptOutcome::NotSent || outcome == AttemptOutcome::Shed;
-}
-
-table::Refusal refusalOf(AttemptOutcome outcome)
-{
-    switch (outcome) {
-    case AttemptOutcome::Timeout:
+    switch (end) {
+    case proxy::AttemptEnd::TimedOut:
         return table::Refusal::UpstreamTimeout;
-    case AttemptOutcome::Shed:
-    case AttemptOutcome::NotSent:
+    case proxy::AttemptEnd::NotExecuted:
+    case proxy::AttemptEnd::Misdirected:
+    case proxy::AttemptEnd::NotSent:
         return table::Refusal::UpstreamRefused;
-    case AttemptOutcome::Success:
-    case AttemptOutcome::ServerError:
-    case AttemptOutcome::Cut:
-    case AttemptOutcome::CallerLeft:
+    case proxy::AttemptEnd::Answered:
+    case proxy::AttemptEnd::ServerError:
+    case proxy::AttemptEnd::Broken:
+    case proxy::AttemptEnd::CallerLeft:
         break;
     }
     return table::Refusal::UpstreamCut;
--- a/src/daemon/attempt_func.h
+++ b/src/daemon/attempt_func.h
@@ -19,16 +19,13 @@
 http::Request makeUpstreamRequest(const http::ServerRequest &request, const AddedFields &added);
 
 /** @return How an attempt ended. */
-AttemptOutcome outcomeOf(const http::Result &result);
+proxy::AttemptEnd endOf(const http::Result &result);
 
 /** Takes load and drain reports from an upstream's answer. */
 void readLoadReport(const http::Headers &headers, AttemptReport &report);
 
-/** @return Whether the upstream certainly did not run the request. */
-bool surelyNotRun(AttemptOutcome outcome);
-
 /** @return The refusal that a failed attempt leads to if there is no retry. */
-table::Refusal refusalOf(AttemptOutcome outcome);
+table::Refusal refusalOf(proxy::AttemptEnd end);
 
 /** @return The caller's answer made from an upstream's whole answer. */
 http::ServerResponse makeCallerResponse(http::Result result, const core::RequestId &requestId);
--- a/src/daemon/collaborator_type.h
+++ b/src/daemon/collaborator_type.h
@@ -6,6 +6,7 @@
 #include "core/id_type.h"
 #include "http/http_type.h"
 #include "limit/limit_type.h"
+#include "proxy/proxy_type.h"
 #include "queue/queue_type.h"
 #include "record/record_type.h"
 
@@ -129,24 +130,13 @@
     std::vector<core::UpstreamId> tried; ///< Upstreams that already failed for this request.
 };
 
-/** How one attempt at an upstream ended. */
-enum class AttemptOutcome : std::uint8_t {
-    Success,
-    ServerError, ///< A whole answer with status 5xx.
-    Shed,        ///< 503 with X-Not-Run: certainly not run.
-    NotSent,     ///< No connection.
-    Timeout,
-    Cut,        ///< Sent, but no whole answer.
-    CallerLeft, ///< Given up because the caller has left.
-};
-
 /** One attempt, for outlier ejection and load reports. */
 struct AttemptReport
 {
     core::UpstreamId upstream;
     std::uint64_t attempt = 0; ///< ChosenUpstream::attempt.
     core::ServiceId service;
-    AttemptOutcome outcome = AttemptOutcome::Success;
+    proxy::AttemptEnd end = proxy::AttemptEnd::Answered;
     core::MonoTime startedAt;
     core::MonoTime endedAt;
     std::optional<int> loadBusy;  ///< X-Load-Busy of the answer.
@@ -158,7 +148,7 @@
 struct RetryQuery
 {
     core::ServiceId service;
-    AttemptOutcome outcome = AttemptOutcome::Success;
+    proxy::AttemptEnd end = proxy::AttemptEnd::Answered;
     bool idempotent = false;
     bool mayHaveRunBefore = false; ///< An earlier attempt may have run.
     int attempts = 1;              ///< Attempts made so far.
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -11,14 +11,14 @@
 constexpr int noContentStatus = 204;
 constexpr int notFoundStatus = 404;
 
-std::string phaseName(Phase phase)
+std::string phaseName(core::Phase phase)
 {
     switch (phase) {
-    case Phase::Serving:
+    case core::Phase::Serving:
         return "serving";
-    case Phase::Leaving:
+    case core::Phase::Leaving:
         return "leaving";
-    case Phase::Refusing:
+    case core::Phase::Refusing:
         return "refusing";
     }
     return "refusing";
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -134,10 +134,10 @@
 
 void Daemon::shutDown()
 {
-    lifecycle_.enter(Phase::Leaving);
+    lifecycle_.enter(core::Phase::Leaving);
     core::logEvent(core::LogLevel::Info, "daemon_leaving", {{"vm", settings_.vm.id.str()}});
     waitFor(settings_.shutdown.entryHold);
-    lifecycle_.enter(Phase::Refusing);
+    lifecycle_.enter(core::Phase::Refusing);
     finishCallers();
     stopLoop();
     handOverLimits();
@@ -213,7 +213,7 @@
                     return answerCaller(std::move(exchange));
                 },
             .limits = [this] { return callerLimits(); },
-            .closing = [this] { return lifecycle_.phase() != Phase::Serving; },
+            .closing = [this] { return lifecycle_.phase() != core::Phase::Serving; },
             .fault =
                 [this](proxy::RequestFault fault) {
                     return toHttpResponse(answerFault(fault == proxy::RequestFault::BodyTooLarge));
@@ -263,7 +263,7 @@
     core::VmList vms = *vmList();
     // The platform's list may not show yet that this VM is leaving.
     for (core::EntryVm &vm : vms.entryVms) {
-        if (vm.id == settings_.vm.id && lifecycle_.phase() != Phase::Serving)
+        if (vm.id == settings_.vm.id && lifecycle_.phase() != core::Phase::Serving)
             vm.state = core::VmState::Leaving;
     }
     try {
--- a/src/daemon/daemon_handlers.cpp
+++ b/src/daemon/daemon_handlers.cpp
@@ -86,12 +86,12 @@
 json Daemon::answerStatus() const
 {
     const ConfigService &config = feeds().config();
-    json status = config::toJson(
-        config::FleetStatus {.vm = settings_.vm.id,
-                             .state = lifecycle_.phase() == Phase::Serving ? "live" : "leaving",
-                             .inForce = config.inForce(),
-                             .storeBehind = config.storeBehind(),
-                             .rejected = config.rejectedRecords()});
+    json status = config::toJson(config::FleetStatus {
+        .vm = settings_.vm.id,
+        .state = lifecycle_.phase() == core::Phase::Serving ? "live" : "leaving",
+        .inForce = config.inForce(),
+        .storeBehind = config.storeBehind(),
+        .rejected = config.rejectedRecords()});
     const auto placement = limits_.placement();
     status["placement_revision"] = placement ? placement->revision.count() : 0;
     status["acts_as_home"] = limits_.actsAsHome();
--- a/src/daemon/peer_service.cpp
+++ b/src/daemon/peer_service.cpp
@@ -160,8 +160,8 @@
                          .placementRevision = placement ? placement->revision : core::Revision(0),
                          .digests = parts_.upstreams.digestsToSend(maxDigests)};
     const std::lock_guard lock(mutex_);
-    table_.setOwn(parts_.lifecycle.phase() == Phase::Serving ? core::VmState::Live
-                                                             : core::VmState::Leaving,
+    table_.setOwn(parts_.lifecycle.phase() == core::Phase::Serving ? core::VmState::Live
+                                                                   : core::VmState::Leaving,
                   parts_.config.inForce().revision);
     message.membership = table_.makeMessage(receiver);
     if (storeAge)
--- a/src/daemon/request_pipeline_base.h
+++ b/src/daemon/request_pipeline_base.h
@@ -102,7 +102,7 @@
     {
         try {
             checkWellFormed(job.request);
-            if (parts_.lifecycle.phase() == Phase::Refusing)
+            if (parts_.lifecycle.phase() == core::Phase::Refusing)
                 throw RequestRefused(table::Refusal::ShuttingDown);
             job.authorization = authorizeNow(job.request);
             job.deadline = deadlineOf(job.request, *job.authorization.route);
@@ -157,19 +157,19 @@
     {
         const bool callerLeft = ended.failure == proxy::LinkFailure::Cancelled;
         http::Result result = takeResult(std::move(ended));
-        const AttemptOutcome outcome = callerLeft ? AttemptOutcome::CallerLeft : outcomeOf(result);
-        report(job, chosen, result, outcome, startedAt);
-        job.shed = job.shed || outcome == AttemptOutcome::Shed;
-        if (outcome == AttemptOutcome::Success || outcome == AttemptOutcome::ServerError) {
+        const proxy::AttemptEnd end = callerLeft ? proxy::AttemptEnd::CallerLeft : endOf(result);
+        report(job, chosen, result, end, startedAt);
+        job.shed = job.shed || end == proxy::AttemptEnd::NotExecuted;
+        if (end == proxy::AttemptEnd::Answered || end == proxy::AttemptEnd::ServerError) {
             job.outcome = answeredOutcome;
             putResponse(makeCallerResponse(std::move(result), job.id), *job.exchange);
             return false;
         }
-        if (!surelyNotRun(outcome))
-            job.maybeRun = refusalOf(outcome);
-        if (!callerLeft && mayTryAgain(job, outcome))
+        if (!proxy::certainlyNotRun(end))
+            job.maybeRun = refusalOf(end);
+        if (!callerLeft && mayTryAgain(job, end))
             return true;
-        refuse(job, refusalOf(outcome), result.detail);
+        refuse(job, refusalOf(end), result.detail);
         return false;
     }
 
@@ -321,24 +321,24 @@
     }
 
     void report(const Job &job, const ChosenUpstream &chosen, const http::Result &result,
-                AttemptOutcome outcome, core::MonoTime startedAt)
+                proxy::AttemptEnd end, core::MonoTime startedAt)
     {
         AttemptReport attempt {.upstream = chosen.id,
                                .attempt = chosen.attempt,
                                .service = job.authorization.route->service,
-                               .outcome = outcome,
+                               .end = end,
                                .startedAt = startedAt,
                                .endedAt = core::MonoClock::now()};
         readLoadReport(result.headers, attempt);
         parts_.chooser.report(attempt);
     }
 
-    bool mayTryAgain(const Job &job, AttemptOutcome outcome)
+    bool mayTryAgain(const Job &job, proxy::AttemptEnd end)
     {
         const record::Route &route = *job.authorization.route;
         const core::MonoTime now = core::MonoClock::now();
         return parts_.chooser.mayRetry({.service = route.service,
-                                        .outcome = outcome,
+                                        .end = end,
                                         .idempotent = route.idempotent,
                                         .mayHaveRunBefore = job.maybeRun.has_value(),
                                         .attempts = static_cast<int>(job.tried.size()),
--- a/src/daemon/upstream_service.cpp
+++ b/src/daemon/upstream_service.cpp
@@ -10,22 +10,23 @@
 namespace {
 
 /** @return The outcome as outlier ejection judges it. */
-upstream::Outcome outcomeFor(AttemptOutcome outcome)
+upstream::Outcome outcomeFor(proxy::AttemptEnd end)
 {
-    switch (outcome) {
-    case AttemptOutcome::Success:
+    switch (end) {
+    case proxy::AttemptEnd::Answered:
         return upstream::Outcome::Success;
-    case AttemptOutcome::ServerError:
+    case proxy::AttemptEnd::ServerError:
         return upstream::Outcome::Failed;
-    case AttemptOutcome::Shed:
+    case proxy::AttemptEnd::NotExecuted:
+    case proxy::AttemptEnd::Misdirected:
         return upstream::Outcome::Shed;
-    case AttemptOutcome::NotSent:
+    case proxy::AttemptEnd::NotSent:
         return upstream::Outcome::ConnectFailed;
-    case AttemptOutcome::Timeout:
+    case proxy::AttemptEnd::TimedOut:
         return upstream::Outcome::TimedOut;
-    case AttemptOutcome::Cut:
+    case proxy::AttemptEnd::Broken:
         return upstream::Outcome::Truncated;
-    case AttemptOutcome::CallerLeft:
+    case proxy::AttemptEnd::CallerLeft:
         return upstream::Outcome::Cancelled;
     }
     return upstream::Outcome::Failed;
@@ -83,7 +84,7 @@
     const std::shared_ptr<Service> service = find(attempt.service);
     if (!service)
         return;
-    upstream::Completion completion {.outcome = outcomeFor(attempt.outcome)};
+    upstream::Completion completion {.outcome = outcomeFor(attempt.end)};
     completion.hasLoad = attempt.draining || (attempt.loadBusy && attempt.loadSlots);
     completion.load = {.busy = attempt.loadBusy.value_or(0),
                        .slots = attempt.loadSlots.value_or(0),
@@ -101,7 +102,7 @@
         return false;
     const std::lock_guard lock(service->mutex);
     return service->state.decideRetry(now,
-                                      {.outcome = outcomeFor(query.outcome),
+                                      {.outcome = outcomeFor(query.end),
                                        .idempotent = query.idempotent,
                                        .mayHaveRunBefore = query.mayHaveRunBefore,
                                        .attempts = query.attempts,
--- a/src/proxy/fleet_state.cpp
+++ b/src/proxy/fleet_state.cpp
@@ -105,7 +105,7 @@
 
 bool FleetState::ready() const
 {
-    return parts_.flow.table() != nullptr && parts_.flow.phase() == FlowPhase::Serving;
+    return parts_.flow.table() != nullptr && parts_.flow.phase() == core::Phase::Serving;
 }
 
 void FleetState::drop(const core::UpstreamId &id, std::string_view cause)
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -127,7 +127,7 @@
         core::logEvent(core::LogLevel::Info, "daemon_leaving",
                        {{"vm", options_.self.id.str()},
                         {"pending", static_cast<std::int64_t>(callers_.pending())}});
-        flow_.enter(FlowPhase::Leaving);
+        flow_.enter(core::Phase::Leaving);
         messageSentAt_ = {}; // The others are told with the next message.
         sync_.leave();
     }
@@ -160,7 +160,7 @@
                         return flow_.serve(std::move(exchange));
                     },
                 .limits = [this] { return limits(); },
-                .closing = [this] { return flow_.phase() != FlowPhase::Serving; }};
+                .closing = [this] { return flow_.phase() != core::Phase::Serving; }};
     }
 
     CallerHandlers plainHandlers(std::function<HttpResponse(const HttpRequest &)> answer)
@@ -365,11 +365,11 @@
 
     void goOnLeaving(core::Micros since)
     {
-        if (since >= options_.shutdown.serveFor && flow_.phase() == FlowPhase::Leaving) {
-            flow_.enter(FlowPhase::Refusing);
+        if (since >= options_.shutdown.serveFor && flow_.phase() == core::Phase::Leaving) {
+            flow_.enter(core::Phase::Refusing);
             callers_.closeIdle();
         }
-        const bool done = flow_.phase() == FlowPhase::Refusing && callers_.pending() == 0;
+        const bool done = flow_.phase() == core::Phase::Refusing && callers_.pending() == 0;
         if (!done && since < options_.shutdown.endAfter)
             return;
         core::logEvent(core::LogLevel::Info, "daemon_stopped",
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -116,7 +116,7 @@
 /** @return Whether the request has a route; it is refused if not. */
 bool RequestFlow::findRoute(Job &job)
 {
-    if (!job.table || phase_ == FlowPhase::Refusing) {
+    if (!job.table || phase_ == core::Phase::Refusing) {
         refuse(job,
                {.status = beasthttp::status::service_unavailable,
                 .code = job.table ? "shutting_down" : "no_configuration",
@@ -213,7 +213,7 @@
             .softTimeoutInterval = options_.dispatch.softTimeoutInterval,
             // A VM that shuts down finishes what is at work.
             .mayAbandon = [this, &job, upstream = placement.upstream] {
-                return phase_ == FlowPhase::Serving
+                return phase_ == core::Phase::Serving
                     && dispatcher_.mayAbandon(core::MonoClock::now(), job.request, upstream);
             }};
 }
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -1,6 +1,7 @@
 /** @file request_flow_base.h The path of a request from its arrival to its answer. */
 #pragma once
 
+#include "core/phase_type.h"
 #include "metrics/registry_base.h"
 #include "proxy/account_share_base.h"
 #include "proxy/dispatcher_base.h"
@@ -13,13 +14,6 @@
 
 namespace teaselreach::proxy {
 
-/** What the flow does at the end of the process's life. */
-enum class FlowPhase : std::uint8_t {
-    Serving,
-    Leaving,  ///< Serves, and closes connections after their answers.
-    Refusing, ///< Refuses new requests as not run.
-};
-
 /** Constants of the flow. */
 struct RequestFlowOptions
 {
@@ -64,9 +58,9 @@
      * the upstreams' slots. */
     void setFleetPart(double part) { dispatcher_.setFleetPart(part); }
     /** Enters a phase of the shutdown. */
-    void enter(FlowPhase phase) { phase_ = phase; }
+    void enter(core::Phase phase) { phase_ = phase; }
     /** @return The phase. */
-    FlowPhase phase() const { return phase_; }
+    core::Phase phase() const { return phase_; }
     /** Sends waiting requests for which there is room, and refuses those that are too late. */
     void pump(core::MonoTime now);
     /** Closes kept connections that are of no use any more. */
@@ -109,7 +103,7 @@
     RequestLoop<RequestFlow> loop_;
     SplitSelector splits_;
     std::shared_ptr<const RouteTable> table_;
-    FlowPhase phase_ = FlowPhase::Serving;
+    core::Phase phase_ = core::Phase::Serving;
 };
 
 } // namespace teaselreach::proxy
--- a/tests/proxy/flow_fixture.h
+++ b/tests/proxy/flow_fixture.h
@@ -110,7 +110,7 @@
                                                  .headerTimeout = core::Millis(300),
                                                  .idleTimeout = core::Seconds(5)};
                        },
-                   .closing = [this] { return flow_.phase() != FlowPhase::Serving; }})
+                   .closing = [this] { return flow_.phase() != core::Phase::Serving; }})
         , work_(context_.get_executor())
     {
         shares_.setParts(1, 1);
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -371,13 +371,13 @@
     const int fd = fixture.connect();
     standins::sendAll(fd, callerRequest("POST", "/book/", "a1", "", "x"));
     REQUIRE(eventually([&] { return upstream.requests() == 1; }));
-    fixture.onLoop([&] { fixture.flow().enter(FlowPhase::Leaving); });
+    fixture.onLoop([&] { fixture.flow().enter(core::Phase::Leaving); });
     leaving.open();
     std::string answer = standins::readAll(fd);
     ::close(fd);
     CHECK(bodyOf(answer) == "done");
     CHECK(headerOf(answer, "Connection") == "close");
-    fixture.onLoop([&] { fixture.flow().enter(FlowPhase::Refusing); });
+    fixture.onLoop([&] { fixture.flow().enter(core::Phase::Refusing); });
     CHECK(statusOf(fixture.ask(callerRequest("POST", "/book/", "a2", "", "x"))) == "503");
     CHECK(upstream.requests() == 1);
 }
@@ -398,7 +398,7 @@
     FlowFixture fixture(testConfiguration(core::Millis(2000)));
     fixture.addUpstream("i-1", first);
     fixture.addUpstream("i-2", second);
-    fixture.onLoop([&] { fixture.flow().enter(FlowPhase::Leaving); });
+    fixture.onLoop([&] { fixture.flow().enter(core::Phase::Leaving); });
     auto answer = std::async(std::launch::async, [&fixture] {
         return fixture.ask(callerRequest("GET", "/read/", "a1"));
     });
