--- a/tests/daemon/bad_input_test.cpp
+++ b/tests/daemon/bad_input_test.cpp
@@ -76,6 +76,24 @@
     fixture.checkStillServing();
 }
 
+TEST_CASE("a request that the parser refuses gets a typed refusal, too")
+{
+    // libmicrohttpd answered these itself or only closed the connection.
+    Fixture fixture({answerOk});
+    for (const std::string &bytes :
+         {lineAndHost + "no colon\r\n\r\n", lineAndHost + "Content-Length: many\r\n\r\n",
+          std::string("nonsense\r\n\r\n"), std::string("\x16\x03\x01\x02\r\n\r\n")}) {
+        const std::string answer = fixture.sendRaw(bytes);
+        CAPTURE(bytes);
+        CAPTURE(answer);
+        CHECK(answer.starts_with("HTTP/1.1 400 "));
+        CHECK(answer.find("X-Teaselreach-Error: malformed_request") != std::string::npos);
+        CHECK(answer.find("X-Teaselreach-Execution: not_run") != std::string::npos);
+    }
+    CHECK(fixture.upstreams[0]->requests() == 0);
+    fixture.checkStillServing();
+}
+
 TEST_CASE("half a request is never run, and a slow sender is refused after the header timeout")
 {
     Fixture fixture({answerOk});
--- a/tests/daemon/request_test.cpp
+++ b/tests/daemon/request_test.cpp
@@ -1,6 +1,9 @@
 /** @file request_test.cpp Tests of the path of a request through a running daemon. */
 #include "daemon/fixture.h"
 
+#include <future>
+#include <thread>
+
 using namespace teaselreach;
 using namespace teaselreach::tests;
 using standins::okReply;
@@ -131,6 +134,47 @@
     CHECK(config.keysUsable(start + core::Seconds(62)));
 }
 
+TEST_CASE("a caller that leaves ends its lookup, and its booking goes on")
+{
+    // With a thread for each connection nothing noticed that a caller had left.
+    std::promise<void> release;
+    const std::shared_future<void> released = release.get_future().share();
+    std::atomic<int> arrived {0};
+    Fixture fixture({[&](const RawRequest &) {
+        ++arrived;
+        released.wait();
+        return RawReply {okReply("late")};
+    }});
+    const auto inFlight = [&] {
+        const http::Target control {daemonAddress, fixture.settings.listen.controlPort};
+        return fixture.client.send(control, {.target = "/metrics"}, callTimeout).body;
+    };
+    for (const std::string &request :
+         {std::string("GET /slots HTTP/1.1\r\n"), std::string("POST /slots HTTP/1.1\r\n")}) {
+        const int before = arrived;
+        const int fd = standins::connectTo(daemonAddress, fixture.settings.listen.callerPort);
+        standins::sendAll(fd,
+                          request
+                              + "Host: h\r\nAuthorization: Bearer key-1\r\nContent-Length: "
+                                "0\r\n\r\n");
+        for (int seen = 0; (seen = arrived.load()) == before;)
+            std::this_thread::yield();
+        ::close(fd);
+    }
+    // The lookup ends as cut; the booking is still at work.
+    const std::string cut = "outcome=\"upstream_cut\",service=\"slots\"} 1\n";
+    const core::MonoTime end = core::MonoClock::now() + core::Seconds(3);
+    while (inFlight().find(cut) == std::string::npos && core::MonoClock::now() < end)
+        std::this_thread::yield();
+    CHECK(inFlight().find(cut) != std::string::npos);
+    CHECK(inFlight().find("outcome=\"answered\"") == std::string::npos);
+    release.set_value();
+    while (inFlight().find("outcome=\"answered\"") == std::string::npos
+           && core::MonoClock::now() < end)
+        std::this_thread::yield();
+    CHECK(inFlight().find("outcome=\"answered\"") != std::string::npos);
+}
+
 TEST_CASE("many callers at a time each get the answer to their own request")
 {
     const auto echo = [](const RawRequest &request) { return RawReply {okReply(request.body)}; };
