Fix: [Daemon] The bound on idle connections to an upstream holds on the event loop

settings.upstream.max_idle_connections was read by nobody since the request path moved. A LinkPool now keeps at most that many to one server, the newest; the platform's daemon sets no bound, as before. The new case of proxy_flow_test does not compile without it.

--- a/src/daemon/request_pipeline_base.h
+++ b/src/daemon/request_pipeline_base.h
@@ -27,6 +27,7 @@
     /** The same for requests that may not be repeated: an upstream may drop idle connections, and
      * whatever is sent then may or may not have run. */
     core::Micros idleForNonIdempotent {core::Seconds(3)};
+    proxy::LinkPoolOptions links;
 };
 
 /**
@@ -80,7 +81,7 @@
     RequestPipeline(Parts parts, PipelineOptions options)
         : parts_(parts)
         , options_(options)
-        , loop_(parts.context, *this)
+        , loop_(parts.context, *this, options.links)
     { }
 
     /** Carries out one request and fills its answer: the upstream's, or a typed refusal. */
--- a/src/proxy/http_link.cpp
+++ b/src/proxy/http_link.cpp
@@ -264,8 +264,9 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-LinkPool::LinkPool(asio::io_context &context)
+LinkPool::LinkPool(asio::io_context &context, LinkPoolOptions options)
     : context_(context)
+    , options_(options)
 { }
 
 std::unique_ptr<HttpLink> LinkPool::take(core::MonoTime now, const http::Target &target,
@@ -284,8 +285,12 @@
 
 void LinkPool::give(core::MonoTime now, std::unique_ptr<HttpLink> link)
 {
-    if (link->reusable(now))
-        idle_[link->target()].push_back(std::move(link));
+    if (!link->reusable(now))
+        return;
+    auto &kept = idle_[link->target()];
+    kept.push_back(std::move(link));
+    while (kept.size() > options_.maxIdlePerServer)
+        kept.pop_front();
 }
 
 void LinkPool::closeStale(core::MonoTime now)
--- a/src/proxy/http_link_base.h
+++ b/src/proxy/http_link_base.h
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -106,12 +107,19 @@
     core::Micros keepAlive_;
 };
 
+/** Bounds of a LinkPool. */
+struct LinkPoolOptions
+{
+    /** Idle connections to one server; the oldest are closed. */
+    std::size_t maxIdlePerServer = std::numeric_limits<std::size_t>::max();
+};
+
 /** Idle connections by server. */
 class LinkPool
 {
 public:
-    /** @param context The event loop. */
-    explicit LinkPool(asio::io_context &context);
+    /** @param context The event loop. @param options Bounds. */
+    explicit LinkPool(asio::io_context &context, LinkPoolOptions options = {});
 
     /**
      * @param maxIdle Longest idle time that the connection may have had.
@@ -128,6 +136,7 @@
 
 private:
     asio::io_context &context_;
+    LinkPoolOptions options_;
     std::map<http::Target, std::deque<std::unique_ptr<HttpLink>>> idle_;
 };
 
--- a/src/proxy/request_loop_base.h
+++ b/src/proxy/request_loop_base.h
@@ -63,10 +63,11 @@
 class RequestLoop
 {
 public:
-    /** @param context The event loop. @param model What decides; must outlive the object. */
-    RequestLoop(asio::io_context &context, Model &model)
+    /** @param context The event loop. @param model What decides; must outlive the object.
+     * @param links Bounds of the kept connections. */
+    RequestLoop(asio::io_context &context, Model &model, LinkPoolOptions links = {})
         : model_(model)
-        , links_(context)
+        , links_(context, links)
     { }
 
     /** Carries out one request and fills its answer. */
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -410,6 +410,35 @@
     CHECK(bodyOf(answer.get()) == "slow but whole");
 }
 
+TEST_CASE("no more idle connections to a server are kept than allowed, the newest first")
+{
+    // The setting of the daemon for them was read by nobody.
+    RawServer upstream("127.0.0.1", [](const RawRequest &) { return RawReply {okReply("ok")}; });
+    asio::io_context context {1};
+    LinkPool pool(context, {.maxIdlePerServer = 2});
+    const http::Target target {.address = "127.0.0.1", .port = upstream.port()};
+    std::vector<std::unique_ptr<HttpLink>> links;
+    for (int i = 0; i < 3; ++i)
+        links.push_back(pool.take(core::MonoClock::now(), target, core::Micros::max()));
+    HttpRequest request(beasthttp::verb::get, "/", 11);
+    request.set(beasthttp::field::host, "upstream");
+    const LinkOptions options {.deadline = core::MonoClock::now() + core::Seconds(3)};
+    const auto canceller = std::make_shared<LinkCanceller>();
+    const AnswerFilter all;
+    for (const auto &link : links) {
+        asio::co_spawn(context, link->exchange(request, options, canceller, all),
+                       [](const std::exception_ptr &, const LinkResult &result) {
+                           CHECK(result.failure == LinkFailure::None);
+                       });
+    }
+    context.run();
+    const HttpLink *newest = links.back().get();
+    for (auto &link : links)
+        pool.give(core::MonoClock::now(), std::move(link));
+    CHECK(pool.size() == 2);
+    CHECK(pool.take(core::MonoClock::now(), target, core::Micros::max()).get() == newest);
+}
+
 TEST_CASE("a kept connection that the upstream has closed is not used for a booking")
 {
     std::atomic<int> runs {0};
