--- a/tests/daemon/request_test.cpp
+++ b/tests/daemon/request_test.cpp
@@ -175,6 +175,21 @@
     CHECK(inFlight().find("outcome=\"answered\"") != std::string::npos);
 }
 
+TEST_CASE("a HEAD request is answered without a body, also if it is refused")
+{
+    Fixture fixture({[](const RawRequest &) {
+        return RawReply {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nEtag: e\r\n\r\n"};
+    }});
+    const std::string head = "HEAD /slots HTTP/1.1\r\nHost: h\r\nConnection: close\r\n";
+    const std::string answered = fixture.sendRaw(head + "Authorization: Bearer key-1\r\n\r\n");
+    CHECK(answered.starts_with("HTTP/1.1 200 "));
+    CHECK(answered.find("Etag: e\r\n") != std::string::npos);
+    CHECK(answered.ends_with("\r\n\r\n"));
+    const std::string refused = fixture.sendRaw(head + "\r\n");
+    CHECK(refused.starts_with("HTTP/1.1 401 "));
+    CHECK(refused.ends_with("\r\n\r\n"));
+}
+
 TEST_CASE("many callers at a time each get the answer to their own request")
 {
     const auto echo = [](const RawRequest &request) { return RawReply {okReply(request.body)}; };
