Change: [Daemon] A caller that leaves is its own outcome and burns no error budget

The event loop notices callers that leave; their requests were logged as upstream_cut and counted against the objective.

--- a/src/daemon/request_observer.cpp
+++ b/src/daemon/request_observer.cpp
@@ -12,14 +12,14 @@
 constexpr int firstServerErrorStatus = 500;
 
 /** Refusals that the caller brought about; they do not count against an objective. */
-constexpr std::string_view callerRefusals[] = {
+constexpr std::string_view callerOutcomes[] = {
     "no_key",         "unknown_key",       "route_not_allowed", "unknown_route",
-    "body_too_large", "malformed_request", "rate_limited"};
+    "body_too_large", "malformed_request", "rate_limited",      callerLeftOutcome};
 
 bool causedByCaller(const RequestSummary &request)
 {
-    return std::find(std::begin(callerRefusals), std::end(callerRefusals), request.outcome)
-        != std::end(callerRefusals);
+    return std::find(std::begin(callerOutcomes), std::end(callerOutcomes), request.outcome)
+        != std::end(callerOutcomes);
 }
 
 } // namespace
--- a/src/daemon/request_observer_base.h
+++ b/src/daemon/request_observer_base.h
@@ -18,6 +18,8 @@
 
 /** Outcome of a request that got an upstream's whole answer. */
 inline constexpr std::string_view answeredOutcome = "answered";
+/** Outcome of a request whose caller left before it could be answered. */
+inline constexpr std::string_view callerLeftOutcome = "caller_left";
 
 /** A finished request. */
 struct RequestSummary
@@ -29,7 +31,7 @@
     core::UpstreamId upstream; ///< The last one tried.
     int attempts = 0;
     int status = 0;
-    std::string outcome; ///< answeredOutcome or the code of a refusal.
+    std::string outcome; ///< One of the two above, or the code of a refusal.
     std::string reason;  ///< Detail of a refusal.
     core::Micros duration {0};
 };
--- a/src/daemon/request_pipeline_base.h
+++ b/src/daemon/request_pipeline_base.h
@@ -358,7 +358,7 @@
              .upstream = job.tried.empty() ? core::UpstreamId() : job.tried.back(),
              .attempts = static_cast<int>(job.tried.size()),
              .status = static_cast<int>(job.exchange->response.result_int()),
-             .outcome = job.outcome,
+             .outcome = job.exchange->callerLeft ? std::string(callerLeftOutcome) : job.outcome,
              .reason = job.reason,
              .duration = core::MonoClock::now() - job.request.receivedAt});
     }
