--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -418,6 +418,7 @@
     LinkPool pool(context, {.maxIdlePerServer = 2});
     const http::Target target {.address = "127.0.0.1", .port = upstream.port()};
     std::vector<std::unique_ptr<HttpLink>> links;
+    links.reserve(3);
     for (int i = 0; i < 3; ++i)
         links.push_back(pool.take(core::MonoClock::now(), target, core::Micros::max()));
     HttpRequest request(beasthttp::verb::get, "/", 11);
