--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -20,6 +20,8 @@
 constexpr core::Millis tidyInterval {50};
 /** Interval at which a leaving daemon looks whether all callers have their answers. */
 constexpr core::Millis idleCheckInterval {5};
+/** Status of the answer to a request that failed within the daemon. */
+constexpr int internalErrorStatus = 500;
 
 /** @return A number that no other process of this VM id has, without a clock or a disk. */
 core::Incarnation makeIncarnation()
@@ -252,11 +254,16 @@
 {
     const auto target = exchange->request.target();
     const std::string_view path(target.data(), std::min(target.find('?'), target.size()));
-    if (path != entryPath) {
-        co_await pipeline_.serve(std::move(exchange));
-        co_return;
+    try {
+        if (path == entryPath)
+            putResponse(answerEntryRequest(takeRequest(*exchange)), *exchange);
+        else
+            co_await pipeline_.serve(exchange);
+    } catch (const std::exception &error) {
+        // Refusals are answers; whatever else is thrown must not leave the caller without one.
+        core::logEvent(core::LogLevel::Error, "request_failed", {{"reason", error.what()}});
+        putResponse({.status = internalErrorStatus, .closeConnection = true}, *exchange);
     }
-    putResponse(answerEntryRequest(takeRequest(*exchange)), *exchange);
 }
 
 http::ServerResponse Daemon::answerEntryRequest(const http::ServerRequest &request)
--- a/src/daemon/request_pipeline_base.h
+++ b/src/daemon/request_pipeline_base.h
@@ -19,7 +19,7 @@
 
 namespace teaselreach::daemon {
 
-/** Times of connections to upstreams. */
+/** Times and bounds of connections to upstreams. */
 struct PipelineOptions
 {
     core::Micros connectTimeout {core::Millis(500)};
