--- a/tests/daemon/bad_input_test.cpp
+++ b/tests/daemon/bad_input_test.cpp
@@ -12,6 +12,17 @@
 
 const std::string lineAndHost = "GET /slots HTTP/1.1\r\nHost: h\r\n";
 
+/** Sends bytes that are no good request; checks the typed refusal. */
+void checkMalformed(Fixture &fixture, const std::string &bytes)
+{
+    const std::string answer = fixture.sendRaw(bytes);
+    CAPTURE(bytes);
+    CAPTURE(answer);
+    CHECK(answer.starts_with("HTTP/1.1 400 "));
+    CHECK(answer.find("X-Teaselreach-Error: malformed_request") != std::string::npos);
+    CHECK(answer.find("X-Teaselreach-Execution: not_run") != std::string::npos);
+}
+
 http::Request withKey(const std::string &key, const std::string &target = "/slots")
 {
     return {.target = target, .headers = {{"Authorization", key}}};
@@ -83,12 +94,7 @@
     for (const std::string &bytes :
          {lineAndHost + "no colon\r\n\r\n", lineAndHost + "Content-Length: many\r\n\r\n",
           std::string("nonsense\r\n\r\n"), std::string("\x16\x03\x01\x02\r\n\r\n")}) {
-        const std::string answer = fixture.sendRaw(bytes);
-        CAPTURE(bytes);
-        CAPTURE(answer);
-        CHECK(answer.starts_with("HTTP/1.1 400 "));
-        CHECK(answer.find("X-Teaselreach-Error: malformed_request") != std::string::npos);
-        CHECK(answer.find("X-Teaselreach-Execution: not_run") != std::string::npos);
+        checkMalformed(fixture, bytes);
     }
     CHECK(fixture.upstreams[0]->requests() == 0);
     fixture.checkStillServing();
@@ -104,12 +110,7 @@
     for (const std::string &part :
          {std::string("GE"), whole.substr(0, whole.size() - 2),
           std::string("POST /slots HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf")}) {
-        const std::string answer = fixture.sendRaw(part);
-        CAPTURE(part);
-        CAPTURE(answer);
-        CHECK(answer.starts_with("HTTP/1.1 400 "));
-        CHECK(answer.find("X-Teaselreach-Error: malformed_request") != std::string::npos);
-        CHECK(answer.find("X-Teaselreach-Execution: not_run") != std::string::npos);
+        checkMalformed(fixture, part);
     }
     CHECK(fixture.upstreams[0]->requests() == 0);
     fixture.checkStillServing();
--- a/tests/daemon/request_test.cpp
+++ b/tests/daemon/request_test.cpp
@@ -177,6 +177,25 @@
     CHECK(ended(2));
 }
 
+TEST_CASE("a caller that leaves burns no error budget, and an upstream that is cut does")
+{
+    // Callers that left were counted as upstream_cut against the objective.
+    daemon::RequestObserver observer;
+    observer.burn().setObjectives(
+        {{.id = core::ObjectiveId("o"), .service = core::ServiceId("slots")}});
+    const auto finish = [&](std::string_view outcome) {
+        observer.finished({.id = core::RequestId("r"),
+                           .account = core::ClientAccountId("bakery"),
+                           .service = core::ServiceId("slots"),
+                           .status = 502,
+                           .outcome = std::string(outcome)});
+    };
+    finish(daemon::callerLeftOutcome);
+    CHECK(observer.burn().samples(core::MonoClock::now()).empty());
+    finish(table::refusalRow(Refusal::UpstreamCut).code);
+    CHECK(observer.burn().samples(core::MonoClock::now()).size() == 1);
+}
+
 TEST_CASE("a HEAD request is answered without a body, also if it is refused")
 {
     Fixture fixture({[](const RawRequest &) {
