Add: [Proxy] Logs and metrics tell how old a VM's knowledge of the store is

No decision changes.

Cost: no calls, no bytes between VMs; at most two lines for each change of state.

--- a/src/proxy/fleet_sync_base.h
+++ b/src/proxy/fleet_sync_base.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <utility>
 
 namespace teaselreach::proxy {
 
@@ -85,6 +86,26 @@
         return now - connectedSince_;
     }
 
+    /** @return Time since the last response that brought this VM up to date, from the store or from
+     * a relay. */
+    core::Micros readAge(core::MonoTime now) const { return now - lastReadAt_; }
+    /** @return Time since the last response of the store to any call. */
+    core::Micros responseAge(core::MonoTime now) const { return now - lastResponseAt_; }
+
+    /** Logs each change of connectedFor() between a time and nothing. Call it several times a
+     * second. */
+    void logConnectionChange(core::MonoTime now)
+    {
+        const bool isConnected = connectedFor().has_value();
+        if (isConnected == loggedAsConnected_)
+            return;
+        loggedAsConnected_ = isConnected;
+        core::logEvent(core::LogLevel::Info, isConnected ? "relay_ready" : "relay_not_ready",
+                       {{"using_relay", usingRelay_ ? 1 : 0},
+                        {"read_age_ms", toMillis(readAge(now))},
+                        {"response_age_ms", toMillis(responseAge(now))}});
+    }
+
     /** Starts the watch loop and the registration loop. */
     void start()
     {
@@ -103,6 +124,11 @@
     }
 
 private:
+    static std::int64_t toMillis(core::Micros time)
+    {
+        return std::chrono::duration_cast<core::Millis>(time).count();
+    }
+
     asio::awaitable<void> sleepFor(core::Micros time)
     {
         asio::steady_timer timer(parts_.context, time);
@@ -128,15 +154,20 @@
         return core::Micros(distribution(random_));
     }
 
-    /** Counts a failed call; the first one starts an outage. */
-    void recordFailure(const core::Error &error)
+    /** Counts a failed read; the first one starts an outage. @param sentAt Start of the read. */
+    void recordFailure(const core::Error &error, core::MonoTime sentAt)
     {
         ++failures_;
-        if (failures_ == 1)
-            outageStartedAt_ = core::MonoClock::now();
-        if (failures_ == 1)
-            core::logEvent(core::LogLevel::Warn, "store_lost",
-                           {{"code", error.code()}, {"detail", error.what()}});
+        if (failures_ > 1)
+            return;
+        const core::MonoTime now = core::MonoClock::now();
+        outageStartedAt_ = now;
+        core::logEvent(core::LogLevel::Warn, "store_lost",
+                       {{"code", error.code()},
+                        {"detail", error.what()},
+                        {"call_ms", toMillis(now - sentAt)},
+                        {"read_age_ms", toMillis(readAge(now))},
+                        {"response_age_ms", toMillis(responseAge(now))}});
     }
 
     /** Records a response of the store, which ends an outage. */
@@ -146,6 +177,25 @@
         endOutage(lastResponseAt_);
     }
 
+    /** Logs the first of several failed renewals or registrations. */
+    void logRegistrationFailure(const core::Error &error)
+    {
+        if (++registrationFailures_ > 1)
+            return;
+        core::logEvent(core::LogLevel::Info, "registration_failing",
+                       {{"code", error.code()}, {"detail", error.what()}});
+    }
+
+    /** Logs the first successful renewal or registration after failures. */
+    void logRegistrationSuccess()
+    {
+        const int failures = std::exchange(registrationFailures_, 0);
+        if (failures > 0)
+            core::logEvent(core::LogLevel::Info, "registration_restored",
+                           {{"failures", failures},
+                            {"read_age_ms", toMillis(readAge(core::MonoClock::now()))}});
+    }
+
     /**
      * Ends an outage, if there is one. Removals are held back after a long one.
      * @param relayConnectedFor How long the relay that responded has been connected to the store; 0
@@ -155,11 +205,10 @@
     {
         if (failures_ == 0)
             return;
-        core::logEvent(
-            core::LogLevel::Info, "store_regained",
-            {{"failures", failures_},
-             {"lost_ms",
-              std::chrono::duration_cast<core::Millis>(now - outageStartedAt_).count()}});
+        core::logEvent(core::LogLevel::Info, "store_regained",
+                       {{"failures", failures_},
+                        {"lost_ms", toMillis(now - outageStartedAt_)},
+                        {"read_age_ms", toMillis(readAge(now))}});
         failures_ = 0;
         connectedSince_ = now;
         // If the relay was connected throughout, only this VM was cut off and no entries expired.
@@ -174,6 +223,7 @@
         bool fullReadNeeded = true;
         while (true) {
             core::Micros wait = options_.watchPause;
+            const core::MonoTime sentAt = core::MonoClock::now();
             try {
                 if (fullReadNeeded)
                     co_await readAll();
@@ -189,7 +239,7 @@
                 fullReadNeeded = true;
             } catch (const core::Error &error) {
                 catchUpNeeded_ = true;
-                recordFailure(error);
+                recordFailure(error, sentAt);
                 wait = nextBackoff();
             }
             co_await sleepFor(wait);
@@ -212,6 +262,7 @@
         parts_.state.removeUnlistedUpstreams(now, listed);
         changeLog_.reset(snapshot);
         revision_ = snapshot.revision;
+        lastReadAt_ = now;
     }
 
     /** Fetches changes from the relay of the availability zone and applies them. @return Whether
@@ -250,6 +301,7 @@
         }
         changeLog_.append(relayed);
         revision_ = std::max(revision_, changes.revision);
+        lastReadAt_ = now;
     }
 
     /** Waits for changes of the store and applies them. */
@@ -346,14 +398,14 @@
                     leasedAsActive = active;
                     lease = granted;
                 }
+                logRegistrationSuccess();
             } catch (const StoreLeaseLost &error) {
                 recordResponse();
                 core::logEvent(core::LogLevel::Warn, "registration_lapsed", {});
                 lease.reset();
                 wait = options_.initialBackoff;
             } catch (const core::Error &error) {
-                core::logEvent(core::LogLevel::Debug, "registration_call_failed",
-                               {{"code", error.code()}, {"detail", error.what()}});
+                logRegistrationFailure(error);
                 wait = currentMaxBackoff();
             }
             co_await sleepFor(wait);
@@ -381,11 +433,16 @@
     StoreRevision revision_;
     bool usingRelay_ = false; ///< Changes are read from a relay, not from the store.
     core::MonoTime relayBackoffUntil_ {};
-    core::MonoTime lastResponseAt_ {};                       ///< Time of the store's last response.
+    /** Time of the store's last response to any call. */
+    core::MonoTime lastResponseAt_ = core::MonoClock::now();
+    /** Time of the last response whose changes were applied, from the store or a relay. */
+    core::MonoTime lastReadAt_ = core::MonoClock::now();
     core::MonoTime connectedSince_ = core::MonoClock::now(); ///< Start, or end of last outage.
     bool catchUpNeeded_ = false;        ///< A read failed, so changes may have been missed.
     int failures_ = 0;                  ///< Failed reads since the last response of any call.
     core::MonoTime outageStartedAt_ {}; ///< Time of the first of these failures.
+    int registrationFailures_ = 0;      ///< Since the last successful renewal or registration.
+    bool loggedAsConnected_ = false;
     bool deregistering_ = false;
 };
 
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -357,9 +357,15 @@
         shares_.setShares(ownShare_, pool);
     }
 
+    static double toSeconds(core::Micros time)
+    {
+        return std::chrono::duration<double>(time).count();
+    }
+
     void runMaintenance(core::MonoTime now)
     {
         updateShares(now);
+        sync_.logConnectionChange(now);
         flow_.closeStaleConnections(now);
         callers_.closeStale(now);
         readiness_.closeStale(now);
@@ -373,6 +379,12 @@
                            static_cast<double>(callers_.size()));
         registry_.setGauge("teaselreach_limit_part", {}, shares_.effectiveShare());
         registry_.setGauge("teaselreach_members", {}, static_cast<double>(entries_.size()));
+        registry_.setGauge("teaselreach_store_read_age_seconds", {}, toSeconds(sync_.readAge(now)));
+        registry_.setGauge("teaselreach_store_response_age_seconds", {},
+                           toSeconds(sync_.responseAge(now)));
+        if (flow_.table())
+            registry_.setGauge("teaselreach_config_version", {},
+                               static_cast<double>(flow_.table()->configuration().version.count()));
     }
 
     void continueShutdown(core::Micros elapsed)
