Fix: [Tests] A watch already in progress fails the case on short watches after a failure

The case now checks every watch of the run against the end of the one before it: after a failure at most 200 ms, otherwise the configured timeout. That is stricter: the old case looked at two watches and asked only for more than 1 s of the last one, which also tied it to a timeout of seconds. No other case changes.

--- a/tests/proxy/memory_store.h
+++ b/tests/proxy/memory_store.h
@@ -21,19 +21,28 @@
 
     bool unavailable = false; ///< All calls fail.
     bool watchesFail = false; ///< Watches fail, other calls succeed.
-    bool historyLost = false; ///< Watches report lost history until the next full read.
+    /** Calls get no response and no error; they end with their own timeouts, also those that were
+     * waiting before and those that are still waiting when the store responds again. */
+    bool silent = false;
+    bool watchesSilent = false; ///< As silent, for watches only.
+    bool historyLost = false;   ///< Watches report lost history until the next full read.
     int fullReads = 0;
     int refusedCalls = 0;         ///< Calls made while it was unavailable.
     std::vector<FleetItem> items; ///< Result of a full read.
     std::deque<FleetItem> events; ///< Result of the next watch.
     std::uint64_t revision = 1;
     std::vector<core::VmId> registered;
-    std::vector<core::Micros> watchTimeouts; ///< Of all watches.
+    /** A watch and its end. */
+    struct Watch
+    {
+        core::Micros timeout {0};
+        bool failed = false;
+    };
+    std::vector<Watch> watches; ///< All watches in order; the last one may be in progress.
 
     asio::awaitable<FleetUpdate> readAll()
     {
-        co_await delay(core::Millis(2));
-        requireAvailable();
+        co_await respond();
         ++fullReads;
         historyLost = false;
         co_return FleetUpdate {.items = items, .revision = StoreRevision(revision)};
@@ -41,11 +50,24 @@
 
     asio::awaitable<FleetUpdate> watch(StoreRevision, core::Micros wait)
     {
-        watchTimeouts.push_back(wait);
+        watches.push_back({.timeout = wait});
+        try {
+            co_return co_await waitForEvents(wait);
+        } catch (const StoreUnreachable &) {
+            watches.back().failed = true;
+            throw;
+        }
+    }
+
+    asio::awaitable<FleetUpdate> waitForEvents(core::Micros wait)
+    {
         // Polls, because the tests change the members directly.
-        const core::MonoTime end = core::MonoClock::now() + std::min(wait, core::Micros(20000));
+        const core::MonoTime start = core::MonoClock::now();
+        const core::MonoTime end = start + std::min(wait, core::Micros(20000));
         do {
             co_await delay(core::Millis(2));
+            if (silent || watchesSilent)
+                co_await hang(start + wait + watchMargin - core::MonoClock::now());
             requireAvailable();
             if (watchesFail)
                 throw StoreUnreachable("watch");
@@ -60,25 +82,18 @@
 
     asio::awaitable<StoreLease> grantLease(core::Micros)
     {
-        co_await delay(core::Millis(2));
-        requireAvailable();
+        co_await respond();
         co_return StoreLease(7);
     }
-    asio::awaitable<void> renewLease(StoreLease)
-    {
-        co_await delay(core::Millis(2));
-        requireAvailable();
-    }
+    asio::awaitable<void> renewLease(StoreLease) { co_await respond(); }
     asio::awaitable<void> registerMember(const EntryMember &member, StoreLease)
     {
-        co_await delay(core::Millis(2));
-        requireAvailable();
+        co_await respond();
         registered.push_back(member.id);
     }
     asio::awaitable<void> removeMember(const core::VmId &member)
     {
-        co_await delay(core::Millis(2));
-        requireAvailable();
+        co_await respond();
         std::erase(registered, member);
     }
 
@@ -116,6 +131,24 @@
     }
 
 private:
+    /** Timeouts of calls, as those of an adapter to a store. */
+    static constexpr core::Millis callTimeout {1500};
+    static constexpr core::Millis watchMargin {1200};
+
+    /** Waits for the response to a call other than a watch. */
+    asio::awaitable<void> respond()
+    {
+        co_await delay(core::Millis(2));
+        if (silent)
+            co_await hang(callTimeout);
+        requireAvailable();
+    }
+    /** Waits until a call without a response times out. */
+    asio::awaitable<void> hang(core::Micros time)
+    {
+        co_await delay(time);
+        throw StoreUnreachable("no response");
+    }
     asio::awaitable<void> delay(core::Micros time)
     {
         asio::steady_timer timer(context_, time);
--- a/tests/proxy/sync_test.cpp
+++ b/tests/proxy/sync_test.cpp
@@ -1,90 +1,14 @@
 /** @file sync_test.cpp Synchronization with the store: outages, lost history and relays. */
-#include "memory_store.h"
-#include "proxy/fleet_sync_base.h"
+#include "sync_fixture.h"
 
 #include <doctest/doctest.h>
 
-#include <functional>
-
 using namespace teaselreach;
 using namespace teaselreach::proxy;
-using proxytest::MemoryStore;
-
-namespace {
-
-FleetItem config(const std::string &version)
-{
-    return {.kind = FleetItemKind::Configuration, .value = version};
-}
-
-FleetItem upstream(const std::string &id, const std::string &address = "127.0.0.1")
-{
-    return {.kind = FleetItemKind::Upstream, .id = id, .value = address};
-}
-
-FleetItem removed(const std::string &id)
-{
-    return {.kind = FleetItemKind::Upstream, .id = id, .value = std::nullopt};
-}
-
-/** A VM that synchronizes with an in-memory store, in real time and with short intervals. */
-struct SyncFixture
-{
-    /** @param backoffLimit Maximum backoff of a VM without callers. */
-    explicit SyncFixture(core::Micros backoffLimit = core::Millis(20))
-        : idleBackoffLimit(backoffLimit)
-    { }
-
-    core::Micros idleBackoffLimit;
-    asio::io_context context {1};
-    metrics::Registry registry;
-    UpstreamTable upstreams {{}, 1};
-    AccountRateLimiter shares {{}};
-    EntryVmSelector entries {{}};
-    RequestFlow flow {
-        {.context = context, .upstreams = upstreams, .shares = shares, .registry = registry},
-        {},
-        1};
-    FleetState state {{.flow = flow, .upstreams = upstreams, .entries = entries}, core::VmId("me")};
-    MemoryStore store {context};
-    FleetSync<MemoryStore> sync {
-        {.context = context, .store = store, .state = state, .entries = entries},
-        {.self = {.id = core::VmId("me")},
-         .watchPause = core::Millis(5),
-         .renewInterval = core::Millis(20),
-         .idleRenewInterval = core::Millis(20),
-         .initialBackoff = core::Millis(5),
-         .maxBackoff = core::Millis(20),
-         .idleMaxBackoff = idleBackoffLimit},
-        1};
-
-    void run(core::Millis time)
-    {
-        const core::MonoTime end = core::MonoClock::now() + time;
-        while (core::MonoClock::now() < end) {
-            context.run_for(core::Millis(5));
-            state.tick(core::MonoClock::now());
-        }
-    }
-    /** Runs until a condition is met. @return Whether it was met within three seconds. */
-    bool runUntil(const std::function<bool()> &condition)
-    {
-        const core::MonoTime end = core::MonoClock::now() + core::Seconds(3);
-        while (!condition() && core::MonoClock::now() < end)
-            run(core::Millis(5));
-        return condition();
-    }
-    std::int64_t version() const
-    {
-        return flow.table() ? flow.table()->configuration().version.count() : 0;
-    }
-    bool hasUpstream(const std::string &id) const
-    {
-        return upstreams.find(core::UpstreamId(id)) != nullptr;
-    }
-};
-
-} // namespace
+using proxytest::config;
+using proxytest::removed;
+using proxytest::SyncFixture;
+using proxytest::upstream;
 
 TEST_CASE("an older configuration is never applied")
 {
@@ -172,10 +96,20 @@
     vm.store.watchesFail = true;
     vm.run(core::Millis(60));
     vm.store.watchesFail = false;
-    vm.store.watchTimeouts.clear();
-    REQUIRE(vm.runUntil([&] { return vm.store.watchTimeouts.size() >= 2; }));
-    CHECK(vm.store.watchTimeouts.front() <= core::Millis(200));
-    CHECK(vm.store.watchTimeouts.back() > core::Seconds(1));
+    const std::size_t before = vm.store.watches.size();
+    REQUIRE(vm.runUntil([&] { return vm.store.watches.size() >= before + 3; }));
+    int afterFailure = 0;
+    for (std::size_t i = 1; i < vm.store.watches.size(); ++i) {
+        const core::Micros timeout = vm.store.watches[i].timeout;
+        if (!vm.store.watches[i - 1].failed) {
+            CHECK(timeout == vm.options.watchTimeout);
+            continue;
+        }
+        ++afterFailure;
+        CHECK(timeout <= core::Millis(200));
+    }
+    CHECK(afterFailure > 0);
+    CHECK(vm.options.watchTimeout > core::Millis(200));
 }
 
 TEST_CASE("a VM without callers calls an unavailable store less often than one with callers")
