Fix: [Proxy] A watch that the store never answers keeps a zone on an old configuration for 9 s

Callers got 404 and 401 as older configurations say, up to 3.1 s after a change had been acknowledged (bound: 2.5 s), on whole availability zones.

Cause: a wait whose end depends on the other side. A watch may wait 8 s for a change and ends 1.2 s later without an answer. If the store falls silent without an error, a watch sent before is never answered, also not after the store is back. Renewals of the lease go over another connection, succeed at once after the return and made the VM count as connected, so its followers left their own connections to the store for a relay that could learn nothing new.

Change: a watch waits at most 500 ms for a change, so that an unanswered one ends 1.7 s after it was sent. A VM serves as a relay only while its last read, not the last response to any call, is at most 1.5 s old: a watch, the pause after it, and 400 ms for the store. Both times follow from the bound of 2.5 s, whichever connection falls silent and at whatever moment.

Ruled out: late backoffs (the relays had no failed call between 6.1 and 15.8 s) and changes lost in the catch-up (all VMs applied versions 9 to 20 in order once the watch had ended).

Cost: at most one watch a second in each zone instead of one in 8.6 s when nothing changes. No bytes between VMs, no time on the path of a request.

--- a/src/proxy/fleet_sync_base.h
+++ b/src/proxy/fleet_sync_base.h
@@ -17,8 +17,9 @@
 struct FleetSyncOptions
 {
     EntryMember self; ///< Registered in the store.
-    /** Longest time that a watch call waits for a change. */
-    core::Micros watchTimeout {core::Seconds(8)};
+    /** Longest time that a watch call waits for a change. Short, because a watch that the store
+     * never answers ends only after this time and the margin of the store client. */
+    core::Micros watchTimeout {core::Millis(500)};
     /** The same for the first watch after a failure, so that this VM is soon up to date again. */
     core::Micros watchTimeoutAfterFailure {core::Millis(100)};
     /** Shortest outage of the store in which entries of live upstreams may expire. They are renewed
@@ -34,8 +35,9 @@
     /** The same for a VM that takes no callers. */
     core::Micros idleLeaseTtl {core::Seconds(10)};
     core::Micros idleRenewInterval {core::Seconds(3)};
-    /** Longest time since the store's last response for which this VM serves as a relay. */
-    core::Micros maxRelayStaleness {core::Millis(1100)};
+    /** Longest time since this VM was last up to date for which it serves as a relay: a watch, the
+     * pause after it, and some time for the store's response. */
+    core::Micros maxRelayStaleness {core::Millis(1500)};
     /** How long this VM reads the store itself after a request to its relay failed. */
     core::Micros relayBackoff {core::Seconds(2)};
     /** Backoff after a failed call: doubled with each failure up to the maximum, with jitter. */
@@ -76,12 +78,13 @@
     const FleetChangeLog &changeLog() const { return changeLog_; }
 
     /** @return How long this VM has been connected to the store without interruption; nothing if
-     * the store's last response is too old, or if this VM reads from a relay or has to catch up. */
+     * its last read is too old, or if it reads from a relay or has to catch up. Renewals do not
+     * count: the store may answer them while a watch is waiting in vain. */
     std::optional<core::Micros> connectedFor() const
     {
         const core::MonoTime now = core::MonoClock::now();
         if (catchUpNeeded_ || usingRelay_ || revision_.count() == 0
-            || now - lastResponseAt_ >= options_.maxRelayStaleness)
+            || now - lastReadAt_ >= options_.maxRelayStaleness)
             return std::nullopt;
         return now - connectedSince_;
     }
