Fix: [Proxy] An outage of a silent store counts from the time-out of a call, and only reads start one

The outage started when a read had timed out, not when the silence began, and a failed renewal did not start one at all although a successful one ended it. A successful grant of a lease did not end one either.

Change: StoreContact (no clocks, no sockets) tracks failures and responses of all calls. An outage starts with the first failed call, dated back to the start of that call or the last response after it, and ends with the next response to any call, grants included.

Cost: none on the wire.

--- a/src/proxy/fleet_sync_base.h
+++ b/src/proxy/fleet_sync_base.h
@@ -5,6 +5,7 @@
 #include "proxy/fleet_relay_base.h"
 #include "proxy/fleet_state_base.h"
 #include "proxy/fleet_store_type.h"
+#include "proxy/store_contact_base.h"
 
 #include <map>
 #include <random>
@@ -84,16 +85,13 @@
     {
         const core::MonoTime now = core::MonoClock::now();
         if (catchUpNeeded_ || usingRelay_ || revision_.count() == 0
-            || now - lastReadAt_ >= options_.maxRelayStaleness)
+            || contact_.readAge(now) >= options_.maxRelayStaleness)
             return std::nullopt;
-        return now - connectedSince_;
+        return contact_.connectedFor(now);
     }
 
-    /** @return Time since the last response that brought this VM up to date, from the store or from
-     * a relay. */
-    core::Micros readAge(core::MonoTime now) const { return now - lastReadAt_; }
-    /** @return Time since the last response of the store to any call. */
-    core::Micros responseAge(core::MonoTime now) const { return now - lastResponseAt_; }
+    /** @return What the calls to the store have shown. */
+    const StoreContact &contact() const { return contact_; }
 
     /** Logs each change of connectedFor() between a time and nothing. Call it several times a
      * second. */
@@ -105,8 +103,8 @@
         loggedAsConnected_ = isConnected;
         core::logEvent(core::LogLevel::Info, isConnected ? "relay_ready" : "relay_not_ready",
                        {{"using_relay", usingRelay_ ? 1 : 0},
-                        {"read_age_ms", toMillis(readAge(now))},
-                        {"response_age_ms", toMillis(responseAge(now))}});
+                        {"read_age_ms", toMillis(contact_.readAge(now))},
+                        {"response_age_ms", toMillis(contact_.responseAge(now))}});
     }
 
     /** Starts the watch loop and the registration loop. */
@@ -150,34 +148,30 @@
      * random by up to half. */
     core::Micros nextBackoff()
     {
-        const core::Micros backoff =
-            std::min(currentMaxBackoff(), options_.initialBackoff * (1 << std::min(failures_, 6)));
+        const core::Micros backoff = std::min(
+            currentMaxBackoff(), options_.initialBackoff * (1 << std::min(contact_.failures(), 6)));
         std::uniform_int_distribution<core::Micros::rep> distribution(backoff.count() / 2,
                                                                       backoff.count());
         return core::Micros(distribution(random_));
     }
 
-    /** Counts a failed read; the first one starts an outage. @param sentAt Start of the read. */
-    void recordFailure(const core::Error &error, core::MonoTime sentAt)
+    /** Records a response of the store to any call, which ends an outage. */
+    void recordResponse()
     {
-        ++failures_;
-        if (failures_ > 1)
-            return;
         const core::MonoTime now = core::MonoClock::now();
-        outageStartedAt_ = now;
-        core::logEvent(core::LogLevel::Warn, "store_lost",
-                       {{"code", error.code()},
-                        {"detail", error.what()},
-                        {"call_ms", toMillis(now - sentAt)},
-                        {"read_age_ms", toMillis(readAge(now))},
-                        {"response_age_ms", toMillis(responseAge(now))}});
+        holdRemovalsAfter(now, contact_.responded(now));
     }
 
-    /** Records a response of the store, which ends an outage. */
-    void recordResponse()
+    /** Holds removals back after an outage that was long enough for entries to expire.
+     * @param relayConnectedFor How long the relay that responded has been connected to the store; 0
+     * if the store itself responded. */
+    void holdRemovalsAfter(core::MonoTime now, const std::optional<StoreOutage> &outage,
+                           core::Micros relayConnectedFor = core::Micros(0))
     {
-        lastResponseAt_ = core::MonoClock::now();
-        endOutage(lastResponseAt_);
+        // If the relay was connected throughout, only this VM was cut off and no entries expired.
+        if (outage && outage->length >= options_.minOutageForExpiry
+            && relayConnectedFor <= outage->length)
+            parts_.state.storeRecovered(now);
     }
 
     /** Logs the first of several failed renewals or registrations. */
@@ -196,28 +190,7 @@
         if (failures > 0)
             core::logEvent(core::LogLevel::Info, "registration_restored",
                            {{"failures", failures},
-                            {"read_age_ms", toMillis(readAge(core::MonoClock::now()))}});
-    }
-
-    /**
-     * Ends an outage, if there is one. Removals are held back after a long one.
-     * @param relayConnectedFor How long the relay that responded has been connected to the store; 0
-     * if the store itself responded.
-     */
-    void endOutage(core::MonoTime now, core::Micros relayConnectedFor = core::Micros(0))
-    {
-        if (failures_ == 0)
-            return;
-        core::logEvent(core::LogLevel::Info, "store_regained",
-                       {{"failures", failures_},
-                        {"lost_ms", toMillis(now - outageStartedAt_)},
-                        {"read_age_ms", toMillis(readAge(now))}});
-        failures_ = 0;
-        connectedSince_ = now;
-        // If the relay was connected throughout, only this VM was cut off and no entries expired.
-        const bool onlyThisVm = relayConnectedFor > now - outageStartedAt_;
-        if (now - outageStartedAt_ >= options_.minOutageForExpiry && !onlyThisVm)
-            parts_.state.storeRecovered(now);
+                            {"read_age_ms", toMillis(contact_.readAge(core::MonoClock::now()))}});
     }
 
     /** Reads the store, then watches it, directly or through the relay of the zone. */
@@ -242,7 +215,7 @@
                 fullReadNeeded = true;
             } catch (const core::Error &error) {
                 catchUpNeeded_ = true;
-                recordFailure(error, sentAt);
+                contact_.callFailed(core::MonoClock::now(), sentAt, error);
                 wait = nextBackoff();
             }
             co_await sleepFor(wait);
@@ -265,7 +238,7 @@
         parts_.state.removeUnlistedUpstreams(now, listed);
         changeLog_.reset(snapshot);
         revision_ = snapshot.revision;
-        lastReadAt_ = now;
+        contact_.upToDate(now);
     }
 
     /** Fetches changes from the relay of the availability zone and applies them. @return Whether
@@ -279,7 +252,8 @@
         try {
             usingRelay_ = true;
             const FleetUpdate changes = co_await relays_.fetch(relay->peerAddress, revision_);
-            endOutage(core::MonoClock::now(), changes.connectedFor);
+            const core::MonoTime now = core::MonoClock::now();
+            holdRemovalsAfter(now, contact_.endOutage(now), changes.connectedFor);
             applyChanges(changes);
             co_return true;
         } catch (const core::Error &error) {
@@ -304,7 +278,7 @@
         }
         changeLog_.append(relayed);
         revision_ = std::max(revision_, changes.revision);
-        lastReadAt_ = now;
+        contact_.upToDate(now);
     }
 
     /** Waits for changes of the store and applies them. */
@@ -385,15 +359,15 @@
         while (!deregistering_) {
             const bool active = parts_.entries.isActive(options_.self.id);
             core::Micros wait = active ? options_.renewInterval : options_.idleRenewInterval;
-            if (failures_ > 0)
+            if (contact_.failures() > 0)
                 wait = currentMaxBackoff(); // The first response starts the hold of removals.
             // A VM that starts to take callers needs a shorter TTL, so that its loss shows sooner.
             if (active != leasedAsActive)
                 lease.reset();
+            const core::MonoTime sentAt = core::MonoClock::now();
             try {
                 if (lease) {
                     co_await parts_.store.renewLease(*lease);
-                    recordResponse();
                 } else {
                     const StoreLease granted = co_await parts_.store.grantLease(
                         active ? options_.leaseTtl : options_.idleLeaseTtl);
@@ -401,6 +375,7 @@
                     leasedAsActive = active;
                     lease = granted;
                 }
+                recordResponse();
                 logRegistrationSuccess();
             } catch (const StoreLeaseLost &error) {
                 recordResponse();
@@ -408,6 +383,7 @@
                 lease.reset();
                 wait = options_.initialBackoff;
             } catch (const core::Error &error) {
+                contact_.callFailed(core::MonoClock::now(), sentAt, error);
                 logRegistrationFailure(error);
                 wait = currentMaxBackoff();
             }
@@ -436,15 +412,9 @@
     StoreRevision revision_;
     bool usingRelay_ = false; ///< Changes are read from a relay, not from the store.
     core::MonoTime relayBackoffUntil_ {};
-    /** Time of the store's last response to any call. */
-    core::MonoTime lastResponseAt_ = core::MonoClock::now();
-    /** Time of the last response whose changes were applied, from the store or a relay. */
-    core::MonoTime lastReadAt_ = core::MonoClock::now();
-    core::MonoTime connectedSince_ = core::MonoClock::now(); ///< Start, or end of last outage.
-    bool catchUpNeeded_ = false;        ///< A read failed, so changes may have been missed.
-    int failures_ = 0;                  ///< Failed reads since the last response of any call.
-    core::MonoTime outageStartedAt_ {}; ///< Time of the first of these failures.
-    int registrationFailures_ = 0;      ///< Since the last successful renewal or registration.
+    StoreContact contact_ {core::MonoClock::now()};
+    bool catchUpNeeded_ = false;   ///< A read failed, so changes may have been missed.
+    int registrationFailures_ = 0; ///< Since the last successful renewal or registration.
     bool loggedAsConnected_ = false;
     bool deregistering_ = false;
 };
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -379,9 +379,10 @@
                            static_cast<double>(callers_.size()));
         registry_.setGauge("teaselreach_limit_part", {}, shares_.effectiveShare());
         registry_.setGauge("teaselreach_members", {}, static_cast<double>(entries_.size()));
-        registry_.setGauge("teaselreach_store_read_age_seconds", {}, toSeconds(sync_.readAge(now)));
+        registry_.setGauge("teaselreach_store_read_age_seconds", {},
+                           toSeconds(sync_.contact().readAge(now)));
         registry_.setGauge("teaselreach_store_response_age_seconds", {},
-                           toSeconds(sync_.responseAge(now)));
+                           toSeconds(sync_.contact().responseAge(now)));
         if (flow_.table())
             registry_.setGauge("teaselreach_config_version", {},
                                static_cast<double>(flow_.table()->configuration().version.count()));
--- a/tests/proxy/store_silence_test.cpp
+++ b/tests/proxy/store_silence_test.cpp
@@ -8,7 +8,9 @@
 using namespace teaselreach;
 using namespace teaselreach::proxy;
 using proxytest::config;
+using proxytest::removed;
 using proxytest::SyncFixture;
+using proxytest::upstream;
 
 namespace {
 
@@ -44,6 +46,22 @@
     CHECK(vm.runUntil([&] { return vm.sync.connectedFor().has_value(); }, configurationBound));
 }
 
+TEST_CASE("a silence of the store is counted from the failure of a call instead of its start")
+{
+    // The outage seemed too short for entries to expire, and removals were not held back.
+    SyncFixture vm;
+    vm.store.items = {upstream("a"), upstream("b")};
+    vm.sync.start();
+    REQUIRE(vm.runUntil([&] { return vm.hasUpstream("a"); }));
+    vm.run(core::Millis(40));
+    vm.store.silent = true;
+    vm.run(core::Millis(1300));
+    vm.store.silent = false;
+    vm.store.events = {removed("a")};
+    vm.run(core::Millis(1500));
+    CHECK(vm.hasUpstream("a"));
+}
+
 TEST_CASE("a VM with the times of production is up to date too late after a silence of any length")
 {
     std::deque<SyncFixture> vms;
