Add: [Soak] A store that falls silent, watches included, and a tighter bound after store faults

The store can now fall silent: no request that is open at any moment of the fault is ever answered. After a fault of the store alone, the bound holds again after 3.5 s; a daemon's own faults keep five seconds. No check is relaxed.

--- a/soak/platform_store.cpp
+++ b/soak/platform_store.cpp
@@ -82,6 +82,7 @@
 proxy::asio::awaitable<void> PlatformStore::serve(std::shared_ptr<proxy::CallerExchange> exchange)
 {
     const std::string target(exchange->request.target().data(), exchange->request.target().size());
+    const int silences = silences_ - (fault_ == StoreFault::Silent ? 1 : 0);
     if (fault_ == StoreFault::Busy) {
         exchange->response = jsonResponse(503);
         co_return;
@@ -106,7 +107,8 @@
         exchange->response = renewLease(numberAfter(target, "/kv-keep/"));
     else
         exchange->response = jsonResponse(404);
-    if (fault_ == StoreFault::LostResponse && !isWatch) {
+    const bool isLost = fault_ == StoreFault::LostResponse && !isWatch;
+    if (isLost || silences_ != silences) {
         // Keeps the connection open without a response.
         timer.expires_after(core::Seconds(20));
         co_await timer.async_wait(proxy::captureError(ignored));
--- a/soak/platform_store_base.h
+++ b/soak/platform_store_base.h
@@ -19,6 +19,7 @@
     Busy,         ///< Answers every request with 503.
     Slow,         ///< Handles each request after a delay of 250 ms.
     LostResponse, ///< Applies the request and delays its response by 20 s, except for watches.
+    Silent,       ///< Answers no request that is open at any moment of the fault, watches included.
 };
 
 /** Serves the platform's HTTP API for keys, revisions, leases and watches. */
@@ -35,7 +36,11 @@
     /** Removes expired leases and their keys. */
     void expireLeases(core::MonoTime now);
     /** Sets the simulated fault. */
-    void setFault(StoreFault fault) { fault_ = fault; }
+    void setFault(StoreFault fault)
+    {
+        fault_ = fault;
+        silences_ += fault == StoreFault::Silent ? 1 : 0;
+    }
     /** Compacts the history; a watch from an older revision then gets 410. */
     void compact() { history_.clear(), compactedRevision_ = revision_; }
 
@@ -70,6 +75,7 @@
     std::uint64_t revision_ = 1;
     std::uint64_t lastLease_ = 0;
     StoreFault fault_ = StoreFault::None;
+    int silences_ = 0; ///< How often the fault Silent was set.
     proxy::CallerServer server_;
 };
 
--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -21,6 +21,9 @@
 constexpr core::Seconds startupTime {4};
 /** Time without faults after which a daemon must meet the configuration bound. */
 constexpr core::Seconds settleTime {5};
+/** The same after a fault of the store alone: the time after which the users count a VM as
+ * connected again, and a margin for slow processes. */
+constexpr core::Millis storeSettleTime {3000 + 500};
 /** Time within which a daemon must apply a version: 2500 ms and a margin for slow processes. */
 constexpr core::Millis configurationBound {2500 + 500};
 /** Time that a caller waits for a response. */
@@ -164,6 +167,7 @@
 void SoakSite::recordFaultForAll()
 {
     const core::MonoTime now = core::MonoClock::now();
+    storeFaultAt_ = now;
     for (Vm &vm : vms_)
         vm.lastFaultAt = now;
     for (const auto &upstream : upstreams_)
@@ -295,7 +299,8 @@
         if (unknown && start == vm.newestServedStart && version <= vm.newestServedVersion)
             ledger_.broken("configuration",
                            "a daemon went back to before version " + std::to_string(version));
-        const bool calm = askedAt - vm.lastFaultAt > settleTime;
+        const bool calm =
+            askedAt - vm.lastOwnFaultAt > settleTime && askedAt - storeFaultAt_ > storeSettleTime;
         if (unknown && calm && askedAt - writtenAt > configurationBound)
             ledger_.broken("configuration",
                            "version " + std::to_string(version) + " is not in force in time");
@@ -338,7 +343,7 @@
     Vm &vm = vms_[index];
     const std::uint64_t kind = random_() % 4;
     const core::Millis time(200 + random_() % 2500);
-    vm.lastFaultAt = core::MonoClock::now();
+    vm.lastFaultAt = vm.lastOwnFaultAt = core::MonoClock::now();
     if (kind == 2)
         vm.terminatedAt = vm.lastFaultAt;
     constexpr std::array<const char *, 4> names {"killed", "frozen", "terminated",
@@ -359,7 +364,7 @@
     if (kind == 3)
         vm.storePath->setCuts({});
     if (kind != 2)
-        vm.lastFaultAt = core::MonoClock::now();
+        vm.lastFaultAt = vm.lastOwnFaultAt = core::MonoClock::now();
     for (const auto &upstream : upstreams_)
         upstream->restartDrainTimer(core::MonoClock::now());
     vm.process->start();
@@ -367,13 +372,14 @@
 
 proxy::asio::awaitable<void> SoakSite::injectStoreFault()
 {
-    const std::uint64_t kind = random_() % 4;
-    constexpr std::array<const char *, 4> names {"busy", "slow", "loses answers", "forgets"};
-    constexpr std::array<StoreFault, 3> faults {StoreFault::Busy, StoreFault::Slow,
-                                                StoreFault::LostResponse};
+    const std::uint64_t kind = random_() % 5;
+    constexpr std::array<const char *, 5> names {"busy", "slow", "loses answers", "silent",
+                                                 "forgets"};
+    constexpr std::array<StoreFault, 4> faults {StoreFault::Busy, StoreFault::Slow,
+                                                StoreFault::LostResponse, StoreFault::Silent};
     recordEvent(std::string("store ") + names[kind]);
     recordFaultForAll();
-    if (kind == 3) {
+    if (kind == faults.size()) {
         store_.compact();
         co_return;
     }
--- a/soak/soak_site_base.h
+++ b/soak/soak_site_base.h
@@ -51,6 +51,7 @@
         std::uint16_t callerPort = 0;
         std::uint16_t directoryPort = 0;
         core::MonoTime lastFaultAt {};        ///< Last fault that may affect it.
+        core::MonoTime lastOwnFaultAt {};     ///< The same without faults of the store.
         core::MonoTime terminatedAt {};       ///< Last SIGTERM.
         std::int64_t newestServedVersion = 0; ///< Newest version served since its start.
         int newestServedStart = 0;            ///< Start count to which newestServedVersion belongs.
@@ -87,6 +88,7 @@
     std::vector<SoakAccount> accounts_;
     std::int64_t version_ = 0;
     core::MonoTime versionAt_ {};
+    core::MonoTime storeFaultAt_ {}; ///< Start or end of the last fault of the store.
     core::MonoTime end_ {};
     std::vector<std::string> timeline_;
 };
