Add: [Proxy, Platform] What an upstream says of itself is read in one place, limits included

The adapter now reads a typed UpstreamStatus from each response that is the upstream's own (load and limit); malformed and out-of-range values are logged and left out. The product logs each change of a limit and counts the limited upstreams. classifyExchange() returns just the outcome. No decision uses the limit yet.

A load report in a response that cannot be trusted (no seal, or for another instance) no longer updates the estimates.

Cost: at most one log line for each change of a limit.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -40,25 +40,6 @@
     return false;
 }
 
-std::optional<LoadReport> readLoad(std::string_view text)
-{
-    std::array<int, 3> numbers {};
-    const char *at = text.data();
-    const char *end = text.data() + text.size();
-    for (std::size_t i = 0; i < numbers.size(); ++i) {
-        const auto [next, error] = std::from_chars(at, end, numbers[i]);
-        if (error != std::errc() || numbers[i] < 0)
-            return std::nullopt;
-        at = next;
-        if (i + 1 < numbers.size()) {
-            if (at == end || *at != ',')
-                return std::nullopt;
-            ++at;
-        }
-    }
-    return LoadReport {.running = numbers[0], .waiting = numbers[1], .slots = numbers[2]};
-}
-
 template <typename Message>
 void copyEndToEndFields(const Message &from, Message &to,
                         const std::function<bool(std::string_view)> &dropped)
@@ -108,39 +89,38 @@
         || !fieldValue(response, names.notExecuted).empty();
 }
 
-AttemptOutcome classifyResponse(const HttpResponse &response, const HeaderNames &names)
+AttemptEnd classifyResponse(const HttpResponse &response, const HeaderNames &names)
 {
-    AttemptOutcome outcome {.load = readLoad(fieldValue(response, names.load))};
     const bool success =
         beasthttp::to_status_class(response.result()) == beasthttp::status_class::successful;
     if (response.result() == beasthttp::status::misdirected_request)
-        outcome.end = AttemptEnd::Misdirected;
-    else if (!fieldValue(response, names.notExecuted).empty())
-        outcome.end = AttemptEnd::NotExecuted;
-    else if (success
-             && (fieldValue(response, names.seal).empty()
-                 || response.count(beasthttp::field::content_encoding) > 0))
-        outcome.end = AttemptEnd::Broken;
-    else if (beasthttp::to_status_class(response.result()) == beasthttp::status_class::server_error)
-        outcome.end = AttemptEnd::ServerError;
-    return outcome;
+        return AttemptEnd::Misdirected;
+    if (!fieldValue(response, names.notExecuted).empty())
+        return AttemptEnd::NotExecuted;
+    if (success
+        && (fieldValue(response, names.seal).empty()
+            || response.count(beasthttp::field::content_encoding) > 0))
+        return AttemptEnd::Broken;
+    if (beasthttp::to_status_class(response.result()) == beasthttp::status_class::server_error)
+        return AttemptEnd::ServerError;
+    return AttemptEnd::Answered;
 }
 
-AttemptOutcome classifyExchange(const ExchangeResult &result, const HeaderNames &names)
+AttemptEnd classifyExchange(const ExchangeResult &result, const HeaderNames &names)
 {
     switch (result.failure) {
     case ExchangeFailure::None:
         return classifyResponse(result.response, names);
     case ExchangeFailure::NotConnected:
-        return {.end = AttemptEnd::NotSent};
+        return AttemptEnd::NotSent;
     case ExchangeFailure::Broken:
-        return {.end = AttemptEnd::Broken};
+        return AttemptEnd::Broken;
     case ExchangeFailure::TimedOut:
-        return {.end = AttemptEnd::TimedOut};
+        return AttemptEnd::TimedOut;
     case ExchangeFailure::Cancelled:
-        return {.end = AttemptEnd::CallerLeft};
+        return AttemptEnd::CallerLeft;
     }
-    return {.end = AttemptEnd::Broken};
+    return AttemptEnd::Broken;
 }
 
 HttpResponse toCallerResponse(HttpResponse response, const HeaderNames &names)
--- a/src/proxy/exchange_func.h
+++ b/src/proxy/exchange_func.h
@@ -25,13 +25,6 @@
 HttpRequest makeForwardRequest(const HttpRequest &request, const HeaderNames &names,
                                const ForwardFields &fields);
 
-/** The interpreted end of an attempt. */
-struct AttemptOutcome
-{
-    AttemptEnd end = AttemptEnd::Answered;
-    std::optional<LoadReport> load;
-};
-
 /**
  * @return Whether a response belongs to an attempt. A 421 or not-executed response may come
  * without the attempt id; any other response must carry it.
@@ -41,10 +34,10 @@
 
 /** @return The outcome that a response stands for; a successful response without a seal or with a
  * content encoding is Broken. */
-AttemptOutcome classifyResponse(const HttpResponse &response, const HeaderNames &names);
+AttemptEnd classifyResponse(const HttpResponse &response, const HeaderNames &names);
 
 /** @return The outcome that the result of an exchange stands for. */
-AttemptOutcome classifyExchange(const ExchangeResult &result, const HeaderNames &names);
+AttemptEnd classifyExchange(const ExchangeResult &result, const HeaderNames &names);
 
 /** @return The response for the caller: the upstream's status, body and end-to-end fields, without
  * load report and upstream id. */
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -379,6 +379,8 @@
                            static_cast<double>(callers_.size()));
         registry_.setGauge("teaselreach_limit_part", {}, shares_.effectiveShare());
         registry_.setGauge("teaselreach_members", {}, static_cast<double>(entries_.size()));
+        registry_.setGauge("teaselreach_limited_upstreams", {},
+                           static_cast<double>(upstreams_.limitedCount()));
         registry_.setGauge("teaselreach_store_read_age_seconds", {},
                            toSeconds(sync_.contact().readAge(now)));
         registry_.setGauge("teaselreach_store_response_age_seconds", {},
--- a/src/proxy/proxy_type.h
+++ b/src/proxy/proxy_type.h
@@ -4,7 +4,9 @@
 #include "core/clock_type.h"
 #include "core/id_type.h"
 
+#include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -122,4 +124,19 @@
     int slots = 0;
 };
 
+/** A number of requests per second. */
+struct RequestRate
+{
+    double perSecond = 0;
+    auto operator<=>(const RequestRate &) const = default;
+};
+
+/** What an upstream says of itself in a response; the adapter reads and checks it. */
+struct UpstreamStatus
+{
+    std::optional<LoadReport> load;
+    /** Requests that it takes from all VMs together, until a response no longer names a limit. */
+    std::optional<RequestRate> limit;
+};
+
 } // namespace teaselreach::proxy
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -245,7 +245,7 @@
 
 bool RequestFlow::mayReuseConnection(const ExchangeResult &result) const
 {
-    return classifyExchange(result, options_.names).end != AttemptEnd::Broken;
+    return classifyExchange(result, options_.names) != AttemptEnd::Broken;
 }
 
 /** @return The request for an upstream, with the time left until the deadline. */
@@ -261,30 +261,38 @@
                                .timeLeft = std::max(core::Micros(shortestDeadline), timeLeft)});
 }
 
+/** @return What the upstream says of itself; nothing if the response is not its own. */
+UpstreamStatus RequestFlow::statusOf(const ExchangeResult &result, AttemptEnd end) const
+{
+    const bool isOwn = result.failure == ExchangeFailure::None && end != AttemptEnd::Broken
+        && end != AttemptEnd::Misdirected;
+    return isOwn && options_.readStatus ? options_.readStatus(result.response) : UpstreamStatus {};
+}
+
 /** Records the result of an attempt and, if it is the last one, fills the response. @return Whether
  * another attempt follows. */
 bool RequestFlow::finishAttempt(Job &job, const Placement &placement, core::MonoTime startedAt,
                                 ExchangeResult result)
 {
     const core::MonoTime now = core::MonoClock::now();
-    const AttemptOutcome attempt = classifyExchange(result, options_.names);
+    const AttemptEnd end = classifyExchange(result, options_.names);
     const AttemptRecord record {.upstream = placement.upstream,
                                 .route = job.request.route->id,
                                 .attempt = placement.attempt,
-                                .end = attempt.end,
+                                .end = end,
                                 .startedAt = startedAt,
                                 .endedAt = now,
-                                .load = attempt.load};
+                                .status = statusOf(result, end)};
     reportAttempt(job, placement, record, result);
     wakeWaiters(dispatcher_.attemptFinished(record, job.request));
-    if (!job.exchange->callerLeft && dispatcher_.grantRetry(now, job.request, attempt.end))
+    if (!job.exchange->callerLeft && dispatcher_.grantRetry(now, job.request, end))
         return true;
-    if (attempt.end == AttemptEnd::Answered || attempt.end == AttemptEnd::ServerError) {
+    if (end == AttemptEnd::Answered || end == AttemptEnd::ServerError) {
         job.exchange->response = toCallerResponse(std::move(result.response), options_.names);
-        job.outcome = attemptEndName(attempt.end);
+        job.outcome = attemptEndName(end);
         return false;
     }
-    refuseAfterFailure(job, attempt.end);
+    refuseAfterFailure(job, end);
     return false;
 }
 
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -9,6 +9,7 @@
 #include "proxy/request_loop_base.h"
 #include "proxy/route_table_base.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -18,6 +19,8 @@
 struct RequestFlowOptions
 {
     HeaderNames names;
+    /** Reads what an upstream says of itself in a response; may be empty. */
+    std::function<UpstreamStatus(const HttpResponse &)> readStatus;
     DispatcherOptions dispatch;
     /** Longest idle time of a connection that is reused for a non-idempotent request: an upstream
      * may drop idle connections, and a request sent just then may or may not have run. */
@@ -80,6 +83,7 @@
     asio::awaitable<std::optional<Placement>> place(Job &job);
     AttemptPlan planAttempt(Job &job, const Placement &placement, core::MonoTime now);
     bool mayReuseConnection(const ExchangeResult &result) const;
+    UpstreamStatus statusOf(const ExchangeResult &result, AttemptEnd end) const;
     bool finishAttempt(Job &job, const Placement &placement, core::MonoTime startedAt,
                        ExchangeResult result);
     void finishRequest(const Job &job);
--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -1,4 +1,5 @@
 /** @file upstream_table.cpp Selection of upstreams by expected loss; health and load estimates. */
+#include "core/log_func.h"
 #include "proxy/upstream_table_base.h"
 
 #include <algorithm>
@@ -51,6 +52,13 @@
     return std::exp2(-std::max(0.0, seconds(age)) / seconds(halfLife));
 }
 
+/** @return A rate in requests per 1,000 seconds for logs; -1 without one. */
+std::int64_t toMilli(const std::optional<RequestRate> &rate)
+{
+    constexpr double milli = 1000;
+    return rate ? std::llround(rate->perSecond * milli) : -1;
+}
+
 bool countsAsFailure(AttemptEnd end)
 {
     return end == AttemptEnd::ServerError || end == AttemptEnd::Broken
@@ -217,11 +225,12 @@
     if (ended != upstream.inFlight.end())
         upstream.inFlight.erase(ended);
     updateLoad(record, upstream);
+    updateLimit(record, upstream);
     if (record.end == AttemptEnd::CallerLeft)
         return;
     if (record.end == AttemptEnd::NotExecuted || record.end == AttemptEnd::Misdirected) {
         // A refusal without a load report still shows that the upstream is full.
-        if (!record.load) {
+        if (!record.status.load) {
             upstream.othersLoad = options_.maxOccupancy * std::max(1, upstream.entry.slots);
             upstream.loadAt = record.endedAt;
         }
@@ -272,6 +281,13 @@
     return slots;
 }
 
+std::size_t UpstreamTable::limitedCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(upstreams_.begin(), upstreams_.end(),
+                      [](const auto &entry) { return entry.second.limit.has_value(); }));
+}
+
 double UpstreamTable::unhealthyProbability(core::MonoTime now, const Upstream &upstream) const
 {
     // Unhealthy periods have a typical length: evidence keeps its weight for most of that time and
@@ -384,11 +400,25 @@
 
 void UpstreamTable::updateLoad(const AttemptRecord &record, Upstream &upstream) const
 {
-    if (!record.load)
+    if (!record.status.load)
         return;
     const int own = static_cast<int>(upstream.inFlight.size());
-    upstream.othersLoad = std::max(0, record.load->running + record.load->waiting - own);
+    upstream.othersLoad =
+        std::max(0, record.status.load->running + record.status.load->waiting - own);
     upstream.loadAt = record.endedAt;
 }
 
+void UpstreamTable::updateLimit(const AttemptRecord &record, Upstream &upstream)
+{
+    const bool ran = record.end == AttemptEnd::Answered || record.end == AttemptEnd::ServerError;
+    const std::optional<RequestRate> limit = record.status.limit;
+    if (limit == upstream.limit || (!limit && !ran))
+        return;
+    core::logEvent(core::LogLevel::Info, limit ? "upstream_limit_named" : "upstream_limit_ended",
+                   {{"upstream", record.upstream.str()},
+                    {"milli_per_s", toMilli(limit)},
+                    {"milli_per_s_before", toMilli(upstream.limit)}});
+    upstream.limit = limit;
+}
+
 } // namespace teaselreach::proxy
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -107,7 +107,7 @@
     AttemptEnd end = AttemptEnd::Answered;
     core::MonoTime startedAt {};
     core::MonoTime endedAt {};
-    std::optional<LoadReport> load; ///< Reported by the upstream with its response, if any.
+    UpstreamStatus status; ///< From the upstream's response; empty without a usable one.
 };
 
 /** An attempt's outcome as VMs report it to each other. */
@@ -154,6 +154,8 @@
                                         core::Micros targetLatency) const;
     /** @return Total slots of the service's upstreams that are not draining. */
     int slotsOf(const core::ServiceId &service) const;
+    /** @return Number of upstreams that name a limit. */
+    std::size_t limitedCount() const;
 
 private:
     /** An attempt that has not finished. */
@@ -175,7 +177,8 @@
         core::MonoTime unhealthyAt {};
         double slowness = 1;                   ///< Its durations relative to the routes' averages.
         std::vector<InFlightAttempt> inFlight; ///< Attempts from this VM.
-        core::MonoTime lastTriedAt {}; ///< Last attempt from this VM or report of another VM.
+        core::MonoTime lastTriedAt {};    ///< Last attempt from this VM or report of another VM.
+        std::optional<RequestRate> limit; ///< As last named by the upstream.
     };
 
     /** Expected result of sending a request to an upstream. */
@@ -209,6 +212,7 @@
                       double healthyFailureRate);
     void updateProcessingTime(const AttemptRecord &record, Upstream &upstream);
     void updateLoad(const AttemptRecord &record, Upstream &upstream) const;
+    static void updateLimit(const AttemptRecord &record, Upstream &upstream);
 
     UpstreamTableOptions options_;
     std::mt19937_64 random_;
--- a/tests/proxy/flow_fixture.h
+++ b/tests/proxy/flow_fixture.h
@@ -34,6 +34,15 @@
             .keyScheme = "Bearer"};
 }
 
+/** @return The limit in the header field X-Limit, if any. */
+inline UpstreamStatus readTestStatus(const HttpResponse &response)
+{
+    const std::string limit(fieldValue(response, "X-Limit"));
+    if (limit.empty())
+        return {};
+    return {.limit = RequestRate {.perSecond = std::stod(limit)}};
+}
+
 /** An idempotent route "/read/", a non-idempotent route "/book/" and an account with key "k1". */
 inline Configuration testConfiguration(core::Micros timeout = core::Millis(1000))
 {
@@ -97,7 +106,7 @@
                  .upstreams = upstreams_,
                  .shares = shares_,
                  .registry = registry_},
-                {.names = testHeaderNames()}, 1)
+                {.names = testHeaderNames(), .readStatus = readTestStatus}, 1)
         , server_(context_, "127.0.0.1", 0,
                   {.serve =
                        [this](std::shared_ptr<CallerExchange> exchange) {
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -3,6 +3,7 @@
 #include "platform/json_func.h"
 #include "platform/settings_func.h"
 #include "platform/store_client_base.h"
+#include "platform/upstream_status_func.h"
 #include "standins/raw_server.h"
 
 #include <doctest/doctest.h>
@@ -256,3 +257,20 @@
     CHECK_THROWS_AS(watch(), proxy::StoreUnreachable);
     CHECK_THROWS_AS(watch(), proxy::StoreUnreachable);
 }
+
+TEST_CASE("an odd value in what an upstream says of itself is taken for a limit or a load")
+{
+    const auto read = [](const char *name, const std::string &value) {
+        proxy::HttpResponse response;
+        response.set(name, value);
+        return readUpstreamStatus(response);
+    };
+    CHECK(read("Server-Limit", "7.3").limit == proxy::RequestRate {.perSecond = 7.3});
+    CHECK(read("server-limit", "0").limit == proxy::RequestRate {.perSecond = 0});
+    for (const char *odd : {"", "-1", "nan", "inf", "1e300", "7.3/s", "seven", "0x7", "1,5"})
+        CHECK_MESSAGE(!read("Server-Limit", odd).limit, odd);
+    CHECK(read("Teaselreach-Instance-Load", "3,0,8").load->slots == 8);
+    for (const char *odd : {"", "3,0", "3,-1,8", "3;0;8", "99999999999,0,8"})
+        CHECK_MESSAGE(!read("Teaselreach-Instance-Load", odd).load, odd);
+    CHECK(!read("Date", "today").limit);
+}
--- a/tests/standins/plain_choosers.h
+++ b/tests/standins/plain_choosers.h
@@ -113,8 +113,8 @@
     {
         PlainUpstream &upstream = upstreams_[record.upstream];
         --upstream.own;
-        if (record.load)
-            upstream.reported = record.load->running + record.load->waiting;
+        if (record.status.load)
+            upstream.reported = record.status.load->running + record.status.load->waiting;
     }
 
     core::Micros expectedProcessingTime(const core::RouteId &, core::Micros targetLatency) const
--- a/tests/standins/proxy_emulator.h
+++ b/tests/standins/proxy_emulator.h
@@ -421,7 +421,7 @@
                                                .end = end,
                                                .startedAt = job->attemptAt,
                                                .endedAt = events_.now(),
-                                               .load = load},
+                                               .status = {.load = load}},
                                               job->request));
         if (end == proxy::AttemptEnd::Answered) {
             const bool inTime =
