Add: [Tests] Two failing cases of the LIMIT matter: a named limit is not kept

One daemon between a caller and two upstreams of its own, over sockets: the upstream that names 2 requests a second gets 197 in 4 s, and a request that fits no limit is sent instead of being rejected at once.

--- a/tests/cmake/proxy.cmake
+++ b/tests/cmake/proxy.cmake
@@ -4,6 +4,7 @@
 teaselreach_test(proxy_flow_test SOURCES proxy/flow_test.cpp LIBS tr_proxy)
 teaselreach_test(proxy_sync_test SOURCES proxy/sync_test.cpp LIBS tr_proxy)
 teaselreach_test(proxy_store_silence_test SOURCES proxy/store_silence_test.cpp LIBS tr_proxy)
+teaselreach_test(proxy_upstream_limit_test SOURCES proxy/upstream_limit_test.cpp LIBS tr_proxy)
 teaselreach_test(platform_test SOURCES proxy/platform_test.cpp LIBS tr_platform)
 teaselreach_test(proxy_loop_daemon_test SOURCES proxy/loop_daemon_test.cpp LIBS tr_proxy)
 teaselreach_test(platform_main_test SOURCES proxy/platform_main_test.cpp LIBS tr_soak)
