--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -274,3 +274,57 @@
         CHECK_MESSAGE(!read("Teaselreach-Instance-Load", odd).load, odd);
     CHECK(!read("Date", "today").limit);
 }
+
+TEST_CASE("an odd entry of an upstream ends the daemon or is used as an upstream")
+{
+    const auto entry = [](const std::string &field, const std::string &value) {
+        std::string text = R"({"service": "s", "address": "10.1.2.3:80", "zone": "z", "slots": 2,)"
+                           R"( "state": "ready", "warmupLeft": "0ms", "born": 1, "sequence": 1})";
+        const std::size_t at = text.find("\"" + field + "\"") + field.size() + 4;
+        return text.replace(at, text.find_first_of(",}", at) - at, value);
+    };
+    REQUIRE(decodeUpstream("i-1", entry("slots", "3")).slots == 3);
+    constexpr std::size_t levels = 200000;
+    const std::string opened(levels, '[');
+    const std::string closed(levels, ']');
+    const std::vector<std::string> odd {
+        opened,
+        opened + closed,
+        entry("sequence", opened + closed),
+        entry("sequence", "{\"a\":" + opened + closed + "}"),
+        entry("slots", "99999999999999"),
+        entry("slots", "99999999999999999999999999"),
+        entry("slots", "1e30"),
+        entry("slots", "1e999"),
+        entry("slots", "2.5"),
+        entry("slots", "2000000000"),
+        entry("slots", "-1"),
+        entry("born", "1e30"),
+        entry("warmupLeft", "\"1e300s\""),
+        entry("warmupLeft", "\"infs\""),
+        entry("warmupLeft", "\"-1s\""),
+        entry("address", "\"10.1.2.3:65536\""),
+        entry("address", "\"10.1.2.3:0\""),
+        entry("address", "\"10.1.2.3:-1\""),
+        entry("address", "\"10.1.2.3:99999999999999999999\""),
+        entry("address", "\"10.1.2.300:80\""),
+        entry("address", "\"somewhere:80\""),
+        entry("address", "80"),
+        "\x00\xff",
+        "",
+    };
+    for (const std::string &text : odd)
+        CHECK_THROWS_AS_MESSAGE(decodeUpstream("i-1", text), StoreValueMalformed,
+                                text.substr(0, 200));
+}
+
+TEST_CASE("the log line on an unreadable value is as long as the value")
+{
+    const std::string text = "{\"service\": \"" + std::string(100000, 'x');
+    try {
+        decodeUpstream("i-1", text);
+        FAIL("expected StoreValueMalformed");
+    } catch (const StoreValueMalformed &error) {
+        CHECK(std::string_view(error.what()).size() < 500);
+    }
+}
