Fix: [Proxy, Daemon] An earlier refusal written again on a kept connection refuses the next request

Reported by operators of systems like ours, and it can happen here: a faulty upstream writes a refusal once more on a kept connection. The caller of the next request was told 503, not run, while the upstream ran it, and with room elsewhere the request ran a second time there.

Cause: a refusal is accepted without the id of the attempt, since upstreams may refuse what they have not read. On the platform this concerns 421, 429 and 503 without an id; one with the id of the earlier attempt was skipped already. The product's own interface has no id in any response.

Change: a connection that carried a refusal without an id carries no further request, so that a copy of it cannot meet one. On the product's own interface that is every refusal.

Cost: a new connection after such a refusal; upstreams of the platform echo the id, so none there.

--- a/src/daemon/attempt.cpp
+++ b/src/daemon/attempt.cpp
@@ -58,6 +58,11 @@
                                              : proxy::AttemptEnd::Answered;
 }
 
+bool isRefusal(const proxy::HttpResponse &response)
+{
+    return response.result_int() == serviceUnavailable && response["X-Not-Run"] == "1";
+}
+
 void readLoadReport(const http::Headers &headers, AttemptReport &report)
 {
     report.loadBusy = readNumber(headers, "X-Load-Busy");
--- a/src/daemon/attempt_func.h
+++ b/src/daemon/attempt_func.h
@@ -3,6 +3,7 @@
 
 #include "daemon/collaborator_type.h"
 #include "http/server_base.h"
+#include "proxy/asio_type.h"
 #include "table/refusal_table.h"
 
 namespace teaselreach::daemon {
@@ -21,6 +22,9 @@
 /** @return How the attempt with this result ended. */
 proxy::AttemptEnd classifyAttempt(const http::Result &result);
 
+/** @return Whether an upstream says in a response that it has not run the request. */
+bool isRefusal(const proxy::HttpResponse &response);
+
 /** Reads the load and drain fields of an upstream's response into `report`. */
 void readLoadReport(const http::Headers &headers, AttemptReport &report);
 
--- a/src/daemon/request_pipeline_base.h
+++ b/src/daemon/request_pipeline_base.h
@@ -151,7 +151,8 @@
 
     bool mayReuseConnection(const proxy::ExchangeResult &result) const
     {
-        return result.failure == proxy::ExchangeFailure::None;
+        // Refusals carry no id. Written once more, one would refuse the next request.
+        return result.failure == proxy::ExchangeFailure::None && !isRefusal(result.response);
     }
 
     bool finishAttempt(Job &job, const ChosenUpstream &chosen, core::MonoTime startedAt,
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -261,7 +261,11 @@
 
 bool RequestFlow::mayReuseConnection(const ExchangeResult &result) const
 {
-    return classifyExchange(result, options_.names) != AttemptEnd::Broken;
+    const AttemptEnd end = classifyExchange(result, options_.names);
+    if (end == AttemptEnd::NotExecuted || end == AttemptEnd::Misdirected)
+        // Written once more, a refusal without an id would refuse the next request.
+        return !fieldValue(result.response, options_.names.attemptId).empty();
+    return end != AttemptEnd::Broken;
 }
 
 /** @return The request for an upstream, with the time left until the deadline. */
--- a/tests/daemon/request_test.cpp
+++ b/tests/daemon/request_test.cpp
@@ -34,6 +34,23 @@
     CHECK(seen.body == request.body);
 }
 
+TEST_CASE("an earlier refusal that is written again on a kept connection refuses the next request")
+{
+    standins::RawServer *server = nullptr;
+    const std::string refusal = okReply("", "X-Not-Run: 1\r\n", "503 Busy");
+    Fixture fixture({[&](const RawRequest &request) {
+        if (request.number == 1)
+            return RawReply {refusal};
+        const bool isKept = server->connections() == 1;
+        return RawReply {(isKept ? refusal : "") + okReply("ran")};
+    }});
+    server = fixture.upstreams.front().get();
+    checkRefusal(fixture.call(Fixture::requestWithKey("POST")), Refusal::UpstreamRefused);
+    const http::Result second = fixture.call(Fixture::requestWithKey("POST"));
+    CHECK(second.status == 200);
+    CHECK(second.body == "ran");
+}
+
 TEST_CASE("a non-idempotent request is sent only once if the upstream cuts the connection")
 {
     for (const RawReply &bad : {RawReply {"", true}, RawReply {"HTTP/1.1 200 OK\r\n", true}}) {
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -129,6 +129,33 @@
     CHECK(bodyOf(fixture.sendRequest(callerRequest("GET", "/read/", "a2"))) == "second");
 }
 
+TEST_CASE("an earlier refusal that is written again on a kept connection refuses the next request")
+{
+    // Callers were told that a request had not run, or it ran a second time elsewhere.
+    const std::vector<std::string> refusals {
+        okReply("", "X-Not-Run: 1\r\nX-Attempt: a1\r\n", "503 Busy"),
+        okReply("", "X-Not-Run: 1\r\n", "503 Busy"),
+        okReply("", "X-Not-Run: 1\r\n", "429 Too Many Requests"),
+        okReply("", "", "421 Misdirected Request"),
+    };
+    for (const std::string &refusal : refusals) {
+        RawServer *server = nullptr;
+        RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+            if (request.number == 1)
+                return RawReply {refusal};
+            const bool isKept = server->connections() == 1;
+            return RawReply {(isKept ? refusal : "") + sealedReply(request, "ran")};
+        });
+        server = &upstream;
+        FlowFixture fixture;
+        fixture.addUpstream("i-1", upstream);
+        CHECK(statusOf(fixture.sendRequest(callerRequest("POST", "/book/", "a1"))) == "503");
+        const std::string second = fixture.sendRequest(callerRequest("POST", "/book/", "a2"));
+        CHECK_MESSAGE(statusOf(second) == "200", refusal);
+        CHECK(bodyOf(second) == "ran");
+    }
+}
+
 TEST_CASE("a connection with extra bytes after the response is not reused")
 {
     RawServer upstream("127.0.0.1", [](const RawRequest &request) {
