Fix: [Proxy] Bytes without end from an upstream fill the memory of a daemon

A head was bounded (64 KiB) and so was one body (64 MiB), but the extension of a chunk was buffered without a bound (1.27 GB in 3 s), and eight bodies at once took 2.1 GB, on machines of 160 to 260 MB: the process would have been killed, with all requests of its callers.

Change: at most 128 KiB of received bytes wait to be parsed; the bodies that are being read share a budget of 32 MiB beyond 1 MiB each (ReceiveBudget, one for each pool of connections); after eight informational responses the exchange ends. An exchange over a bound ends as broken, its connection closes, and the caller gets 502, or the request goes to another upstream if it may.

Cost: none in calls or bytes. A response over 33 MiB is now broken; before, 64 MiB.

--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -12,6 +12,8 @@
 
 /** Limit of skipped responses to earlier requests; one more ends the exchange as broken. */
 constexpr int maxSkippedResponses = 4;
+/** Limit of informational responses (1xx) before a response. */
+constexpr int maxInformational = 8;
 /** Largest response body in bytes. */
 constexpr std::uint64_t maxResponseBytes = 64ULL * 1024 * 1024;
 /** Largest response header in bytes. */
@@ -149,9 +151,29 @@
     socket_->close(ignored);
 }
 
-HttpConnection::HttpConnection(asio::io_context &context, http::Target target)
+ReceiveReservation::~ReceiveReservation()
+{
+    if (budget_)
+        budget_->left_ += taken_;
+}
+
+bool ReceiveReservation::extendTo(std::size_t bodyBytes)
+{
+    if (!budget_ || bodyBytes <= ReceiveBudget::freeBytes + taken_)
+        return true;
+    const std::size_t more = bodyBytes - ReceiveBudget::freeBytes - taken_;
+    if (more > budget_->left_)
+        return false;
+    budget_->left_ -= more;
+    taken_ += more;
+    return true;
+}
+
+HttpConnection::HttpConnection(asio::io_context &context, http::Target target,
+                               std::shared_ptr<ReceiveBudget> budget)
     : context_(context)
     , target_(std::move(target))
+    , budget_(std::move(budget))
     , socket_(context)
     , keepAlive_(defaultKeepAlive)
 { }
@@ -223,18 +245,16 @@
                                                    const HttpRequest &request,
                                                    const ResponseFilter &filter, ErrorCode &error)
 {
-    for (int skipped = 0; skipped <= maxSkippedResponses;) {
-        beasthttp::response_parser<beasthttp::string_body> parser;
-        parser.body_limit(maxResponseBytes);
-        parser.header_limit(maxResponseHeaderBytes);
-        parser.skip(request.method() == beasthttp::verb::head);
-        co_await beasthttp::async_read(socket_, buffer_, parser, captureError(error));
+    int informational = 0;
+    for (int skipped = 0; skipped <= maxSkippedResponses && informational <= maxInformational;) {
+        result.response = co_await readMessage(request, error);
         if (error)
             co_return;
-        result.response = parser.release();
         if (beasthttp::to_status_class(result.response.result())
-            == beasthttp::status_class::informational)
+            == beasthttp::status_class::informational) {
+            ++informational;
             continue;
+        }
         if (filter && !filter(result.response)) {
             ++skipped;
             continue;
@@ -248,6 +268,24 @@
     error = beasthttp::error::bad_value;
 }
 
+/** Reads one whole message. Sets an error if it is malformed or does not fit the limits. */
+asio::awaitable<HttpResponse> HttpConnection::readMessage(const HttpRequest &request,
+                                                          ErrorCode &error)
+{
+    beasthttp::response_parser<beasthttp::string_body> parser;
+    parser.body_limit(maxResponseBytes);
+    parser.header_limit(maxResponseHeaderBytes);
+    parser.skip(request.method() == beasthttp::verb::head);
+    ReceiveReservation reservation(budget_);
+    co_await beasthttp::async_read_header(socket_, buffer_, parser, captureError(error));
+    while (!error && !parser.is_done()) {
+        co_await beasthttp::async_read_some(socket_, buffer_, parser, captureError(error));
+        if (!error && !reservation.extendTo(parser.get().body().size()))
+            error = beasthttp::error::body_limit;
+    }
+    co_return parser.release();
+}
+
 void HttpConnection::updateKeepAlive(const HttpResponse &response)
 {
     const auto value = response[beasthttp::field::keep_alive];
@@ -270,6 +308,7 @@
 ConnectionPool::ConnectionPool(asio::io_context &context, ConnectionPoolOptions options)
     : context_(context)
     , options_(options)
+    , budget_(std::make_shared<ReceiveBudget>(options.maxReceiveBytes))
 { }
 
 std::unique_ptr<HttpConnection>
@@ -283,7 +322,7 @@
         if (connection->isReusable(now) && connection->idleFor(now) <= maxIdle)
             return connection;
     }
-    return std::make_unique<HttpConnection>(context_, target);
+    return std::make_unique<HttpConnection>(context_, target, budget_);
 }
 
 void ConnectionPool::release(core::MonoTime now, std::unique_ptr<HttpConnection> connection)
--- a/src/proxy/http_connection_base.h
+++ b/src/proxy/http_connection_base.h
@@ -66,12 +66,51 @@
 /** @return Whether a response belongs to the request just sent; other responses are skipped. */
 using ResponseFilter = std::function<bool(const HttpResponse &)>;
 
+/** Memory for response bodies that are being read, shared by several connections. */
+class ReceiveBudget
+{
+public:
+    /** Body bytes that each response may have outside of the budget. */
+    static constexpr std::size_t freeBytes = 1024 * 1024;
+
+    /** @param maxBytes Largest total of what the bodies have beyond freeBytes each. */
+    explicit ReceiveBudget(std::size_t maxBytes)
+        : left_(maxBytes)
+    { }
+
+private:
+    friend class ReceiveReservation;
+    std::size_t left_;
+};
+
+/** What one response has taken from a budget; given back at the end of its life. */
+class ReceiveReservation
+{
+public:
+    /** @param budget The budget, or nullptr for no bound. */
+    explicit ReceiveReservation(std::shared_ptr<ReceiveBudget> budget)
+        : budget_(std::move(budget))
+    { }
+    ~ReceiveReservation();
+    ReceiveReservation(const ReceiveReservation &) = delete;
+    ReceiveReservation &operator=(const ReceiveReservation &) = delete;
+
+    /** Extends the reservation to the present size of a body. @return Whether it fits. */
+    bool extendTo(std::size_t bodyBytes);
+
+private:
+    std::shared_ptr<ReceiveBudget> budget_;
+    std::size_t taken_ = 0;
+};
+
 /** A client connection that carries one exchange at a time. */
 class HttpConnection
 {
 public:
-    /** @param context The event loop. @param target The server. */
-    HttpConnection(asio::io_context &context, http::Target target);
+    /** @param context The event loop. @param target The server.
+     * @param budget Bounds the memory of long responses; nullptr for no bound. */
+    HttpConnection(asio::io_context &context, http::Target target,
+                   std::shared_ptr<ReceiveBudget> budget = nullptr);
 
     /**
      * Sends a request and reads the response; connects first if this is the first exchange.
@@ -97,12 +136,17 @@
     asio::awaitable<void> connect(core::Micros timeout, ErrorCode &error);
     asio::awaitable<void> readResponse(ExchangeResult &result, const HttpRequest &request,
                                        const ResponseFilter &filter, ErrorCode &error);
+    asio::awaitable<HttpResponse> readMessage(const HttpRequest &request, ErrorCode &error);
     void updateKeepAlive(const HttpResponse &response);
 
+    /** Largest number of received bytes that are not parsed yet. */
+    static constexpr std::size_t maxUnparsedBytes = 128 * 1024;
+
     asio::io_context &context_;
     http::Target target_;
+    std::shared_ptr<ReceiveBudget> budget_;
     Socket socket_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_ {maxUnparsedBytes};
     bool used_ = false;
     bool mayReuse_ = false;
     core::MonoTime idleSince_ {};
@@ -114,6 +158,8 @@
 {
     /** Idle connections to one server; above it, the oldest are closed. */
     std::size_t maxIdlePerServer = std::numeric_limits<std::size_t>::max();
+    /** Memory for long responses, over all connections of the pool; see ReceiveBudget. */
+    std::size_t maxReceiveBytes = 32 * 1024 * 1024;
 };
 
 /** Idle connections, grouped by server. */
@@ -140,6 +186,7 @@
 private:
     asio::io_context &context_;
     ConnectionPoolOptions options_;
+    std::shared_ptr<ReceiveBudget> budget_;
     std::map<http::Target, std::deque<std::unique_ptr<HttpConnection>>> idle_;
 };
 
