Feature: [Proxy, Platform] An upstream that says in a response that it leaves gets no more requests

So far only the list in the store counted, which a VM that is cut off from the store does not see.

The adapter reads the header into UpstreamStatus. UpstreamNotices remembers it for that start of the upstream (id, start, address), also while the entry is missing from the list; a new start under the same id is used again. First attempts, retries and trials alike pass such an upstream over from the next request on, and its slots no longer count for the queue.

Cost: none on the wire.

--- a/src/proxy/proxy_type.h
+++ b/src/proxy/proxy_type.h
@@ -137,6 +137,7 @@
     std::optional<LoadReport> load;
     /** Requests that it takes from all VMs together, until a response no longer names a limit. */
     std::optional<RequestRate> limit;
+    bool leaving = false; ///< It is shutting down and takes no new requests.
 };
 
 } // namespace teaselreach::proxy
--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -170,9 +170,14 @@
     return {.placement = makePlacement(*best, bestEstimate)};
 }
 
-bool UpstreamTable::isEligible(const Upstream &upstream, const PlacementRequest &request)
+bool UpstreamTable::isAccepting(const Upstream &upstream) const
 {
-    if (upstream.entry.draining)
+    return !upstream.entry.draining && !notices_.isLeaving(upstream.entry);
+}
+
+bool UpstreamTable::isEligible(const Upstream &upstream, const PlacementRequest &request) const
+{
+    if (!isAccepting(upstream))
         return false;
     return std::find(request.tried.begin(), request.tried.end(), upstream.entry.id)
         == request.tried.end();
@@ -227,6 +232,7 @@
         upstream.inFlight.erase(ended);
     updateLoad(record, upstream);
     updateLimit(record, upstream);
+    notices_.responded(record.endedAt, upstream.entry, record.status);
     if (record.end == AttemptEnd::CallerLeft)
         return;
     if (record.end == AttemptEnd::NotExecuted || record.end == AttemptEnd::Misdirected) {
@@ -278,7 +284,7 @@
         return 0;
     double slots = 0;
     for (const Upstream *upstream : found->second) {
-        if (upstream->entry.draining)
+        if (!isAccepting(*upstream))
             continue;
         const double ofEntry = upstream->entry.slots;
         const std::optional<RequestRate> limit = limiter_.limitOf(upstream->entry.id);
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "proxy/proxy_type.h"
+#include "proxy/upstream_notices_base.h"
 #include "proxy/upstream_rate_limiter_base.h"
 
 #include <map>
@@ -203,7 +204,9 @@
         double failure = 0; ///< Probability of failure.
     };
 
-    static bool isEligible(const Upstream &upstream, const PlacementRequest &request);
+    /** @return Whether an upstream takes new requests. */
+    bool isAccepting(const Upstream &upstream) const;
+    bool isEligible(const Upstream &upstream, const PlacementRequest &request) const;
     /** @return The estimate for an upstream; its loss includes a random tie-breaker. */
     Estimate evaluate(core::MonoTime now, const Upstream &upstream,
                       const PlacementRequest &request);
@@ -236,6 +239,7 @@
     std::unordered_map<core::ServiceId, std::vector<Upstream *>, core::StrongHash> byService_;
     /** Moving average of each route's processing time. */
     std::unordered_map<core::RouteId, double, core::StrongHash> processingSeconds_;
+    UpstreamNotices notices_;
     UpstreamRateLimiter limiter_;
     std::map<core::AvailabilityZoneId, UpstreamLimitShare> limitShares_;
     UpstreamLimitShare unknownZoneShare_; ///< For zones that limitShares_ does not list.
--- a/tests/proxy/placement_test.cpp
+++ b/tests/proxy/placement_test.cpp
@@ -263,6 +263,37 @@
     CHECK(table.choose(start, makeRequest()).reason == PlacementFailure::NoUpstream);
 }
 
+TEST_CASE("an upstream that says in a response that it leaves receives more requests")
+{
+    UpstreamTable table(options(), 1);
+    UpstreamEntry leaving = makeEntry("a");
+    leaving.startedAt = 5;
+    table.update(start, leaving);
+    table.update(start, makeEntry("b", "near"));
+    PlacementResult result = table.choose(start, makeRequest());
+    REQUIRE(result.placement->upstream == leaving.id);
+    table.attemptStarted(start, *result.placement);
+    table.attemptFinished({.upstream = leaving.id,
+                           .route = route,
+                           .attempt = result.placement->attempt,
+                           .startedAt = start,
+                           .endedAt = start,
+                           .status = {.leaving = true}});
+    const auto chosen = [&] { return table.choose(start, makeRequest()).placement->upstream; };
+    CHECK(chosen() == core::UpstreamId("b"));
+    // Its entry is written again, or lost and written again, while it still leaves.
+    table.update(start, leaving);
+    CHECK(chosen() == core::UpstreamId("b"));
+    table.remove(leaving.id);
+    table.update(start, leaving);
+    CHECK(chosen() == core::UpstreamId("b"));
+    CHECK(table.slotsOf(service, core::Millis(100)) == 2);
+    // Another start of it under the same id.
+    leaving.startedAt = 6;
+    table.update(start, leaving);
+    CHECK(chosen() == leaving.id);
+}
+
 TEST_CASE("an upstream that restarts under its id loses its history")
 {
     UpstreamTable table(options(), 1);
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -273,6 +273,9 @@
     for (const char *odd : {"", "3,0", "3,-1,8", "3;0;8", "99999999999,0,8"})
         CHECK_MESSAGE(!read("Teaselreach-Instance-Load", odd).load, odd);
     CHECK(!read("Date", "today").limit);
+    CHECK(read("Server-Leaving", "1").leaving);
+    for (const char *odd : {"0", "", "2", "true", "1,1"})
+        CHECK_MESSAGE(!read("Server-Leaving", odd).leaving, odd);
 }
 
 TEST_CASE("an odd entry of an upstream ends the daemon or is used as an upstream")
