Feature: [Proxy, Platform] An upstream that refuses with a time gets nothing from this VM until then

The adapter reads the header of a 503 into UpstreamStatus (0 to 3,600 s, fractions allowed; dates and anything else are logged and ignored). UpstreamNotices keeps the later of two ends; until then the upstream is passed over by first attempts, retries and trials. A request that only such upstreams could serve is refused at once, as with a limit.

Cost: none on the wire.

--- a/src/proxy/proxy_type.h
+++ b/src/proxy/proxy_type.h
@@ -138,6 +138,8 @@
     /** Requests that it takes from all VMs together, until a response no longer names a limit. */
     std::optional<RequestRate> limit;
     bool leaving = false; ///< It is shutting down and takes no new requests.
+    /** Time for which it takes no requests from this VM. */
+    std::optional<core::Micros> retryAfter;
 };
 
 } // namespace teaselreach::proxy
--- a/src/proxy/upstream_notices_base.h
+++ b/src/proxy/upstream_notices_base.h
@@ -20,6 +20,8 @@
     void responded(core::MonoTime now, const UpstreamEntry &entry, const UpstreamStatus &status);
     /** @return Whether an upstream is leaving by its own word. */
     bool isLeaving(const UpstreamEntry &entry) const;
+    /** @return Whether the time for which an upstream wants no requests from this VM goes on. */
+    bool isHoldingOff(core::MonoTime now, const UpstreamEntry &entry) const;
 
 private:
     /** What one start of an upstream has said. */
@@ -30,6 +32,7 @@
         std::uint16_t port = 0;
         core::MonoTime saidAt {};
         bool leaving = false;
+        core::MonoTime holdsOffUntil {};
 
         bool isOf(const UpstreamEntry &entry) const
         {
@@ -37,6 +40,7 @@
         }
     };
 
+    const Notice *find(const UpstreamEntry &entry) const;
     void forgetOld(core::MonoTime now);
 
     std::unordered_map<core::UpstreamId, Notice, core::StrongHash> notices_;
--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -138,7 +138,8 @@
             break;
         if (!isEligible(*upstream, request))
             continue;
-        if (!limiter_.mayStart(now, upstream->entry.id, limitShareOf(*upstream))) {
+        if (notices_.isHoldingOff(now, upstream->entry)
+            || !limiter_.mayStart(now, upstream->entry.id, limitShareOf(*upstream))) {
             if (reason == PlacementFailure::NoUpstream)
                 reason = PlacementFailure::LimitReached;
             continue;
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -89,7 +89,7 @@
 /** Reason why no upstream was selected. */
 enum class PlacementFailure : std::uint8_t {
     NoUpstream,   ///< The service has no upstream that accepts new requests.
-    LimitReached, ///< Only upstreams whose named limits leave no room could be used.
+    LimitReached, ///< Only upstreams that want no more requests at present could be used.
     AllBusy,      ///< The eligible upstreams have no room; waiting may help.
     TooLate,      ///< No available upstream is expected to answer before the deadline.
 };
--- a/tests/proxy/placement_test.cpp
+++ b/tests/proxy/placement_test.cpp
@@ -294,6 +294,42 @@
     CHECK(chosen() == leaving.id);
 }
 
+TEST_CASE("an upstream receives requests before the time that it named with its refusal is over")
+{
+    UpstreamTable table(options(), 1);
+    table.update(start, makeEntry("a"));
+    const auto refuse = [&](core::MonoTime now, std::optional<core::Micros> retryAfter) {
+        PlacementResult result = table.choose(now, makeRequest(true));
+        REQUIRE(result.placement);
+        table.attemptStarted(now, *result.placement);
+        table.attemptFinished({.upstream = result.placement->upstream,
+                               .route = route,
+                               .attempt = result.placement->attempt,
+                               .end = AttemptEnd::NotExecuted,
+                               .startedAt = now,
+                               .endedAt = now,
+                               .status = {.load = LoadReport {}, .retryAfter = retryAfter}});
+    };
+    refuse(start, core::Millis(2500));
+    // Every kind of attempt, and a trial of an upstream that has not been tried for long.
+    for (const int millis : {0, 600, 1500, 2499}) {
+        const core::Millis time(millis);
+        const PlacementResult result = table.choose(start + time, makeRequest(true));
+        CHECK(!result.placement);
+        CHECK(result.reason == PlacementFailure::LimitReached); // Refused at once.
+        CHECK(!table.choose(start + time, makeRequest(false)).placement);
+    }
+    table.update(start + core::Millis(1000), makeEntry("b"));
+    CHECK(table.choose(start + core::Millis(1000), makeRequest()).placement->upstream
+          == core::UpstreamId("b"));
+    table.remove(core::UpstreamId("b"));
+    CHECK(table.choose(start + core::Millis(2500), makeRequest()).placement);
+    // A refusal without a time, and one that names less than before.
+    refuse(start + core::Millis(3000), core::Millis(0));
+    refuse(start + core::Millis(3000), std::nullopt);
+    CHECK(table.choose(start + core::Millis(3100), makeRequest(true)).placement);
+}
+
 TEST_CASE("an upstream that restarts under its id loses its history")
 {
     UpstreamTable table(options(), 1);
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -273,6 +273,16 @@
     for (const char *odd : {"", "3,0", "3,-1,8", "3;0;8", "99999999999,0,8"})
         CHECK_MESSAGE(!read("Teaselreach-Instance-Load", odd).load, odd);
     CHECK(!read("Date", "today").limit);
+    const auto readRefusal = [](const std::string &value) {
+        proxy::HttpResponse response(proxy::beasthttp::status::service_unavailable, 11);
+        response.set("Retry-After", value);
+        return readUpstreamStatus(response).retryAfter;
+    };
+    CHECK(readRefusal("2.5") == core::Millis(2500));
+    CHECK(readRefusal("0") == core::Micros(0));
+    for (const char *odd : {"-1", "1e9", "inf", "Sat, 05 Dec 2026 03:00:00 GMT", "2s", ""})
+        CHECK_MESSAGE(!readRefusal(odd), odd);
+    CHECK(!read("Retry-After", "2").retryAfter); // Not with a refusal.
     CHECK(read("Server-Leaving", "1").leaving);
     for (const char *odd : {"0", "", "2", "true", "1,1"})
         CHECK_MESSAGE(!read("Server-Leaving", odd).leaving, odd);
