--- a/src/proxy/http_connection_base.h
+++ b/src/proxy/http_connection_base.h
@@ -71,7 +71,7 @@
 {
 public:
     /** Body bytes that each response may have outside of the budget. */
-    static constexpr std::size_t freeBytes = 1024 * 1024;
+    static constexpr std::size_t freeBytes = std::size_t {1024} * 1024;
 
     /** @param maxBytes Largest total of what the bodies have beyond freeBytes each. */
     explicit ReceiveBudget(std::size_t maxBytes)
@@ -140,7 +140,7 @@
     void updateKeepAlive(const HttpResponse &response);
 
     /** Largest number of received bytes that are not parsed yet. */
-    static constexpr std::size_t maxUnparsedBytes = 128 * 1024;
+    static constexpr std::size_t maxUnparsedBytes = std::size_t {128} * 1024;
 
     asio::io_context &context_;
     http::Target target_;
@@ -159,7 +159,7 @@
     /** Idle connections to one server; above it, the oldest are closed. */
     std::size_t maxIdlePerServer = std::numeric_limits<std::size_t>::max();
     /** Memory for long responses, over all connections of the pool; see ReceiveBudget. */
-    std::size_t maxReceiveBytes = 32 * 1024 * 1024;
+    std::size_t maxReceiveBytes = std::size_t {32} * 1024 * 1024;
 };
 
 /** Idle connections, grouped by server. */
--- a/tests/proxy/endless_response_test.cpp
+++ b/tests/proxy/endless_response_test.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint64_t mebibyte = 1024 * 1024;
+constexpr std::uint64_t mebibyte = 1 << 20;
 /** What sockets on loopback hold for one connection, beside what the daemon has read. */
 constexpr std::uint64_t socketBytes = 16 * mebibyte;
 
@@ -49,9 +49,9 @@
         {"", "HTTP/1.1 100 Continue\r\n\r\n"},
         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "extension=without-end;"},
     };
-    for (const auto &[beginning, repeated] : forms) {
-        CAPTURE(beginning + repeated);
-        EndlessServer upstream(beginning, repeated);
+    for (const auto &form : forms) {
+        CAPTURE(form.first + form.second);
+        EndlessServer upstream(form.first, form.second);
         FlowFixture fixture(testConfiguration(core::Seconds(3)));
         fixture.addUpstreamAt("i-1", "127.0.0.1", upstream.port());
         const core::MonoTime start = core::MonoClock::now();
@@ -71,13 +71,14 @@
         {fields + "Content-Length: 1000000000000\r\n\r\n", "aaaaaaaaaaaaaaaa"},
     };
     constexpr int callers = 8;
-    for (const auto &[beginning, repeated] : forms) {
-        CAPTURE(beginning);
-        EndlessServer upstream(beginning, repeated);
+    for (const auto &form : forms) {
+        CAPTURE(form.first);
+        EndlessServer upstream(form.first, form.second);
         FlowFixture fixture(testConfiguration(core::Seconds(3)));
         for (int i = 0; i < callers; ++i)
             fixture.addUpstreamAt("i-" + std::to_string(i), "127.0.0.1", upstream.port());
         std::vector<std::thread> threads;
+        threads.reserve(callers);
         std::atomic<int> unknown {0};
         for (int i = 0; i < callers; ++i) {
             threads.emplace_back([&] {
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -323,7 +323,7 @@
         entry("address", "\"10.1.2.300:80\""),
         entry("address", "\"somewhere:80\""),
         entry("address", "80"),
-        "\x00\xff",
+        std::string("\0\xff", 2),
         "",
     };
     for (const std::string &text : odd)
