Codechange: [Proxy] Shares of upstream limits and liveness of peers leave the daemon

PeerLiveness (no clocks) has who still sends messages; EntryVmSelector::upstreamLimitShares() has the shares, for the daemon and the test alike. isNews is now announcesLimit or isChanged, upToDate() readApplied(). No decision changes.

--- a/src/proxy/entry_vm_selector.cpp
+++ b/src/proxy/entry_vm_selector.cpp
@@ -7,6 +7,19 @@
 
 namespace teaselreach::proxy {
 
+namespace {
+
+/** @return The share of an active VM in the limits of the upstreams at a place. */
+double shareOfMember(const UpstreamLimitDivision &division, const core::Location &place,
+                     const EntryMember &member)
+{
+    if (member.location.availabilityZone == place.availabilityZone)
+        return division.sameZone;
+    return member.location.region == place.region ? division.otherZone : division.otherRegion;
+}
+
+} // namespace
+
 EntryVmSelector::EntryVmSelector(EntryVmSelectorOptions options)
     : options_(options)
 { }
@@ -220,4 +233,24 @@
     return divisions;
 }
 
+std::map<core::AvailabilityZoneId, UpstreamLimitShare> EntryVmSelector::upstreamLimitShares(
+    const std::map<core::AvailabilityZoneId, core::RegionId> &regionOfZone, const EntryMember &self,
+    const std::vector<EntryMember> &peers) const
+{
+    const bool isSelfActive = isActive(self.id);
+    std::map<core::AvailabilityZoneId, UpstreamLimitShare> shares;
+    for (const auto &[zone, division] : divideUpstreamLimits(regionOfZone)) {
+        const core::Location place {.availabilityZone = zone, .region = regionOfZone.at(zone)};
+        UpstreamLimitShare &share = shares[zone];
+        share.own = share.pool = isSelfActive ? shareOfMember(division, place, self) : 0;
+        // A pool shares the limits of its own region; of others its VMs hold too little.
+        if (place.region != self.location.region)
+            continue;
+        for (const EntryMember &peer : peers)
+            share.pool += shareOfMember(division, place, peer);
+        share.poolSize = 1 + static_cast<int>(peers.size());
+    }
+    return shares;
+}
+
 } // namespace teaselreach::proxy
--- a/src/proxy/entry_vm_selector_base.h
+++ b/src/proxy/entry_vm_selector_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "proxy/proxy_type.h"
+#include "proxy/upstream_rate_limiter_base.h"
 
 #include <functional>
 #include <map>
@@ -73,6 +74,15 @@
     /** @return A VM's share of every limit; the shares of all VMs add up to at most one. Forgets
      * departed VMs whose shareHoldTime is over. */
     double limitShareOf(core::MonoTime now, const core::VmId &id);
+    /**
+     * @param regionOfZone The zones.
+     * @param self A VM.
+     * @param peers VMs of its pool that exchange reports with it; see poolPeersOf().
+     * @return The VM's shares of the limits that the upstreams of each zone name.
+     */
+    std::map<core::AvailabilityZoneId, UpstreamLimitShare>
+    upstreamLimitShares(const std::map<core::AvailabilityZoneId, core::RegionId> &regionOfZone,
+                        const EntryMember &self, const std::vector<EntryMember> &peers) const;
     /** @return How the VMs divide the limits that the upstreams of each zone name.
      * @param regionOfZone The zones. */
     std::map<core::AvailabilityZoneId, UpstreamLimitDivision> divideUpstreamLimits(
--- a/src/proxy/fleet_sync_base.h
+++ b/src/proxy/fleet_sync_base.h
@@ -80,7 +80,7 @@
 
     /** @return How long this VM has been connected to the store without interruption; nothing if
      * its last read is too old, or if it reads from a relay or has to catch up. Renewals do not
-     * count: the store may answer them while a watch is waiting in vain. */
+     * count: the store may answer them while a watch gets no response. */
     std::optional<core::Micros> connectedFor() const
     {
         const core::MonoTime now = core::MonoClock::now();
@@ -238,7 +238,7 @@
         parts_.state.removeUnlistedUpstreams(now, listed);
         changeLog_.reset(snapshot);
         revision_ = snapshot.revision;
-        contact_.upToDate(now);
+        contact_.readApplied(now);
     }
 
     /** Fetches changes from the relay of the availability zone and applies them. @return Whether
@@ -278,7 +278,7 @@
         }
         changeLog_.append(relayed);
         revision_ = std::max(revision_, changes.revision);
-        contact_.upToDate(now);
+        contact_.readApplied(now);
     }
 
     /** Waits for changes of the store and applies them. */
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -3,6 +3,7 @@
 
 #include "metrics/registry_base.h"
 #include "proxy/fleet_sync_base.h"
+#include "proxy/peer_liveness_base.h"
 #include "proxy/peer_messenger_base.h"
 #include "proxy/pool_usage_coverage_base.h"
 
@@ -149,16 +150,6 @@
     static constexpr int ticksPerMessage = 2;
     /** Heartbeat: longest time between two messages to the pool. */
     static constexpr core::Millis messageInterval {400};
-    /** Time without a message from a VM after which it counts as silent. The share of the limits
-     * that it holds is then no longer added to the pool's. */
-    static constexpr core::Millis peerTimeout {1300};
-
-    /** When another VM sent its last message, and whether it was leaving. */
-    struct LastMessage
-    {
-        core::MonoTime receivedAt {};
-        bool leaving = false;
-    };
 
     CallerHandlers callerHandlers()
     {
@@ -295,11 +286,11 @@
         message.usage.clear();
         // Inactive VMs need to know the limits, not how much of them is used.
         std::erase_if(message.limits,
-                      [](const UpstreamLimitReport &report) { return !report.isNews; });
-        const bool hasNews = hasOutcomes || !message.limits.empty();
+                      [](const UpstreamLimitReport &report) { return !report.announcesLimit; });
+        const bool hasAnnouncements = hasOutcomes || !message.limits.empty();
         const bool presenceMatters = isActive || shutdownStartedAt_;
         for (const EntryMember &neighbour : entries_.zoneNeighboursOf(options_.self.id)) {
-            if ((hasNews || (due && presenceMatters)) && !notified.contains(neighbour.id))
+            if ((hasAnnouncements || (due && presenceMatters)) && !notified.contains(neighbour.id))
                 peers_.send(neighbour.peerAddress, message);
         }
         // Traffic between regions costs money, so only outcomes that reverse the sender's
@@ -316,7 +307,7 @@
     void handleMessage(const PeerMessage &message)
     {
         const core::MonoTime now = core::MonoClock::now();
-        lastMessages_[message.sender] = {.receivedAt = now, .leaving = message.leaving};
+        liveness_.messageReceived(now, message.sender, message.leaving);
         for (const OutcomeReport &report : message.outcomes)
             upstreams_.peerOutcomeReported(now, report);
         for (const UpstreamLimitReport &report : message.limits)
@@ -334,10 +325,7 @@
     {
         if (id == options_.self.id)
             return shutdownStartedAt_.has_value();
-        const auto last = lastMessages_.find(id);
-        return last != lastMessages_.end()
-            && (last->second.leaving
-                || core::MonoClock::now() - last->second.receivedAt > peerTimeout);
+        return liveness_.isSilentOrLeaving(core::MonoClock::now(), id);
     }
 
     /** Sets the shares of the limits: this VM's own, and the pool's as the sum over its members
@@ -349,7 +337,7 @@
         // since the others no longer send it usage reports.
         if (shutdownStartedAt_) {
             shares_.setShares(ownShare_, ownShare_);
-            updateUpstreamLimitShares(false);
+            updateUpstreamLimitShares(now, false);
             return;
         }
         ownShare_ = entries_.limitShareOf(now, options_.self.id);
@@ -359,53 +347,27 @@
         usageCoverage_.membershipObserved(now, isActive);
         if (isActive && usageCoverage_.isComplete(now)) {
             for (const EntryMember &peer : entries_.poolPeersOf(options_.self.id)) {
-                if (isReporting(now, peer.id))
+                if (liveness_.isReporting(now, peer.id))
                     pool += entries_.limitShareOf(now, peer.id);
             }
         }
         shares_.setShares(ownShare_, pool);
-        updateUpstreamLimitShares(isActive);
-    }
-
-    /** @return Whether another VM of the pool still sends messages and is not leaving. */
-    bool isReporting(core::MonoTime now, const core::VmId &id) const
-    {
-        const auto last = lastMessages_.find(id);
-        return last != lastMessages_.end() && now - last->second.receivedAt < peerTimeout
-            && !last->second.leaving;
+        updateUpstreamLimitShares(now, isActive);
     }
 
     /** Sets the shares of the limits that upstreams name.
      * @param isPooled Whether to count the shares of the pool's VMs that still send messages. */
-    void updateUpstreamLimitShares(bool isPooled)
+    void updateUpstreamLimitShares(core::MonoTime now, bool isPooled)
     {
-        const core::MonoTime now = core::MonoClock::now();
-        const bool isActive = entries_.isActive(options_.self.id);
         std::vector<EntryMember> peers;
         if (isPooled)
             peers = entries_.poolPeersOf(options_.self.id);
-        std::erase_if(peers, [&](const EntryMember &peer) { return !isReporting(now, peer.id); });
-        std::map<core::AvailabilityZoneId, UpstreamLimitShare> shares;
-        for (const auto &[zone, division] : entries_.divideUpstreamLimits(options_.regionOfZone)) {
-            const auto shareOf = [&, zone = zone, division = division](const EntryMember &member) {
-                if (member.location.availabilityZone == zone)
-                    return division.sameZone;
-                return member.location.region == options_.regionOfZone.at(zone)
-                    ? division.otherZone
-                    : division.otherRegion;
-            };
-            UpstreamLimitShare &share = shares[zone];
-            share.own = share.pool = isActive ? shareOf(options_.self) : 0;
-            // The pool is the region's; its VMs hold too little of other limits to share it.
-            if (options_.regionOfZone.at(zone) != options_.self.location.region)
-                continue;
-            for (const EntryMember &peer : peers)
-                share.pool += shareOf(peer);
-            share.poolSize = 1 + static_cast<int>(peers.size());
-        }
-        const double fleet = static_cast<double>(std::max<std::size_t>(1, entries_.size()));
-        upstreams_.setLimitShares(std::move(shares),
-                                  {.own = 1 / fleet, .pool = 1 / fleet, .poolSize = 1});
+        std::erase_if(
+            peers, [&](const EntryMember &peer) { return !liveness_.isReporting(now, peer.id); });
+        const double evenShare = 1 / static_cast<double>(std::max<std::size_t>(1, entries_.size()));
+        upstreams_.setLimitShares(
+            entries_.upstreamLimitShares(options_.regionOfZone, options_.self, peers),
+            {.own = evenShare, .pool = evenShare});
     }
 
     static double toSeconds(core::Micros time)
@@ -475,7 +437,7 @@
     CallerServer internalServer_;
     std::optional<core::MonoTime> shutdownStartedAt_;
     core::MonoTime messageSentAt_ {};
-    std::map<core::VmId, LastMessage> lastMessages_;
+    PeerLiveness liveness_;
     double ownShare_ = 0;
 };
 
--- a/src/proxy/store_contact_base.h
+++ b/src/proxy/store_contact_base.h
@@ -14,7 +14,7 @@
 /** An outage of the store as seen by one VM. */
 struct StoreOutage
 {
-    core::Micros length {0}; ///< From the last sign of the store to its next response.
+    core::Micros length {0}; ///< From the last evidence of the store to its next response.
     int failures = 0;        ///< Failed calls of any kind.
 };
 
@@ -71,7 +71,7 @@
     }
 
     /** Records that all changes up to a response of the store or of a relay were applied. */
-    void upToDate(core::MonoTime now) { lastReadAt_ = now; }
+    void readApplied(core::MonoTime now) { lastReadAt_ = now; }
 
     /** @return Time since the last response whose changes were applied. */
     core::Micros readAge(core::MonoTime now) const { return now - lastReadAt_; }
--- a/src/proxy/upstream_notices_base.h
+++ b/src/proxy/upstream_notices_base.h
@@ -18,7 +18,7 @@
 public:
     /** Records what an upstream said of itself in a response. */
     void responded(core::MonoTime now, const UpstreamEntry &entry, const UpstreamStatus &status);
-    /** @return Whether an upstream is leaving by its own word. */
+    /** @return Whether an upstream has said that it is leaving. */
     bool isLeaving(const UpstreamEntry &entry) const;
     /** @return Whether the time for which an upstream wants no requests from this VM goes on. */
     bool isHoldingOff(core::MonoTime now, const UpstreamEntry &entry) const;
--- a/src/proxy/upstream_rate_limiter.cpp
+++ b/src/proxy/upstream_rate_limiter.cpp
@@ -101,7 +101,7 @@
                     {"pool_pct", std::llround(100 * share.pool)},
                     {"age_ms", std::chrono::duration_cast<core::Millis>(now - namedAt).count()}});
     limited.limit = limit;
-    limited.isNews = true;
+    limited.isChanged = true;
     if (limit)
         limited.tokens = std::min(limited.tokens, maxTokens(limited, share));
 }
@@ -147,7 +147,7 @@
     const bool isKnown = found != limited_.end();
     if ((report.limit && !isKnown) || (isKnown && namedAt > found->second.namedAt)) {
         apply(now, namedAt, report.upstream, report.limit, share);
-        limited_[report.upstream].isNews = false; // The VM that heard it has told the others.
+        limited_[report.upstream].isChanged = false; // The reporting VM has told the others.
     }
     const auto limited = limited_.find(report.upstream);
     if (limited == limited_.end())
@@ -164,16 +164,16 @@
     for (auto &[id, limited] : limited_) {
         if (reports.size() >= maxReports)
             break;
-        // Only a VM that still hears the upstream repeats what it says.
+        // Only VMs that still get responses of the upstream repeat its limit.
         const bool isDue = limited.limit && now - limited.reportedAt >= options_.reportInterval
             && now - limited.namedAt < options_.reportInterval;
-        if (limited.unreported == 0 && !limited.isNews && !isDue)
+        if (limited.unreported == 0 && !limited.isChanged && !isDue)
             continue;
         reports.push_back({.upstream = id,
                            .limit = limited.limit,
                            .age = now - limited.namedAt,
                            .requests = std::exchange(limited.unreported, 0),
-                           .isNews = std::exchange(limited.isNews, false) || isDue});
+                           .announcesLimit = std::exchange(limited.isChanged, false) || isDue});
         limited.reportedAt = now;
     }
     return reports;
@@ -183,7 +183,7 @@
 void UpstreamRateLimiter::removeExpired(core::MonoTime now)
 {
     std::erase_if(limited_, [&](const auto &entry) {
-        return !entry.second.limit && !entry.second.isNews
+        return !entry.second.limit && !entry.second.isChanged
             && now - entry.second.namedAt > options_.window;
     });
 }
--- a/src/proxy/upstream_rate_limiter_base.h
+++ b/src/proxy/upstream_rate_limiter_base.h
@@ -26,9 +26,9 @@
     double maxPoolUse = 1.2;
     /** Interval at which a limit that is still named is reported to other VMs. */
     core::Micros reportInterval {core::Seconds(2)};
-    /** Shortest and longest time without a word from any VM after which a limit is stale. A VM then
-     * sends one request in each window until it hears the upstream again. The time differs between
-     * VMs, so that the first one can tell the others. */
+    /** Shortest and longest time without a statement or a report after which a limit is stale. A VM
+     * then sends one request in each window until it has a response of the upstream. The time
+     * differs between VMs, so that the first one can tell the others. */
     core::Micros minStaleAfter {core::Seconds(10)};
     core::Micros maxStaleAfter {core::Seconds(30)};
 };
@@ -48,7 +48,8 @@
     std::optional<RequestRate> limit; ///< Nothing if the upstream no longer names one.
     core::Micros age {0};             ///< Time since the upstream said so.
     int requests = 0;                 ///< Requests sent by the reporting VM since its last report.
-    bool isNews = false;              ///< Whether the limit has changed since that report.
+    /** Whether VMs that do not count the requests need the report, for the limit. */
+    bool announcesLimit = false;
 };
 
 /**
@@ -100,7 +101,7 @@
         std::deque<core::MonoTime> own;    ///< Requests of this VM.
         std::deque<core::MonoTime> others; ///< Requests that others of the pool have reported.
         int unreported = 0;
-        bool isNews = false;
+        bool isChanged = false; ///< Whether the limit has changed since the last report.
         core::MonoTime reportedAt {};
     };
 
--- a/tests/proxy/upstream_limit_division_test.cpp
+++ b/tests/proxy/upstream_limit_division_test.cpp
@@ -144,27 +144,12 @@
     {
         if (!load_.knowsShares)
             return;
-        std::map<core::AvailabilityZoneId, UpstreamLimitShare> shares;
-        const bool active = entries_.isActive(vm.member.id);
-        for (const auto &[zone, division] : entries_.divideUpstreamLimits(regionOfZone_)) {
-            const auto shareOf = [&, zone = zone, division = division](const EntryMember &member) {
-                if (member.location.availabilityZone == zone)
-                    return division.sameZone;
-                return member.location.region == regionOfZone_.at(zone) ? division.otherZone
-                                                                        : division.otherRegion;
-            };
-            UpstreamLimitShare &share = shares[zone];
-            share.own = share.pool = active ? shareOf(vm.member) : 0;
-            // Without messages the daemons do not count on each other.
-            if (!active || vm.member.location.region != regionOfZone_.at(zone)
-                || load_.lostMessages >= 1)
-                continue;
-            for (const EntryMember &peer : entries_.poolPeersOf(vm.member.id)) {
-                share.pool += shareOf(peer);
-                ++share.poolSize;
-            }
-        }
-        vm.table->setLimitShares(std::move(shares), {.own = 0, .pool = 0});
+        // Without messages the daemons do not count on each other.
+        std::vector<EntryMember> peers;
+        if (load_.lostMessages < 1 && entries_.isActive(vm.member.id))
+            peers = entries_.poolPeersOf(vm.member.id);
+        vm.table->setLimitShares(entries_.upstreamLimitShares(regionOfZone_, vm.member, peers),
+                                 {.own = 0, .pool = 0});
     }
 
     void scheduleRequest(std::size_t index)
@@ -275,7 +260,7 @@
                 notified.insert(peer.id);
             }
             std::erase_if(message.limits,
-                          [](const UpstreamLimitReport &report) { return !report.isNews; });
+                          [](const UpstreamLimitReport &report) { return !report.announcesLimit; });
             for (const EntryMember &neighbour : entries_.zoneNeighboursOf(vm.member.id)) {
                 if (!notified.contains(neighbour.id))
                     post(neighbour.id, message);
