Fix: [Proxy] A frozen relay keeps a VM on an old configuration for 3 s after a silence of the store

Callers of such a VM were answered by a configuration that had been replaced more than 2.5 s before. Cause: a request to a relay that does not respond takes 0.9 s, and it came between a watch without a response (1.3 s) and the next one, after a backoff of up to 0.8 s. Change: after a request without a response, the relay is only probed: it answers at once, within 0.3 s. The first response ends that.

--- a/src/proxy/fleet_relay.cpp
+++ b/src/proxy/fleet_relay.cpp
@@ -19,11 +19,23 @@
 constexpr core::Millis responseTimeout {900};
 /** Timeout for a connection within the availability zone. */
 constexpr core::Millis connectionTimeout {250};
+/** Timeout for the response to a probe. */
+constexpr core::Millis probeTimeout {300};
+/** Query parameter of a request that does not wait for a change. */
+constexpr std::string_view noWait = "&wait=0";
 
 /** @return The request target for the changes after a revision. */
-std::string requestTarget(StoreRevision after)
+std::string requestTarget(StoreRevision after, RelayWait wait)
 {
-    return std::string(FleetRelay::path) + "?after=" + std::to_string(after.count());
+    return std::string(FleetRelay::path) + "?after=" + std::to_string(after.count())
+        + std::string(wait == RelayWait::None ? noWait : "");
+}
+
+/** @return Whether a request waits for a change. */
+bool waitsForChange(const HttpRequest &request)
+{
+    const std::string_view target(request.target().data(), request.target().size());
+    return !target.ends_with(noWait);
 }
 
 /** @return The revision in the query of a request; 0 if there is none. */
@@ -93,7 +105,8 @@
 asio::awaitable<HttpResponse> FleetRelay::handle(const HttpRequest &request)
 {
     const StoreRevision after = parseAfter(request);
-    const core::MonoTime end = core::MonoClock::now() + longPollTimeout;
+    const core::Micros longest = waitsForChange(request) ? longPollTimeout : core::Millis(0);
+    const core::MonoTime end = core::MonoClock::now() + longest;
     asio::steady_timer timer(context_);
     while (connectedFor_() && after.count() != 0 && changeLog_.lastChangeRevision() <= after
            && core::MonoClock::now() < end) {
@@ -116,22 +129,25 @@
     : context_(context)
 { }
 
-asio::awaitable<FleetUpdate> FleetRelayClient::fetch(std::string relay, StoreRevision after)
+asio::awaitable<FleetUpdate> FleetRelayClient::fetch(std::string relay, StoreRevision after,
+                                                     RelayWait wait)
 {
     std::unique_ptr<HttpConnection> &connection = connections_[relay];
     if (!connection || !connection->isReusable(core::MonoClock::now()))
         connection = std::make_unique<HttpConnection>(context_, parseTarget(relay));
-    HttpRequest request(beasthttp::verb::get, requestTarget(after), httpVersion11);
+    HttpRequest request(beasthttp::verb::get, requestTarget(after, wait), httpVersion11);
     request.set(beasthttp::field::host, relay);
-    const ExchangeOptions options {.connectTimeout = connectionTimeout,
-                                   .deadline = core::MonoClock::now() + responseTimeout};
+    const ExchangeOptions options {
+        .connectTimeout = connectionTimeout,
+        .deadline =
+            core::MonoClock::now() + (wait == RelayWait::None ? probeTimeout : responseTimeout)};
     const auto canceller = std::make_shared<ExchangeCanceller>();
     const ResponseFilter acceptAll;
     const ExchangeResult result =
         co_await connection->exchange(request, options, canceller, acceptAll);
     if (result.failure != ExchangeFailure::None) {
         connections_.erase(relay);
-        throw StoreUnreachable("relay " + relay + ": " + result.detail);
+        throw RelayUnresponsive("relay " + relay + ": " + result.detail);
     }
     if (result.response.result() == beasthttp::status::gone)
         throw StoreHistoryLost();
--- a/src/proxy/fleet_relay_base.h
+++ b/src/proxy/fleet_relay_base.h
@@ -49,6 +49,19 @@
     std::function<std::optional<core::Micros>()> connectedFor_;
 };
 
+/** A relay did not respond in time: its process is frozen, or the network path is cut. */
+class RelayUnresponsive : public StoreUnreachable
+{
+public:
+    using StoreUnreachable::StoreUnreachable;
+};
+
+/** What a request to a relay waits for. */
+enum class RelayWait : std::uint8_t {
+    Change, ///< A change, at most for the time of a long poll.
+    None,   ///< The response to a probe, which the relay sends at once.
+};
+
 /** Sends requests to relays over one reusable connection to each. */
 class FleetRelayClient
 {
@@ -59,11 +72,12 @@
     /**
      * @param relay Address and port.
      * @param after Revision after which changes are requested; 0 for all items.
+     * @param wait What to wait for.
      * @return The changes, or all items.
-     * @throws StoreUnreachable if the relay does not respond or has no connection to the store;
-     * StoreHistoryLost if the relay has discarded some of the changes.
+     * @throws RelayUnresponsive if the relay does not respond; StoreUnreachable if it has no
+     * connection to the store; StoreHistoryLost if it has discarded some of the changes.
      */
-    asio::awaitable<FleetUpdate> fetch(std::string relay, StoreRevision after);
+    asio::awaitable<FleetUpdate> fetch(std::string relay, StoreRevision after, RelayWait wait);
 
 private:
     asio::io_context &context_;
--- a/src/proxy/fleet_sync_base.h
+++ b/src/proxy/fleet_sync_base.h
@@ -251,14 +251,21 @@
             co_return false;
         try {
             usingRelay_ = true;
-            const FleetUpdate changes = co_await relays_.fetch(relay->peerAddress, revision_);
+            const FleetUpdate changes =
+                co_await relays_.fetch(relay->peerAddress, revision_,
+                                       relayUnresponsive_ ? RelayWait::None : RelayWait::Change);
+            relayUnresponsive_ = false;
             const core::MonoTime now = core::MonoClock::now();
             holdRemovalsAfter(now, contact_.endOutage(now), changes.connectedFor);
             applyChanges(changes);
             co_return true;
+        } catch (const RelayUnresponsive &error) {
+            // A frozen relay must not delay the calls to the store, which may be silent as well.
+            relayUnresponsive_ = true;
+            logRelayFailure(*relay, error);
         } catch (const core::Error &error) {
-            core::logEvent(core::LogLevel::Info, "relay_failed",
-                           {{"relay", relay->id.str()}, {"detail", error.what()}});
+            relayUnresponsive_ = false;
+            logRelayFailure(*relay, error);
         }
         usingRelay_ = false;
         relayBackoffUntil_ = core::MonoClock::now() + options_.relayBackoff;
@@ -267,6 +274,13 @@
         co_return false;
     }
 
+    static void logRelayFailure(const EntryMember &relay, const core::Error &error)
+    {
+        core::logEvent(
+            core::LogLevel::Info, "relay_failed",
+            {{"relay", relay.id.str()}, {"code", error.code()}, {"detail", error.what()}});
+    }
+
     /** Applies changes and adds those that followers need to the change log. */
     void applyChanges(const FleetUpdate &changes)
     {
@@ -410,7 +424,8 @@
     std::map<std::string, UpstreamEntry> relayedEntries_; ///< Upstreams as last sent to followers.
     std::mt19937_64 random_;
     StoreRevision revision_;
-    bool usingRelay_ = false; ///< Changes are read from a relay, not from the store.
+    bool usingRelay_ = false;        ///< Changes are read from a relay, not from the store.
+    bool relayUnresponsive_ = false; ///< The last request to a relay got no response.
     core::MonoTime relayBackoffUntil_ {};
     StoreContact contact_ {core::MonoClock::now()};
     bool catchUpNeeded_ = false;   ///< A read failed, so changes may have been missed.
--- a/tests/proxy/memory_store.h
+++ b/tests/proxy/memory_store.h
@@ -121,13 +121,16 @@
                 .port = upstreamPort,
                 .slots = 4};
     }
+    /** Peer address of all decoded members. */
+    std::string peerAddress = "127.0.0.1:1";
+
     /** All members are in the same availability zone. */
     EntryMember decodeMember(const std::string &id, const std::string &) const
     {
         return {.id = core::VmId(id),
                 .location = {core::AvailabilityZoneId("here"), core::RegionId("west")},
                 .callerAddress = "127.0.0.1:1",
-                .peerAddress = "127.0.0.1:1"};
+                .peerAddress = peerAddress};
     }
 
 private:
--- a/tests/proxy/store_silence_test.cpp
+++ b/tests/proxy/store_silence_test.cpp
@@ -94,3 +94,54 @@
         CHECK_MESSAGE(vms[i].version() == 2, "silence number ", i);
     }
 }
+
+TEST_CASE("a frozen relay delays a VM that is up to date again too late after the store's silence")
+{
+    // The kernel accepts connections to the frozen process, which never responds to them.
+    asio::io_context frozen;
+    asio::ip::tcp::acceptor listener(frozen, {asio::ip::make_address_v4("127.0.0.1"), 0});
+    const FleetItem self {.kind = FleetItemKind::Member, .id = "me", .value = "registered"};
+    std::deque<SyncFixture> vms;
+    std::vector<core::MonoTime> returnsAt;
+    const core::MonoTime start = core::MonoClock::now();
+    for (int i = 0; i < 60; ++i) {
+        SyncFixture &vm = vms.emplace_back(FleetSyncOptions {.self = {.id = core::VmId("me")}},
+                                           static_cast<std::uint64_t>(i));
+        vm.store.peerAddress = "127.0.0.1:" + std::to_string(listener.local_endpoint().port());
+        vm.store.items = {config("1"), self};
+        // Enough others that this one takes no callers and backs off for longer.
+        for (int other = 0;
+             !vm.entries.relayOf(core::VmId("me")) || vm.entries.isActive(core::VmId("me"));
+             ++other) {
+            vm.store.items.push_back({.kind = FleetItemKind::Member,
+                                      .id = "relay" + std::to_string(other),
+                                      .value = "registered"});
+            for (const FleetItem &item : vm.store.items) {
+                if (item.kind == FleetItemKind::Member)
+                    vm.state.applyMember(vm.store.decodeMember(item.id, *item.value));
+            }
+        }
+        vm.sync.start();
+        returnsAt.push_back(start + core::Millis(6000 + 100 * i));
+    }
+    const auto runAll = [&](core::MonoTime end) {
+        while (core::MonoClock::now() < end) {
+            for (std::size_t i = 0; i < vms.size(); ++i) {
+                vms[i].context.run_for(core::Millis(1));
+                if (!vms[i].store.silent || core::MonoClock::now() < returnsAt[i])
+                    continue;
+                vms[i].store.silent = false;
+                vms[i].store.events = {config("2")};
+            }
+        }
+    };
+    runAll(start + core::Millis(1500));
+    for (SyncFixture &vm : vms) {
+        REQUIRE(vm.version() == 1);
+        vm.store.silent = true;
+    }
+    for (std::size_t i = 0; i < vms.size(); ++i) {
+        runAll(returnsAt[i] + configurationBound);
+        CHECK_MESSAGE(vms[i].version() == 2, "silence number ", i);
+    }
+}
--- a/tests/proxy/sync_fixture.h
+++ b/tests/proxy/sync_fixture.h
@@ -38,12 +38,14 @@
                                         .maxBackoff = core::Millis(20),
                                         .idleMaxBackoff = backoffLimit})
     { }
-    /** @param times Times of the calls to the store. */
-    explicit SyncFixture(FleetSyncOptions times)
+    /** @param times Times of the calls to the store. @param jitter Seed of the backoffs. */
+    explicit SyncFixture(FleetSyncOptions times, std::uint64_t jitter = 1)
         : options(std::move(times))
+        , seed(jitter)
     { }
 
     FleetSyncOptions options;
+    std::uint64_t seed = 1;
     asio::io_context context {1};
     metrics::Registry registry;
     UpstreamTable upstreams {{}, 1};
@@ -56,7 +58,7 @@
     FleetState state {{.flow = flow, .upstreams = upstreams, .entries = entries}, core::VmId("me")};
     MemoryStore store {context};
     FleetSync<MemoryStore> sync {
-        {.context = context, .store = store, .state = state, .entries = entries}, options, 1};
+        {.context = context, .store = store, .state = state, .entries = entries}, options, seed};
 
     void run(core::Millis time)
     {
