Fix: [Proxy, Platform] Requests that arrive late in the grace period are cut off at its end

Reported by other operators: in a planned stop of one VM, in calm, requests that came late in the grace were passed on and cut without a response, among them ones that may not be repeated. Change: from the stop on, no request that is not sent yet has a deadline after the end of the process, and its upstream is told correspondingly less time, so that its own response arrives. What is still pending 150 ms before the end gets a 502. Once nothing is pending the VM stops to accept and closes its idle connections; a last response that is still being read is no longer cut. A VM that was stopped before its first maintenance refused callers with 429; it now has its share.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -186,7 +186,7 @@
     }
     runOnLoop([this] {
         callerServer_.stopAccepting();
-        callerServer_.closeIdle();
+        callerServer_.closeIdle(core::MonoClock::now());
     });
 }
 
--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -11,6 +11,8 @@
 /** How long a connection is read after its last response. Unread bytes would cause a reset, which
  * could reach the caller before the response. */
 constexpr core::Millis lingerTime {500};
+/** Time for which the first request of a new connection is likely to be on its way. */
+constexpr core::Millis arrivalTime {100};
 /** Size of the buffer for input that is discarded. */
 constexpr std::size_t discardReadBytes = 16384;
 /** Pause after a failed accept, which usually means that file descriptors ran out. */
@@ -246,9 +248,9 @@
     }
 }
 
-void CallerSession::closeIfIdle()
+void CallerSession::closeIfIdle(core::MonoTime now)
 {
-    if (!ended_ && pending_.empty() && !reading_)
+    if (!ended_ && pending_.empty() && !reading_ && !lingering_ && now - idleSince_ > arrivalTime)
         close();
 }
 
@@ -309,10 +311,10 @@
     acceptor_.close(ignored);
 }
 
-void CallerServer::closeIdle()
+void CallerServer::closeIdle(core::MonoTime now)
 {
     for (const auto &session : sessions_)
-        session->closeIfIdle();
+        session->closeIfIdle(now);
 }
 
 std::size_t CallerServer::pending() const
--- a/src/proxy/caller_session_base.h
+++ b/src/proxy/caller_session_base.h
@@ -64,11 +64,11 @@
     /** Reads requests until the connection ends or accepts no further requests. */
     asio::awaitable<void> run();
     /** Ends the connection if no request is pending and it exceeded the idle, header or request
-     * timeout. A sender that is too slow first receives an error response if there is a handler for
-     * it. */
+     * timeout, or if the caller has read nothing of a response for the idle timeout. A sender that
+     * is too slow first receives an error response if there is a handler for it. */
     void closeIfStale(core::MonoTime now);
-    /** Closes the connection if no request is pending or being read. */
-    void closeIfIdle();
+    /** Closes the connection if no request is pending, being read or likely to be on its way. */
+    void closeIfIdle(core::MonoTime now);
     /** @return Whether the connection is closed. */
     bool ended() const { return ended_; }
     /** @return Number of requests whose response has not been sent. */
@@ -123,8 +123,9 @@
     void closeStale(core::MonoTime now);
     /** Stops accepting connections. */
     void stopAccepting();
-    /** Closes all connections without a pending request or one being read. */
-    void closeIdle();
+    /** Closes all connections without a pending request, one being read or one that is likely to
+     * be on its way. */
+    void closeIdle(core::MonoTime now);
     /** @return Number of requests whose response has not been sent. */
     std::size_t pending() const;
     /** @return The bound port, also if port 0 was requested. */
--- a/src/proxy/dispatcher_base.h
+++ b/src/proxy/dispatcher_base.h
@@ -132,6 +132,16 @@
         return {.wait = ticket};
     }
 
+    /** Moves later deadlines of queued requests forward to a time, at which the process ends. */
+    void limitDeadlines(core::MonoTime latest)
+    {
+        for (auto &[service, queue] : queues_) {
+            queue.order.limitDeadlines(latest);
+            for (auto &[ticket, request] : queue.requests)
+                request.deadline = std::min(request.deadline, latest);
+        }
+    }
+
     /** Removes a queued request whose caller has disconnected. */
     void withdraw(const core::ServiceId &service, WaitTicket ticket)
     {
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -26,9 +26,12 @@
 {
     /** Until then new requests are still served. Later ones are refused as not executed, since they
      * might not finish before the process ends. */
-    core::Micros serveFor {core::Millis(3200)};
+    core::Micros serveFor {core::Millis(3000)};
     /** The process ends then, or after serveFor as soon as no request is pending. */
     core::Micros endAfter {core::Millis(5700)};
+    /** Time before endAfter at which every request that is still pending gets its final response.
+     */
+    core::Micros finalResponseMargin {core::Millis(150)};
 };
 
 /** Settings of a LoopDaemon. */
@@ -130,11 +133,15 @@
     {
         if (shutdownStartedAt_)
             return;
+        // From now on this VM keeps its share, which is still zero if it has just started.
+        updateShares(core::MonoClock::now());
         shutdownStartedAt_ = core::MonoClock::now();
         core::logEvent(core::LogLevel::Info, "daemon_leaving",
                        {{"vm", options_.self.id.str()},
                         {"pending", static_cast<std::int64_t>(callers_.pending())}});
-        flow_.enterPhase(core::Phase::Leaving);
+        // Attempts that have to stop by themselves get another margin before the pending rest.
+        flow_.leaveBy(*shutdownStartedAt_ + options_.shutdown.endAfter
+                      - 2 * options_.shutdown.finalResponseMargin);
         messageSentAt_ = {}; // Makes the next message due, which announces the shutdown.
         sync_.deregister();
     }
@@ -403,17 +410,28 @@
                                static_cast<double>(flow_.table()->configuration().version.count()));
     }
 
+    /** Refuses new requests after ShutdownOptions::serveFor, stops to accept connections once none
+     * is pending, and ends the process once all connections are closed, or at endAfter. */
     void continueShutdown(core::Micros elapsed)
     {
-        if (elapsed >= options_.shutdown.serveFor && flow_.phase() == core::Phase::Leaving) {
+        const ShutdownOptions &times = options_.shutdown;
+        if (elapsed >= times.serveFor && flow_.phase() == core::Phase::Leaving)
             flow_.enterPhase(core::Phase::Refusing);
-            callers_.closeIdle();
+        if (flow_.phase() == core::Phase::Refusing) {
+            if (callers_.pending() == 0)
+                callers_.stopAccepting();
+            callers_.closeIdle(core::MonoClock::now());
         }
-        const bool done = flow_.phase() == core::Phase::Refusing && callers_.pending() == 0;
-        if (!done && elapsed < options_.shutdown.endAfter)
+        if (elapsed >= times.endAfter - times.finalResponseMargin)
+            flow_.abandonAttempts();
+        const bool done = flow_.phase() == core::Phase::Refusing && callers_.pending() == 0
+            && callers_.size() == 0;
+        if (!done && elapsed < times.endAfter)
             return;
         core::logEvent(core::LogLevel::Info, "daemon_stopped",
                        {{"vm", options_.self.id.str()},
+                        {"after_ms", std::chrono::duration_cast<core::Millis>(elapsed).count()},
+                        {"connections", static_cast<std::int64_t>(callers_.size())},
                         {"pending", static_cast<std::int64_t>(callers_.pending())}});
         context_.stop();
     }
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -93,6 +93,20 @@
     return loop_.serve(std::move(exchange));
 }
 
+void RequestFlow::leaveBy(core::MonoTime lastResponseAt)
+{
+    phase_ = core::Phase::Leaving;
+    lastResponseAt_ = lastResponseAt;
+    dispatcher_.limitDeadlines(lastResponseAt);
+}
+
+/** Moves the deadline of a request forward to the end of the process, if that is known. */
+void RequestFlow::limitDeadline(Job &job) const
+{
+    if (lastResponseAt_)
+        job.request.deadline = std::min(job.request.deadline, *lastResponseAt_);
+}
+
 RequestFlow::Job RequestFlow::createJob(const std::shared_ptr<CallerExchange> &exchange) const
 {
     return {.exchange = exchange, .table = table_};
@@ -177,6 +191,7 @@
 
 asio::awaitable<std::optional<Placement>> RequestFlow::place(Job &job)
 {
+    limitDeadline(job);
     PlacementResult result = co_await choosePlacement(job);
     if (!result.placement)
         refuseUnplaced(job, result.reason);
@@ -274,7 +289,9 @@
 {
     /** Some upstreams treat a deadline of zero as no deadline. */
     constexpr core::Millis shortestDeadline {1};
-    const core::Micros timeLeft = job.request.deadline - now - options_.deadlineMargin;
+    core::Micros timeLeft = job.request.deadline - now - options_.deadlineMargin;
+    if (lastResponseAt_)
+        timeLeft = std::min(timeLeft, *lastResponseAt_ - now - options_.leavingDeadlineMargin);
     return makeForwardRequest(job.exchange->request, options_.names,
                               {.account = job.request.account,
                                .upstream = placement.upstream,
@@ -305,6 +322,7 @@
                                 .status = statusOf(result, end)};
     reportAttempt(job, placement, record, result);
     wakeWaiters(dispatcher_.attemptFinished(record, job.request));
+    limitDeadline(job);
     if (!job.exchange->callerLeft && dispatcher_.grantRetry(now, job.request, end))
         return true;
     if (end == AttemptEnd::Answered || end == AttemptEnd::ServerError) {
@@ -353,9 +371,10 @@
         return;
     }
     const bool late = end == AttemptEnd::TimedOut;
+    const bool cutByShutdown = end == AttemptEnd::CallerLeft && !job.exchange->callerLeft;
     refuse(job,
            {.status = late ? beasthttp::status::gateway_timeout : beasthttp::status::bad_gateway,
-            .code = attemptEndName(end)});
+            .code = cutByShutdown ? "shutdown_during_attempt" : attemptEndName(end)});
 }
 
 void RequestFlow::reportAttempt(const Job &job, const Placement &placement,
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -29,6 +29,9 @@
     core::Micros connectTimeout {core::Millis(250)};
     /** Subtracted from the deadline sent to upstreams, for the transit time of the response. */
     core::Micros deadlineMargin {core::Millis(10)};
+    /** The same while this VM shuts down: the upstream's own response to a request that it stopped
+     * must arrive before the process ends, from another region and over a busy link too. */
+    core::Micros leavingDeadlineMargin {core::Millis(250)};
 };
 
 /** The RequestPolicy of one VM: finds routes and accounts, applies limits, queues and places
@@ -62,6 +65,12 @@
     void setFleetShare(double share) { dispatcher_.setFleetShare(share); }
     /** Changes the phase. */
     void enterPhase(core::Phase phase) { phase_ = phase; }
+    /** Enters the phase Leaving. Every request that has not been sent to an upstream yet gets its
+     * final response by a time. Upstreams are given correspondingly less time, so that their own
+     * response still arrives. */
+    void leaveBy(core::MonoTime lastResponseAt);
+    /** Ends all attempts that are in progress; their callers get a 502 or 504 at once. */
+    void abandonAttempts() { loop_.cancelAttempts(); }
     /** @return The current phase of the daemon. */
     core::Phase phase() const { return phase_; }
     /** Places waiting requests for which an upstream has room, and refuses those that can no longer
@@ -98,6 +107,7 @@
     HttpRequest buildForwardRequest(const Job &job, const Placement &placement,
                                     core::MonoTime now) const;
     ExchangeOptions exchangeOptions(Job &job, const Placement &placement, core::MonoTime now);
+    void limitDeadline(Job &job) const;
     void refuse(Job &job, const Refusal &refusal);
     void refuseUnplaced(Job &job, PlacementFailure reason);
     void refuseAfterFailure(Job &job, AttemptEnd end);
@@ -112,6 +122,7 @@
     SplitSelector splits_;
     std::shared_ptr<const RouteTable> table_;
     core::Phase phase_ = core::Phase::Serving;
+    std::optional<core::MonoTime> lastResponseAt_; ///< Set while this VM shuts down.
 };
 
 } // namespace teaselreach::proxy
--- a/src/proxy/request_loop_base.h
+++ b/src/proxy/request_loop_base.h
@@ -7,6 +7,7 @@
 #include <concepts>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace teaselreach::proxy {
 
@@ -94,6 +95,13 @@
 
     /** Closes idle connections that can no longer be reused. */
     void closeStaleConnections(core::MonoTime now) { connections_.closeStale(now); }
+    /** Cancels all attempts in progress. The policy decides on them as on any cancelled one. */
+    void cancelAttempts()
+    {
+        const std::set<std::shared_ptr<ExchangeCanceller>> all = cancellers_;
+        for (const auto &canceller : all)
+            canceller->cancel();
+    }
 
 private:
     /** Makes one attempt. @return Whether another attempt follows. */
@@ -109,8 +117,10 @@
             canceller->cancel();
         if (plan.cancelOnCallerLeft)
             exchange->onCallerLeft = [canceller] { canceller->cancel(); };
+        cancellers_.insert(canceller);
         ExchangeResult result =
             co_await connection->exchange(plan.request, plan.options, canceller, plan.filter);
+        cancellers_.erase(canceller);
         // A connection whose response cannot be trusted carries no further request.
         if (policy_.mayReuseConnection(result))
             connections_.release(core::MonoClock::now(), std::move(connection));
@@ -119,6 +129,7 @@
 
     Policy &policy_;
     ConnectionPool connections_;
+    std::set<std::shared_ptr<ExchangeCanceller>> cancellers_; ///< Of the attempts in progress.
 };
 
 } // namespace teaselreach::proxy
--- a/src/proxy/wait_queue.cpp
+++ b/src/proxy/wait_queue.cpp
@@ -64,6 +64,12 @@
     return result;
 }
 
+void WaitQueue::limitDeadlines(core::MonoTime latest)
+{
+    for (auto &[ticket, request] : requests_)
+        request.deadline = std::min(request.deadline, latest);
+}
+
 void WaitQueue::remove(WaitTicket ticket, bool served)
 {
     const auto found = requests_.find(ticket);
--- a/src/proxy/wait_queue_base.h
+++ b/src/proxy/wait_queue_base.h
@@ -64,6 +64,8 @@
     /** Removes the requests that can no longer be answered in time and selects the next request
      * to send without removing it. */
     QueueHead removeLateAndPeek(core::MonoTime now);
+    /** Moves later deadlines of queued requests forward to a time. */
+    void limitDeadlines(core::MonoTime latest);
     /** Removes a request.
      * @param served Whether it was sent to an upstream, which is charged to its flow. */
     void remove(WaitTicket ticket, bool served);
--- a/tests/proxy/loop_daemon_test.cpp
+++ b/tests/proxy/loop_daemon_test.cpp
@@ -43,8 +43,8 @@
 class DaemonFixture
 {
 public:
-    DaemonFixture()
-        : daemon_(context_, store, directory_, options())
+    explicit DaemonFixture(ShutdownOptions shutdown = {})
+        : daemon_(context_, store, directory_, options(shutdown))
     {
         store.configuration = testConfiguration();
         store.configuration.accounts.front().ratePerSecond = 10;
@@ -79,6 +79,7 @@
     std::string sendRequest(std::uint16_t port, std::string request) const
     {
         const int fd = standins::connectTo("127.0.0.1", port);
+        standins::limitReceiveTime(fd, 5);
         request.insert(request.find("\r\n") + 2, "Connection: close\r\n");
         standins::sendAll(fd, request);
         std::string answer = standins::readAll(fd);
@@ -86,6 +87,13 @@
         return answer.size() < 12 ? answer : answer.substr(9);
     }
 
+    /** Adds an upstream to the store. */
+    void addUpstream(const RawServer &upstream)
+    {
+        store.upstreamPort = upstream.port();
+        store.items.push_back({.kind = FleetItemKind::Upstream, .id = "i-1", .value = "127.0.0.1"});
+    }
+
     /** @return The value of a metric without labels, or -1 if there is none. */
     double metric(const std::string &name) const
     {
@@ -123,9 +131,10 @@
     const std::uint16_t internalPort = freePort();
 
 private:
-    LoopDaemonOptions options() const
+    LoopDaemonOptions options(ShutdownOptions shutdown) const
     {
         LoopDaemonOptions options;
+        options.shutdown = shutdown;
         options.self = {.id = core::VmId("me"),
                         .location = {core::AvailabilityZoneId("here"), core::RegionId("west")},
                         .callerAddress = "127.0.0.1:" + std::to_string(callerPort)};
@@ -236,3 +245,113 @@
               .find("127.0.0.1:" + std::to_string(fixture.callerPort))
           != std::string::npos);
 }
+
+namespace {
+
+/** Times of a shutdown that a test can wait for. */
+constexpr ShutdownOptions shortShutdown {.serveFor = core::Millis(600),
+                                         .endAfter = core::Millis(1500)};
+
+/** Answers a request only when the time that it was given is over, as an upstream does that is too
+ * slow and then stops its work. */
+RawReply answerAtDeadline(const RawRequest &request)
+{
+    std::this_thread::sleep_for(core::Millis(std::stoi(headerOf(request.head, "X-Deadline"))));
+    return RawReply {standins::okReply(
+        "stopped", "X-Attempt: " + headerOf(request.head, "X-Attempt") + "\r\nX-Seal: s1\r\n",
+        "504 Gateway Timeout")};
+}
+
+} // namespace
+
+TEST_CASE("requests that arrive late in the grace period are passed on and cut off at its end")
+{
+    RawServer upstream("127.0.0.1", answerAtDeadline);
+    DaemonFixture fixture(shortShutdown);
+    fixture.store.configuration = testConfiguration(core::Seconds(2));
+    fixture.addUpstream(upstream);
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.ready(); }));
+    fixture.onLoop([&] { fixture.daemon().shutDown(); });
+    const auto begin = core::MonoClock::now();
+    std::vector<std::future<std::string>> responses;
+    for (int i = 0; i < 4; ++i) {
+        const std::string method = i % 2 == 0 ? "POST" : "GET";
+        responses.push_back(std::async(std::launch::async, [&fixture, method, i] {
+            std::this_thread::sleep_for(core::Millis(120 * i));
+            return fixture.sendRequest(fixture.callerPort,
+                                       callerRequest(method, method == "POST" ? "/book/" : "/read/",
+                                                     "a" + std::to_string(i), "", "x"));
+        }));
+    }
+    for (std::future<std::string> &response : responses) {
+        // The upstream's own response: the request ran.
+        const std::string text = response.get();
+        CAPTURE(text);
+        CHECK(text.starts_with("504"));
+        CHECK(text.ends_with("stopped"));
+    }
+    CHECK(core::MonoClock::now() - begin < shortShutdown.endAfter);
+    CHECK(upstream.requests() == 4);
+}
+
+TEST_CASE("a request that was sent before a planned stop ends without a response")
+{
+    // Its upstream was given the time until the caller's deadline, which is after the end of the
+    // process.
+    RawServer upstream("127.0.0.1", [](const RawRequest &) {
+        std::this_thread::sleep_for(core::Seconds(3));
+        return RawReply {.bytes = "", .close = true};
+    });
+    DaemonFixture fixture(shortShutdown);
+    fixture.store.configuration = testConfiguration(core::Seconds(10));
+    fixture.addUpstream(upstream);
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.ready(); }));
+    auto response = std::async(std::launch::async, [&] {
+        return fixture.sendRequest(fixture.callerPort,
+                                   callerRequest("POST", "/book/", "a1", "", "x"));
+    });
+    REQUIRE(eventually([&] { return upstream.requests() == 1; }));
+    fixture.onLoop([&] { fixture.daemon().shutDown(); });
+    CHECK(response.get().starts_with("502"));
+}
+
+TEST_CASE(
+    "a request that is refused in a planned stop loses its response to the end of the process")
+{
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        return request.head.starts_with("POST") ? answerAtDeadline(request)
+                                                : RawReply {sealedReply(request, "fine")};
+    });
+    DaemonFixture fixture(shortShutdown);
+    fixture.addUpstream(upstream);
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.ready(); }));
+    // Keeps the process from ending before the last part of the grace period.
+    auto pending = std::async(std::launch::async, [&] {
+        return fixture.sendRequest(fixture.callerPort,
+                                   callerRequest("POST", "/book/", "a0", "", "x"));
+    });
+    REQUIRE(eventually([&] { return upstream.requests() == 1; }));
+    fixture.onLoop([&] { fixture.daemon().shutDown(); });
+    // From the last request that is served on, each one ends with a response or is not read at all.
+    int refused = 0;
+    const auto end = core::MonoClock::now() + shortShutdown.endAfter;
+    while (core::MonoClock::now() < end) {
+        const int fd = standins::connectTo("127.0.0.1", fixture.callerPort);
+        if (fd < 0)
+            break;
+        standins::limitReceiveTime(fd, 5);
+        standins::sendAll(fd, callerRequest("GET", "/read/", "a1"));
+        const std::string text = standins::readAll(fd);
+        ::close(fd);
+        if (text.empty())
+            break;
+        CHECK((text.starts_with("HTTP/1.1 200") || text.starts_with("HTTP/1.1 503")
+               || text.starts_with("HTTP/1.1 429")));
+        refused += text.starts_with("HTTP/1.1 503") ? 1 : 0;
+    }
+    CHECK(refused > 0);
+    CHECK(pending.get().starts_with("504"));
+}
--- a/tests/standins/raw_server.h
+++ b/tests/standins/raw_server.h
@@ -47,6 +47,14 @@
     return fd;
 }
 
+/** Makes reads from a socket fail after a time without a byte, so that a missing response fails a
+ * test instead of hanging it. */
+inline void limitReceiveTime(int fd, int seconds)
+{
+    const timeval limit {.tv_sec = seconds};
+    ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+}
+
 /** Sends all bytes; errors are left to the reader to notice. */
 inline void sendAll(int fd, const std::string &bytes)
 {
