Fix: [Proxy] A caller that stops reading its response occupies a connection without end

A response of 16 MB stayed in memory for as long as its caller kept the connection open. Change: a connection of which no byte could be written for the idle timeout is closed; its other requests end as after any disconnect.

Also a test for a report of other operators, an upstream that stops within the head of its response: cut at each byte, with a length, in chunks with a trailer and after a 1xx, the caller of a request that may not be repeated gets 502 and never a complete 200. It passes on: the fault was not found here.

--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -158,6 +158,7 @@
     if (writing_ || ended_)
         return;
     writing_ = true;
+    writtenAt_ = core::MonoClock::now();
     asio::co_spawn(
         socket_.get_executor(), [self = shared_from_this()]() { return self->writeResponses(); },
         asio::detached);
@@ -176,7 +177,7 @@
         if (exchange->request.method() == beasthttp::verb::head)
             exchange->response.body().clear(); // The fields describe the body of a GET.
         ErrorCode error;
-        co_await beasthttp::async_write(socket_, exchange->response, captureError(error));
+        co_await writeMessage(exchange->response, error);
         if (ended_)
             co_return;
         pending_.pop_front();
@@ -194,6 +195,16 @@
     writing_ = false;
 }
 
+/** Writes a response and records when its bytes leave. */
+asio::awaitable<void> CallerSession::writeMessage(HttpResponse &response, ErrorCode &error)
+{
+    beasthttp::response_serializer<beasthttp::string_body> serializer(response);
+    while (!error && !serializer.is_done()) {
+        writtenAt_ = core::MonoClock::now();
+        co_await beasthttp::async_write_some(socket_, serializer, captureError(error));
+    }
+}
+
 asio::awaitable<void> CallerSession::lingerAndClose()
 {
     const auto self = shared_from_this();
@@ -231,9 +242,13 @@
 
 void CallerSession::closeIfStale(core::MonoTime now)
 {
-    if (ended_ || !pending_.empty())
+    if (ended_)
         return;
     const SessionLimits limits = handlers_.limits();
+    if (writing_ && !lingering_ && now - writtenAt_ > limits.idleTimeout)
+        handleDisconnect();
+    if (ended_ || !pending_.empty())
+        return;
     const core::Micros reading = now - readingSince_;
     const bool slowHeader = reading_ && !headerRead_ && reading > limits.headerTimeout;
     const bool slowRequest =
--- a/src/proxy/caller_session_base.h
+++ b/src/proxy/caller_session_base.h
@@ -81,6 +81,7 @@
     asio::awaitable<void> waitForPipelineSlot();
     asio::awaitable<void> handleRequest(std::shared_ptr<CallerExchange> exchange);
     asio::awaitable<void> writeResponses();
+    asio::awaitable<void> writeMessage(HttpResponse &response, ErrorCode &error);
     asio::awaitable<void> discardUntilDisconnect();
     asio::awaitable<void> lingerAndClose();
     void startRequest(HttpRequest request);
@@ -96,9 +97,10 @@
     asio::steady_timer slotFreed_;
     core::MonoTime idleSince_;
     core::MonoTime readingSince_ {};
+    core::MonoTime writtenAt_ {}; ///< Last time that bytes of a response were written.
     bool reading_ = false;
     bool headerRead_ = false;
-    bool writing_ = false;
+    bool writing_ = false;     ///< The writer runs, but may wait for the caller to read.
     bool stopReading_ = false; ///< No further requests are read; pending ones are answered.
     bool tooSlow_ = false;     ///< The request being read timed out; its sender gets an error.
     bool lingering_ = false;   ///< The last response is sent; the caller has yet to close.
--- a/tests/proxy/flow_fixture.h
+++ b/tests/proxy/flow_fixture.h
@@ -97,7 +97,8 @@
 class FlowFixture
 {
 public:
-    explicit FlowFixture(Configuration configuration = testConfiguration())
+    explicit FlowFixture(Configuration configuration = testConfiguration(),
+                         core::Micros idleTimeout = core::Seconds(5))
         : upstreams_({.self = {core::AvailabilityZoneId("here"), core::RegionId("west")},
                       .regionOfZone = {{core::AvailabilityZoneId("here"), core::RegionId("west")}}},
                      1)
@@ -113,11 +114,11 @@
                            return flow_.serve(std::move(exchange));
                        },
                    .limits =
-                       [this] {
+                       [idleTimeout] {
                            return SessionLimits {.maxHeaderBytes = 4096,
                                                  .maxBodyBytes = 10000,
                                                  .headerTimeout = core::Millis(300),
-                                                 .idleTimeout = core::Seconds(5)};
+                                                 .idleTimeout = idleTimeout};
                        },
                    .shouldClose = [this] { return flow_.phase() != core::Phase::Serving; }})
         , workGuard_(context_.get_executor())
@@ -193,6 +194,14 @@
         return count;
     }
 
+    /** @return Number of open connections of callers. */
+    std::size_t connections()
+    {
+        std::size_t count = 0;
+        onLoop([&] { count = server_.size(); });
+        return count;
+    }
+
     RequestFlow &flow() { return flow_; }
     AccountRateLimiter &shares() { return shares_; }
 
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -515,3 +515,78 @@
     CHECK(runs == 1);
     CHECK(upstream.connections() == 1);
 }
+
+TEST_CASE("an upstream that stops at any byte of its response yields a complete response")
+{
+    // With a length, in chunks with a trailer, and after an informational response.
+    const auto wholeReply = [](const RawRequest &request, int form) {
+        const std::string fields =
+            "X-Attempt: " + headerOf(request.head, "X-Attempt") + "\r\nX-Seal: s1\r\n";
+        const std::string chunked = "HTTP/1.1 200 OK\r\n" + fields
+            + "Transfer-Encoding: chunked\r\nTrailer: X-End\r\n\r\n"
+              "5;x=y\r\nhello\r\n3\r\nyou\r\n0\r\nX-End: 1\r\n\r\n";
+        if (form == 0)
+            return standins::okReply("helloyou", fields);
+        return form == 1 ? chunked : "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n" + chunked;
+    };
+    for (int form = 0; form < 3; ++form) {
+        std::atomic<std::size_t> length {0};
+        RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+            const std::string whole = wholeReply(request, form);
+            const std::size_t cut = std::stoul(headerOf(request.head, "X-Cut"));
+            length = whole.size();
+            return RawReply {.bytes = whole.substr(0, cut), .close = true};
+        });
+        FlowFixture fixture;
+        fixture.addUpstream("i-1", upstream);
+        const auto responseTo = [&](std::size_t cut) {
+            return fixture.sendRequest(callerRequest("POST", "/book/x", "a" + std::to_string(cut),
+                                                     "X-Cut: " + std::to_string(cut) + "\r\n",
+                                                     "x"));
+        };
+        const std::string whole = responseTo(10000);
+        CHECK(whole.starts_with("HTTP/1.1 200"));
+        CHECK(whole.ends_with("\r\n\r\nhelloyou"));
+        for (std::size_t cut = 0; cut < length; ++cut) {
+            CAPTURE(form);
+            CAPTURE(cut);
+            CHECK(responseTo(cut).starts_with("HTTP/1.1 502"));
+        }
+    }
+}
+
+TEST_CASE("a caller that reads nothing of its response occupies a connection without end")
+{
+    const std::string body(std::size_t {16} * 1024 * 1024, 'x');
+    RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+        return RawReply {sealedReply(request, body)};
+    });
+    FlowFixture fixture(testConfiguration(core::Seconds(3)), core::Millis(400));
+    fixture.addUpstream("i-1", upstream);
+    const int stalled = fixture.connect();
+    standins::sendAll(stalled, callerRequest("GET", "/read/x", "a1"));
+    REQUIRE(eventually([&] { return upstream.requests() == 1; }));
+    CHECK(eventually([&] { return fixture.connections() == 0; }));
+    ::close(stalled);
+}
+
+TEST_CASE("a caller that reads its response slowly is cut off")
+{
+    const std::string body(std::size_t {16} * 1024 * 1024, 'x');
+    RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+        return RawReply {sealedReply(request, body)};
+    });
+    FlowFixture fixture(testConfiguration(core::Seconds(3)), core::Millis(400));
+    fixture.addUpstream("i-1", upstream);
+    const int slow = fixture.connect();
+    standins::sendAll(slow, callerRequest("GET", "/read/x", "a1"));
+    std::string received;
+    std::string buffer(body.size() / 8, '\0');
+    for (ssize_t count = 1; count > 0 && received.size() <= body.size();) {
+        std::this_thread::sleep_for(core::Millis(100)); // The pace of the caller.
+        count = ::recv(slow, buffer.data(), buffer.size(), MSG_WAITALL);
+        received.append(buffer, 0, static_cast<std::size_t>(std::max<ssize_t>(0, count)));
+    }
+    CHECK(received.size() > body.size());
+    ::close(slow);
+}
