Fix: [VmList] One invalid entry in the list of VMs hides the changes of all others

Reported by other operators: another writer left one odd entry, and machines stopped following the list. It happened here in the product's own interface: one invalid entry rejected the whole list, so that upstreams that had left stayed in use and new ones were not used for as long as the entry stood there. Change: an invalid entry stands for the VM of its id as last listed; without an id that was listed before it may stand for any VM, and nothing is removed. The other entries apply. A document that is no list, or none of whose entries is valid, is rejected as before.

--- a/src/vmlist/http_vm_list.cpp
+++ b/src/vmlist/http_vm_list.cpp
@@ -1,8 +1,12 @@
 /** @file http_vm_list.cpp HTTP client of the platform's VM list. */
+#include "core/log_func.h"
 #include "vmlist/http_vm_list_base.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <set>
+
 namespace teaselreach::vmlist {
 
 namespace {
@@ -66,26 +70,86 @@
             .port = requiredPort(entry, "port")};
 }
 
+void addEntry(const json &entry, core::VmList &list)
+{
+    const std::string role = requiredText(entry, "role");
+    if (role == "entry")
+        list.entryVms.push_back(entryVmOf(entry));
+    else if (role == "upstream")
+        list.upstreams.push_back(upstreamOf(entry));
+    else
+        throw VmListUnavailable("a VM in the list has the role '" + role
+                                + "', expected 'entry' or 'upstream'");
+}
+
+/** @return Whether a list has a VM with an id. */
+template <typename Vm>
+bool contains(const std::vector<Vm> &vms, const std::string &id)
+{
+    return std::any_of(vms.begin(), vms.end(), [&](const Vm &vm) { return vm.id.str() == id; });
+}
+
+/** The entries of a document that name no VM to use. */
+struct InvalidEntries
+{
+    int count = 0;
+    std::set<std::string> ids; ///< An entry without an id adds an empty one.
+    std::string firstReason;
+
+    void add(const json &entry, const std::string &reason)
+    {
+        const bool hasId = entry.is_object() && entry.contains("id") && entry.at("id").is_string();
+        const std::string id = hasId ? entry.at("id").get<std::string>() : "";
+        ids.insert(id);
+        if (++count == 1)
+            firstReason = reason;
+        core::logEvent(core::LogLevel::Warn, "vm_entry_invalid", {{"vm", id}, {"reason", reason}});
+    }
+    /** @return Whether an entry may stand for a VM other than the one that its id names. */
+    bool hasUnknownId(const core::VmList &last) const
+    {
+        return std::any_of(ids.begin(), ids.end(), [&](const std::string &id) {
+            return !contains(last.entryVms, id) && !contains(last.upstreams, id);
+        });
+    }
+};
+
+/** Adds the VMs as last listed for which an invalid entry may stand. */
+template <typename Vm>
+void keepMissing(const std::vector<Vm> &last, std::vector<Vm> &listed,
+                 const InvalidEntries &invalid, bool keepsAll)
+{
+    for (const Vm &vm : last) {
+        if ((keepsAll || invalid.ids.contains(vm.id.str())) && !contains(listed, vm.id.str()))
+            listed.push_back(vm);
+    }
+}
+
 } // namespace
 
-core::VmList parseVmList(const std::string &text)
+core::VmList parseVmList(const std::string &text, const core::VmList &last)
 {
     core::VmList list;
+    InvalidEntries invalid;
     try {
         const json document = json::parse(text);
         for (const json &entry : document.at("vms")) {
-            const std::string role = requiredText(entry, "role");
-            if (role == "entry")
-                list.entryVms.push_back(entryVmOf(entry));
-            else if (role == "upstream")
-                list.upstreams.push_back(upstreamOf(entry));
-            else
-                throw VmListUnavailable("a VM in the list has the role '" + role
-                                        + "', expected 'entry' or 'upstream'");
+            try {
+                addEntry(entry, list);
+            } catch (const json::exception &error) {
+                invalid.add(entry, error.what());
+            } catch (const VmListUnavailable &error) {
+                invalid.add(entry, error.what());
+            }
         }
     } catch (const json::exception &error) {
         throw VmListUnavailable(std::string("the VM list is malformed: ") + error.what());
     }
+    if (list.entryVms.empty() && list.upstreams.empty() && invalid.count > 0)
+        throw VmListUnavailable("no VM in the list is valid: " + invalid.firstReason);
+    const bool keepsAll = invalid.hasUnknownId(last);
+    keepMissing(last.entryVms, list.entryVms, invalid, keepsAll);
+    keepMissing(last.upstreams, list.upstreams, invalid, keepsAll);
     return list;
 }
 
@@ -105,7 +169,8 @@
                                .connectTimeout = options_.connectTimeout,
                                .timeout = options_.requestTimeout});
             if (answer.status == statusOk) {
-                list = parseVmList(answer.body);
+                const std::lock_guard lock(lastMutex_);
+                list = last_ = parseVmList(answer.body, last_);
                 return true;
             }
             failures += base + ": status " + std::to_string(answer.status) + "; ";
--- a/src/vmlist/http_vm_list_base.h
+++ b/src/vmlist/http_vm_list_base.h
@@ -4,6 +4,7 @@
 #include "store/http_pool_base.h"
 #include "vmlist/vm_list_type.h"
 
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
 
 private:
     HttpVmListOptions options_;
+    std::mutex lastMutex_;
+    core::VmList last_; ///< As last parsed.
     store::EndpointList endpoints_;
     store::HttpPool pool_;
 };
@@ -44,12 +47,15 @@
 static_assert(VmListSource<HttpVmList>);
 
 /**
- * Parses the list.
+ * Parses the list. An invalid entry does not hide the others. It stands for the VM of its id as
+ * last listed, so that the VM does not look removed; without an id that was listed before, it may
+ * stand for any VM, and all VMs that are missing are kept.
  * @param text The JSON document.
- * @return Entry VMs and upstreams in the order of the document.
- * @throws VmListUnavailable if any part of the document is invalid. If an invalid VM were skipped,
- *     it would look as if it had been removed.
+ * @param last The list as last parsed.
+ * @return Entry VMs and upstreams: those of the document in its order, then those that were kept.
+ * @throws VmListUnavailable if the document is not a list of VMs, or if none of its entries is
+ *     valid.
  */
-core::VmList parseVmList(const std::string &text);
+core::VmList parseVmList(const std::string &text, const core::VmList &last = {});
 
 } // namespace teaselreach::vmlist
