Fix: [Proxy] Upstreams that failed once get no request that may not be retried for ten seconds

The evidence of one failure decays over 8 s, so for 10 to 14 s the loss is above that of any other, and requests that may not be retried never renew it; the slowness that an upstream once had did not decay at all. Of the largest service 35 to 50% were unused in each 2 s. Ruled out: views of VMs (each unused upstream was listed by all VMs of its zone), limits and refusals (none). Change: a service that avoids more than a quarter of its upstreams sends the excess, the least avoided first, a request every 1.5 s, or 3 s after a failure. The VMs of the zone take turns, and a report of the outcome ends the turns of the others. Slowness decays like failures. Logs: coverage_short, coverage_restored with the reasons; metric teaselreach_upstreams by service and reason.

--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -238,8 +238,21 @@
             exchange->response = makeResponse(beasthttp::status::not_found);
     }
 
-    HttpResponse metricsResponse() const
+    HttpResponse metricsResponse()
     {
+        const core::MonoTime now = core::MonoClock::now();
+        for (const core::ServiceId &service : upstreams_.services()) {
+            const UpstreamCounts counts = upstreams_.countsOf(now, service);
+            const auto set = [&](const char *state, int count) {
+                registry_.setGauge("teaselreach_upstreams",
+                                   {{"service", service.str()}, {"state", state}}, count);
+            };
+            set("accepting", counts.accepting);
+            set("failing", counts.failing);
+            set("slow", counts.slow);
+            set("holding_off", counts.holdingOff);
+            set("limited", counts.limited);
+        }
         return makeResponse(beasthttp::status::ok,
                             registry_.prometheusText(core::MonoClock::now()));
     }
@@ -360,6 +373,20 @@
         }
         shares_.setShares(ownShare_, pool);
         updateUpstreamLimitShares(now, isActive);
+        updateTrialVms(now);
+    }
+
+    /** Names the VMs that try the upstreams of this zone in turn: those that take callers and still
+     * send messages. */
+    void updateTrialVms(core::MonoTime now)
+    {
+        std::vector<core::VmId> peers;
+        for (const EntryMember &peer : entries_.poolPeersOf(options_.self.id)) {
+            if (peer.location.availabilityZone == options_.self.location.availabilityZone
+                && liveness_.isReporting(now, peer.id))
+                peers.push_back(peer.id);
+        }
+        upstreams_.setTrialVms(options_.self.id, std::move(peers));
     }
 
     /** Sets the shares of the limits that upstreams name.
--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -1,4 +1,5 @@
 /** @file upstream_table.cpp Selection of upstreams by expected loss; health and load estimates. */
+#include "core/digest_func.h"
 #include "proxy/upstream_table_base.h"
 
 #include <algorithm>
@@ -63,6 +64,7 @@
     : options_(std::move(options))
     , random_(seed)
     , limiter_(options_.limits, seed)
+    , coverage_(options_.coverage)
 { }
 
 void UpstreamTable::update(core::MonoTime now, const UpstreamEntry &entry)
@@ -126,6 +128,8 @@
     const auto service = byService_.find(request.service);
     if (service == byService_.end())
         return {};
+    if (coverage_.isCountDue(now, request.service))
+        coverage_.counted(now, request.service, countsOf(now, request.service));
     PlacementFailure reason = PlacementFailure::NoUpstream;
     bool healthyIsBusy = false;
     const Upstream *best = nullptr;
@@ -133,8 +137,7 @@
     for (const Upstream *upstream : service->second) {
         // The remaining upstreams are at least as far away, and their distance alone costs as much
         // as the whole expected loss of the best candidate.
-        if (best != nullptr && bestEstimate.failure <= options_.avoidThreshold
-            && upstream->distance >= bestEstimate.loss)
+        if (best != nullptr && bestEstimate.isAcceptable && upstream->distance >= bestEstimate.loss)
             break;
         if (!isEligible(*upstream, request))
             continue;
@@ -166,7 +169,7 @@
         return {.placement = std::nullopt, .reason = reason};
     // An unhealthy upstream fails fast and so always has free slots. A request that may not be
     // retried waits for a healthy upstream instead.
-    if (!request.idempotent && healthyIsBusy && bestEstimate.failure > options_.avoidThreshold)
+    if (!request.idempotent && healthyIsBusy && !bestEstimate.isAcceptable)
         return {.placement = std::nullopt, .reason = PlacementFailure::AllBusy};
     return {.placement = makePlacement(*best, bestEstimate)};
 }
@@ -190,9 +193,13 @@
     std::uniform_real_distribution<double> tieBreak(0, tieLoss);
     const core::Micros duration = expectedDuration(now, upstream, request);
     const double failure = failureProbability(now, upstream);
+    const bool isTrial = isTrialDue(now, upstream, request);
+    const double loss =
+        isTrial ? upstream.distance : expectedLoss(upstream, request, duration, failure);
     return {.duration = duration,
-            .loss = expectedLoss(now, upstream, request, duration, failure) + tieBreak(random_),
-            .failure = failure};
+            .loss = loss + tieBreak(random_),
+            .failure = failure,
+            .isAcceptable = isTrial || failure <= options_.avoidThreshold};
 }
 
 Placement UpstreamTable::makePlacement(const Upstream &upstream, const Estimate &estimate)
@@ -246,10 +253,12 @@
     }
     const bool failed = countsAsFailure(record.end);
     // A failed connection may be caused by this VM's network path alone. A success is reported only
-    // if the upstream was suspected.
+    // if the upstream was avoided, which others probably do too.
     const bool wasSuspected =
         failureProbability(record.endedAt, upstream) > options_.suspectThreshold;
-    const bool shouldReport = failed ? record.end != AttemptEnd::NotSent : wasSuspected;
+    const bool shouldReport = failed
+        ? record.end != AttemptEnd::NotSent
+        : isFailing(record.endedAt, upstream) || isSlow(record.endedAt, upstream);
     updateHealth(record.endedAt, upstream, failed, options_.healthyFailureRate);
     const bool isSuspected =
         failureProbability(record.endedAt, upstream) > options_.suspectThreshold;
@@ -294,14 +303,24 @@
     return slots;
 }
 
+/** @return The weight of evidence of an age. Unhealthy and slow periods have a typical length:
+ * evidence keeps its weight for most of that time and loses it quickly afterwards. */
+double UpstreamTable::evidenceWeight(core::Micros age) const
+{
+    const double periods = std::max(0.0, seconds(age)) / seconds(options_.unhealthyPeriod);
+    return std::exp(-periods * periods);
+}
+
 double UpstreamTable::unhealthyProbability(core::MonoTime now, const Upstream &upstream) const
 {
-    // Unhealthy periods have a typical length: evidence keeps its weight for most of that time and
-    // loses it quickly afterwards.
-    const double age =
-        std::max(0.0, seconds(now - upstream.unhealthyAt)) / seconds(options_.unhealthyPeriod);
     return options_.unhealthyPrior
-        + (upstream.unhealthy - options_.unhealthyPrior) * std::exp(-age * age);
+        + (upstream.unhealthy - options_.unhealthyPrior)
+        * evidenceWeight(now - upstream.unhealthyAt);
+}
+
+double UpstreamTable::slownessOf(core::MonoTime now, const Upstream &upstream) const
+{
+    return 1 + (upstream.slowness - 1) * evidenceWeight(now - upstream.slownessAt);
 }
 
 double UpstreamTable::failureProbability(core::MonoTime now, const Upstream &upstream) const
@@ -314,14 +333,94 @@
     return std::max(learned, overdueFailure(now, upstream));
 }
 
-double UpstreamTable::expectedLoss(core::MonoTime now, const Upstream &upstream,
-                                   const PlacementRequest &request, core::Micros duration,
-                                   double failure) const
+bool UpstreamTable::isTrialDue(core::MonoTime now, const Upstream &upstream,
+                               const PlacementRequest &request) const
+{
+    if (!upstream.inFlight.empty())
+        return false;
+    const core::Micros untriedFor = now - upstream.lastTriedAt;
+    if (request.idempotent)
+        return untriedFor > options_.trialInterval;
+    const UpstreamCoverageOptions &coverage = options_.coverage;
+    // The VMs of each zone try its upstreams, so that a failing one costs few requests.
+    if (untriedFor <= coverage.trialInterval || upstream.distance > 0
+        || !coverage_.isShort(request.service))
+        return false;
+    const bool isAvoided = isFailing(now, upstream) || isSlow(now, upstream);
+    if (isAvoided && avoidanceOf(now, upstream) > coverage_.trialLimit(request.service))
+        return false;
+    const core::Micros interval = upstream.lastFailed || isSlow(now, upstream)
+        ? coverage.retrialInterval
+        : coverage.trialInterval;
+    return untriedFor > interval + trialRank(upstream) * coverage.trialStagger;
+}
+
+int UpstreamTable::trialRank(const Upstream &upstream) const
+{
+    const std::string &id = upstream.entry.id.str();
+    const auto own = core::rendezvousWeight(id, self_.str());
+    return static_cast<int>(
+        std::count_if(trialPeers_.begin(), trialPeers_.end(), [&](const core::VmId &peer) {
+            return core::rendezvousWeight(id, peer.str()) > own;
+        }));
+}
+
+bool UpstreamTable::isFailing(core::MonoTime now, const Upstream &upstream) const
+{
+    const double unknown = options_.unhealthyPrior * options_.unhealthyFailureRate
+        + (1 - options_.unhealthyPrior) * options_.healthyFailureRate;
+    return failureProbability(now, upstream) > unknown + tieLoss;
+}
+
+bool UpstreamTable::isSlow(core::MonoTime now, const Upstream &upstream) const
+{
+    return slownessOf(now, upstream) > options_.coverage.avoidedSlowness;
+}
+
+std::vector<core::ServiceId> UpstreamTable::services() const
+{
+    std::vector<core::ServiceId> all;
+    for (const auto &[service, upstreams] : byService_) {
+        if (!upstreams.empty())
+            all.push_back(service);
+    }
+    return all;
+}
+
+/** @return How strongly an upstream without load is avoided: about the loss from its failures and
+ * its slowness. */
+double UpstreamTable::avoidanceOf(core::MonoTime now, const Upstream &upstream) const
+{
+    const double slow = (slownessOf(now, upstream) - 1) / (maxSlowness - 1);
+    return failureProbability(now, upstream) + options_.lateLoss * std::max(0.0, slow);
+}
+
+UpstreamCounts UpstreamTable::countsOf(core::MonoTime now, const core::ServiceId &service) const
+{
+    UpstreamCounts counts;
+    const auto found = byService_.find(service);
+    if (found == byService_.end())
+        return counts;
+    for (const Upstream *upstream : found->second) {
+        if (!isAccepting(*upstream))
+            continue;
+        ++counts.accepting;
+        const bool failing = isFailing(now, *upstream);
+        if (notices_.isHoldingOff(now, upstream->entry)) {
+            ++counts.holdingOff;
+        } else if (!limiter_.mayStart(now, upstream->entry.id, limitShareOf(*upstream))) {
+            ++counts.limited;
+        } else if (failing || isSlow(now, *upstream)) {
+            ++(failing ? counts.failing : counts.slow);
+            counts.avoidance.push_back(avoidanceOf(now, *upstream));
+        }
+    }
+    return counts;
+}
+
+double UpstreamTable::expectedLoss(const Upstream &upstream, const PlacementRequest &request,
+                                   core::Micros duration, double failure) const
 {
-    const bool untried =
-        upstream.inFlight.empty() && now - upstream.lastTriedAt > options_.trialInterval;
-    if (request.idempotent && untried)
-        return upstream.distance;
     return upstream.distance + latenessLoss(request.elapsed + duration, request.targetLatency)
         + (request.idempotent ? failure * options_.retryableFailureFactor : failure);
 }
@@ -356,7 +455,7 @@
 {
     const double slots = std::max(1, upstream.entry.slots);
     const double work = seconds(expectedProcessingTime(request.route, request.targetLatency))
-        * upstream.slowness * (now < upstream.warmAt ? options_.coldFactor : 1.0);
+        * slownessOf(now, upstream) * (now < upstream.warmAt ? options_.coldFactor : 1.0);
     const double ahead = std::max(0.0, occupancyOf(now, upstream) + 1 - slots);
     return micros(work * (1 + ahead / slots));
 }
@@ -385,6 +484,7 @@
     upstream.unhealthy =
         unhealthy * ifUnhealthy / (unhealthy * ifUnhealthy + (1 - unhealthy) * ifHealthy);
     upstream.unhealthyAt = now;
+    upstream.lastFailed = failed;
 }
 
 void UpstreamTable::updateProcessingTime(const AttemptRecord &record, Upstream &upstream)
@@ -397,7 +497,9 @@
         return;
     const double expected = std::max(minProcessingSeconds, average->second);
     const double ratio = std::clamp(duration / expected, minSlowness, maxSlowness);
-    upstream.slowness += slownessGain * options_.durationGain * (ratio - upstream.slowness);
+    const double slowness = slownessOf(record.endedAt, upstream);
+    upstream.slowness = slowness + slownessGain * options_.durationGain * (ratio - slowness);
+    upstream.slownessAt = record.endedAt;
     upstream.slowness = std::clamp(upstream.slowness, minSlowness, maxSlowness);
     if (!isNew)
         average->second +=
--- a/src/proxy/upstream_table_base.h
+++ b/src/proxy/upstream_table_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "proxy/proxy_type.h"
+#include "proxy/upstream_coverage_base.h"
 #include "proxy/upstream_notices_base.h"
 #include "proxy/upstream_rate_limiter_base.h"
 
@@ -20,6 +21,7 @@
     core::Location self; ///< Location of this VM.
     std::map<core::AvailabilityZoneId, core::RegionId> regionOfZone;
     UpstreamRateLimiterOptions limits;
+    UpstreamCoverageOptions coverage;
     /** Loss from the traffic cost of sending a request to another zone of the region. */
     double crossZoneLoss = 0.06;
     /** Loss from sending a request to another region: the traffic cost, 40 ms of network latency,
@@ -35,7 +37,7 @@
     /** Probability that an unhealthy period has started since the last outcome. Past successes,
      * however many, do not lower it. */
     double onsetProbability = 0.01;
-    /** Typical length of an unhealthy period. Older evidence decays towards the prior. */
+    /** Typical length of an unhealthy or slow period. Older evidence decays towards the prior. */
     core::Micros unhealthyPeriod {core::Seconds(8)};
     /** Probability that a request fails at an unhealthy upstream and at a healthy one. Unhealthy
      * upstreams fail between half and nearly all of their requests. */
@@ -172,6 +174,17 @@
     }
     /** @return Number of upstreams that name a limit. */
     std::size_t limitedCount() const { return limiter_.size(); }
+    /** Sets the VMs that take callers in this VM's zone. They make the trials at its upstreams in
+     * turn. @param self This VM. @param peers The others. */
+    void setTrialVms(core::VmId self, std::vector<core::VmId> peers)
+    {
+        self_ = std::move(self);
+        trialPeers_ = std::move(peers);
+    }
+    /** @return All services with at least one upstream. */
+    std::vector<core::ServiceId> services() const;
+    /** @return The upstreams of a service by the reason why they get no or few requests. */
+    UpstreamCounts countsOf(core::MonoTime now, const core::ServiceId &service) const;
 
 private:
     /** An attempt that has not finished. */
@@ -189,9 +202,11 @@
         core::MonoTime warmAt {}; ///< End of its warm-up.
         double othersLoad = 0;    ///< Requests from other VMs, as last known.
         core::MonoTime loadAt {}; ///< Time of the last load report or refusal.
+        bool lastFailed = false;  ///< Whether the last known outcome was a failure.
         double unhealthy = 0;     ///< Probability that it is unhealthy, as of unhealthyAt.
         core::MonoTime unhealthyAt {};
-        double slowness = 1;                   ///< Its durations relative to the routes' averages.
+        double slowness = 1; ///< Its durations relative to the routes' averages, as of slownessAt.
+        core::MonoTime slownessAt {};
         std::vector<InFlightAttempt> inFlight; ///< Attempts from this VM.
         core::MonoTime lastTriedAt {}; ///< Last attempt from this VM or report of another VM.
     };
@@ -202,6 +217,9 @@
         core::Micros duration {0};
         double loss = 0;
         double failure = 0; ///< Probability of failure.
+        /** Whether a request that may not be retried is sent here rather than to wait: the upstream
+         * is probably healthy, or due for a trial. */
+        bool isAcceptable = false;
     };
 
     /** @return Whether an upstream takes new requests. */
@@ -213,12 +231,22 @@
     static Placement makePlacement(const Upstream &upstream, const Estimate &estimate);
     void addToService(Upstream &upstream);
     void removeFromService(const Upstream &upstream);
+    double evidenceWeight(core::Micros age) const;
     /** @return The probability that an upstream is unhealthy, decayed towards the prior. */
     double unhealthyProbability(core::MonoTime now, const Upstream &upstream) const;
     double failureProbability(core::MonoTime now, const Upstream &upstream) const;
-    double expectedLoss(core::MonoTime now, const Upstream &upstream,
-                        const PlacementRequest &request, core::Micros duration,
-                        double failure) const;
+    double expectedLoss(const Upstream &upstream, const PlacementRequest &request,
+                        core::Micros duration, double failure) const;
+    /** @return Whether an upstream has not been tried for so long that it gets the request as a
+     * trial. */
+    bool isTrialDue(core::MonoTime now, const Upstream &upstream,
+                    const PlacementRequest &request) const;
+    /** @return Number of VMs whose turn to try an upstream comes before this VM's. */
+    int trialRank(const Upstream &upstream) const;
+    bool isFailing(core::MonoTime now, const Upstream &upstream) const;
+    bool isSlow(core::MonoTime now, const Upstream &upstream) const;
+    double avoidanceOf(core::MonoTime now, const Upstream &upstream) const;
+    double slownessOf(core::MonoTime now, const Upstream &upstream) const;
     double overdueFailure(core::MonoTime now, const Upstream &upstream) const;
     double occupancyOf(core::MonoTime now, const Upstream &upstream) const;
     double distanceLoss(const core::AvailabilityZoneId &zone) const;
@@ -241,8 +269,11 @@
     std::unordered_map<core::RouteId, double, core::StrongHash> processingSeconds_;
     UpstreamNotices notices_;
     UpstreamRateLimiter limiter_;
+    UpstreamCoverage coverage_;
     std::map<core::AvailabilityZoneId, UpstreamLimitShare> limitShares_;
     UpstreamLimitShare unknownZoneShare_; ///< For zones that limitShares_ does not list.
+    core::VmId self_;
+    std::vector<core::VmId> trialPeers_; ///< Other VMs of the zone that take callers.
     std::vector<OutcomeReport> reports_;
     std::uint64_t lastAttempt_ = 0;
 };
--- a/tests/cmake/proxy.cmake
+++ b/tests/cmake/proxy.cmake
@@ -13,3 +13,4 @@
 target_compile_definitions(platform_main_test PRIVATE DAEMON_PROGRAM="$<TARGET_FILE:teaselreachd_platform>")
 add_dependencies(platform_main_test teaselreachd_platform)
 teaselreach_test(proxy_load_replay_test SOURCES proxy/load_replay_test.cpp LIBS tr_proxy_decisions)
+teaselreach_test(proxy_upstream_coverage_test SOURCES proxy/upstream_coverage_test.cpp LIBS tr_proxy_decisions)
--- a/tests/proxy/sync_test.cpp
+++ b/tests/proxy/sync_test.cpp
@@ -227,13 +227,13 @@
     {
         std::exception_ptr failure;
         std::optional<FleetUpdate> result;
-        asio::co_spawn(
-            context,
-            client.fetch("127.0.0.1:" + std::to_string(server.port()), StoreRevision(after)),
-            [&](std::exception_ptr error, FleetUpdate contents) {
-                failure = std::move(error);
-                result = std::move(contents);
-            });
+        asio::co_spawn(context,
+                       client.fetch("127.0.0.1:" + std::to_string(server.port()),
+                                    StoreRevision(after), RelayWait::Change),
+                       [&](std::exception_ptr error, FleetUpdate contents) {
+                           failure = std::move(error);
+                           result = std::move(contents);
+                       });
         while (!failure && !result)
             context.run_one();
         if (failure)
