--- a/src/proxy/upstream_coverage_base.h
+++ b/src/proxy/upstream_coverage_base.h
@@ -58,8 +58,6 @@
         : options_(options)
     { }
 
-    /** @return The parameters. */
-    const UpstreamCoverageOptions &options() const { return options_; }
     /** @return Whether the upstreams of a service have to be counted again. */
     bool isCountDue(core::MonoTime now, const core::ServiceId &service) const;
     /** Records the counts of a service and logs when it becomes short of upstreams or ceases to
