--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -350,6 +350,10 @@
     std::function<void(const std::string &)> onCall;
 
 private:
+    /** A page ends after about so many items or bytes. */
+    static constexpr std::size_t maxPageItems = 500;
+    static constexpr std::size_t maxPageBytes = 1'000'000;
+
     struct Item
     {
         std::string value; ///< Base64.
@@ -446,7 +450,21 @@
         if (at == std::string::npos)
             return "";
         at += name.size() + 2;
-        return target.substr(at, target.find('&', at) - at);
+        return percentDecoded(target.substr(at, target.find('&', at) - at));
+    }
+    static std::string percentDecoded(const std::string &text)
+    {
+        std::string decoded;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            if (text[i] == '%' && i + 2 < text.size()) {
+                decoded.push_back(
+                    static_cast<char>(std::strtol(text.substr(i + 1, 2).c_str(), nullptr, 16)));
+                i += 2;
+            } else {
+                decoded.push_back(text[i]);
+            }
+        }
+        return decoded;
     }
     std::pair<int, json> answer(const Message &call)
     {
@@ -458,11 +476,19 @@
             json items = json::array();
             const std::string prefix = parameter(target, "prefix");
             const std::string after = parameter(target, "after");
+            std::size_t bytes = 0;
+            bool truncated = false;
             for (const auto &[key, item] : items_) {
-                if (key.rfind(prefix, 0) == 0 && key > after)
-                    items.push_back(itemJson(key, item));
+                if (key.rfind(prefix, 0) != 0 || key <= after)
+                    continue;
+                if (items.size() >= maxPageItems || bytes >= maxPageBytes) {
+                    truncated = true;
+                    break;
+                }
+                bytes += key.size() + item.value.size();
+                items.push_back(itemJson(key, item));
             }
-            return {200, {{"items", items}, {"truncated", false}, {"currentRev", revision_}}};
+            return {200, {{"items", items}, {"truncated", truncated}, {"currentRev", revision_}}};
         }
         if (target.rfind("/kv-txn", 0) == 0)
             return transact(json::parse(call.body));
