--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -940,7 +940,16 @@
         if (!body.empty() || method == "POST")
             head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
         sendAll(fd_, head + "\r\n" + body);
-        const auto answer = reader_->next(milliseconds(deadlineMs + 500));
+        const Clock::time_point end = Clock::now() + milliseconds(deadlineMs + 500);
+        const auto left = [&] {
+            return std::chrono::duration_cast<milliseconds>(end - Clock::now());
+        };
+        auto answer = reader_->next(left());
+        // A response with a status of 1xx is followed by the final one.
+        while (answer && answer->second().rfind('1', 0) == 0) {
+            record_.line("interim  " + attempt + ": " + answer->second());
+            answer = reader_->next(left());
+        }
         if (!answer) {
             outcome.ending = reader_->ending();
             record_.line("answer   " + attempt + ": none, " + outcome.ending);
