Fix: [Proxy] A long trailer field of one response ends the process

Cause: Boost.Beast limits the header section, but not the trailer section, so a field may have as many bytes as the buffer of the connection, 128 KiB. Its field container stores lengths in 16 bits and throws std::length_error beyond that. The composed read runs the parser in a handler of its own, not in our coroutine, so the exception left io_context::run() and the process.

Ruled out: the size of the body (5 bytes) and of the header; responses with 60,000 and 65,500 bytes in the field are read.

Change: MessageReader parses in our own coroutine. Whatever the parser has to see as a whole (header section, trailer section, line of a chunk) must fit maxSectionBytes, which also bounds the buffer; a field that cannot be stored is the error header_limit. The exchange ends as broken, the caller gets 502, the connection is closed.

--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -1,5 +1,6 @@
 /** @file http_connection.cpp HTTP/1.1 client connections and a pool of idle ones. */
 #include "proxy/http_connection_base.h"
+#include "proxy/message_reader_base.h"
 
 #include <charconv>
 #include <netinet/in.h>
@@ -14,10 +15,9 @@
 constexpr int maxSkippedResponses = 4;
 /** Limit of informational responses (1xx) before a response. */
 constexpr int maxInformational = 8;
-/** Largest response body in bytes. */
-constexpr std::uint64_t maxResponseBytes = 64ULL * 1024 * 1024;
-/** Largest response header in bytes. */
-constexpr std::uint32_t maxResponseHeaderBytes = 64 * 1024;
+/** Limits of a response. */
+constexpr MessageLimits responseLimits {.maxSectionBytes = std::size_t {64} * 1024,
+                                        .maxBodyBytes = std::uint64_t {64} * 1024 * 1024};
 /** How long an idle connection is kept if the server sends no Keep-Alive timeout. */
 constexpr core::Micros defaultKeepAlive {core::Seconds(4)};
 /** Subtracted from the server's Keep-Alive timeout, for the transit time of a request and late
@@ -272,14 +272,13 @@
 asio::awaitable<HttpResponse> HttpConnection::readMessage(const HttpRequest &request,
                                                           ErrorCode &error)
 {
-    beasthttp::response_parser<beasthttp::string_body> parser;
-    parser.body_limit(maxResponseBytes);
-    parser.header_limit(maxResponseHeaderBytes);
+    MessageReader<false> reader(socket_, buffer_, responseLimits);
+    MessageReader<false>::Parser &parser = reader.parser();
     parser.skip(request.method() == beasthttp::verb::head);
     ReceiveReservation reservation(budget_);
-    co_await beasthttp::async_read_header(socket_, buffer_, parser, captureError(error));
+    co_await reader.readHeader(error);
     while (!error && !parser.is_done()) {
-        co_await beasthttp::async_read_some(socket_, buffer_, parser, captureError(error));
+        co_await reader.readSome(error);
         if (!error && !reservation.extendTo(parser.get().body().size()))
             error = beasthttp::error::body_limit;
     }
--- a/src/proxy/http_connection_base.h
+++ b/src/proxy/http_connection_base.h
@@ -139,14 +139,11 @@
     asio::awaitable<HttpResponse> readMessage(const HttpRequest &request, ErrorCode &error);
     void updateKeepAlive(const HttpResponse &response);
 
-    /** Largest number of received bytes that are not parsed yet. */
-    static constexpr std::size_t maxUnparsedBytes = std::size_t {128} * 1024;
-
     asio::io_context &context_;
     http::Target target_;
     std::shared_ptr<ReceiveBudget> budget_;
     Socket socket_;
-    boost::beast::flat_buffer buffer_ {maxUnparsedBytes};
+    boost::beast::flat_buffer buffer_;
     bool used_ = false;
     bool mayReuse_ = false;
     core::MonoTime idleSince_ {};
--- /dev/null
+++ b/src/proxy/message_reader_base.h
@@ -0,0 +1,130 @@
+/** @file message_reader_base.h Reads HTTP/1.1 messages from a connection within limits. */
+#pragma once
+
+#include "proxy/asio_type.h"
+
+#include <boost/beast/core/read_size.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <stdexcept>
+
+namespace teaselreach::proxy {
+
+/** Limits of one message. */
+struct MessageLimits
+{
+    /** Largest header section, trailer section, and line of a chunk's size and extensions, in bytes
+     * each. A longer one ends the message with the error header_limit. */
+    std::size_t maxSectionBytes = std::size_t {64} * 1024;
+    /** Largest body in bytes. A longer one ends the message with the error body_limit. */
+    std::uint64_t maxBodyBytes = std::uint64_t {1024} * 1024;
+};
+
+namespace detail {
+
+/** Longest read from a connection in bytes. */
+inline constexpr std::size_t maxReadBytes = 65536;
+
+/**
+ * Like basic_parser::put(), but reports a field that the parser cannot store as an error. Its
+ * length_error would otherwise leave the event loop.
+ * @return The number of bytes that the parser has taken.
+ */
+template <bool isRequest>
+std::size_t parse(beasthttp::basic_parser<isRequest> &parser, asio::const_buffer bytes,
+                  ErrorCode &error)
+{
+    try {
+        return parser.put(bytes, error);
+    } catch (const std::length_error &) {
+        error = beasthttp::error::header_limit;
+        return 0;
+    }
+}
+
+} // namespace detail
+
+/**
+ * Reads one message. Everything that the parser must see as a whole, such as a trailer section, has
+ * to fit the limit of a section, so neither the buffer nor a field grows beyond it.
+ */
+template <bool isRequest>
+class MessageReader
+{
+public:
+    using Parser = beasthttp::parser<isRequest, beasthttp::string_body>;
+
+    /** @param socket The connection. @param buffer Holds received bytes between messages; both must
+     * outlive the reader. @param limits Limits of the message. */
+    MessageReader(Socket &socket, boost::beast::flat_buffer &buffer, const MessageLimits &limits)
+        : socket_(socket)
+        , buffer_(buffer)
+        , maxSectionBytes_(limits.maxSectionBytes)
+    {
+        constexpr std::size_t largest = std::numeric_limits<std::uint32_t>::max();
+        parser_.header_limit(static_cast<std::uint32_t>(std::min(maxSectionBytes_, largest)));
+        parser_.body_limit(limits.maxBodyBytes);
+    }
+
+    /** @return The parser, with what has been read so far. */
+    Parser &parser() { return parser_; }
+
+    /** Reads up to the end of the header section. @param error Set if there is no valid one;
+     * end_of_stream if the connection ended before the first byte. */
+    asio::awaitable<void> readHeader(ErrorCode &error)
+    {
+        parser_.eager(false);
+        while (!error && !parser_.is_header_done())
+            co_await parseOrReceive(error);
+    }
+
+    /** Reads a part of the body, and what follows it, after the header section.
+     * @param error Set if it is malformed, too long or cut off. */
+    asio::awaitable<void> readSome(ErrorCode &error)
+    {
+        parser_.eager(true);
+        return parseOrReceive(error);
+    }
+
+private:
+    /** Parses the bytes in the buffer; receives more if the parser needs them. */
+    asio::awaitable<void> parseOrReceive(ErrorCode &error)
+    {
+        if (buffer_.size() > 0) {
+            buffer_.consume(detail::parse(parser_, buffer_.cdata(), error));
+            if (error != beasthttp::error::need_more)
+                co_return;
+            error = {};
+        }
+        // What the parser left is a part of one section.
+        if (buffer_.size() >= maxSectionBytes_) {
+            error = beasthttp::error::header_limit;
+            co_return;
+        }
+        const std::size_t size = std::min(boost::beast::read_size(buffer_, detail::maxReadBytes),
+                                          maxSectionBytes_ - buffer_.size());
+        const std::size_t received =
+            co_await socket_.async_read_some(buffer_.prepare(size), captureError(error));
+        buffer_.commit(received);
+        if (error == asio::error::eof)
+            finishAtEndOfStream(error);
+    }
+
+    void finishAtEndOfStream(ErrorCode &error)
+    {
+        error = beasthttp::error::end_of_stream;
+        if (!parser_.got_some())
+            return;
+        error = {};
+        parser_.put_eof(error);
+    }
+
+    Socket &socket_;
+    boost::beast::flat_buffer &buffer_;
+    std::size_t maxSectionBytes_;
+    Parser parser_;
+};
+
+} // namespace teaselreach::proxy
