Fix: [Proxy] A long trailer field of one request ends the process

What callers saw: one caller sends a chunked request with a trailer field over 64 KiB, and the requests of all callers of the VM are lost. A chunk extension without an end was kept in memory for as long as it came.

A limit maxHeaderBytes of 64 KiB or more in the configuration allowed the same with a field of the header.

Change: CallerSession reads with MessageReader. A section or chunk line over maxHeaderBytes gets 431, as a header does.

Measured: proxy_message_limits_test, second case: SIGABRT on the code before ("terminate called ... std::length_error, field value too large"), passes now; proxy_flow_test and proxy_loop_daemon_test pass.

--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -61,10 +61,10 @@
 {
     const auto self = shared_from_this();
     while (!ended_ && !stopReading_) {
-        std::unique_ptr<Parser> parser;
-        if (!co_await readRequest(parser) || stopReading_)
+        std::unique_ptr<Reader> reader;
+        if (!co_await readRequest(reader) || stopReading_)
             break;
-        startRequest(parser->release());
+        startRequest(reader->parser().release());
         co_await waitForPipelineSlot();
     }
     if (stopReading_ && !ended_)
@@ -84,7 +84,7 @@
 }
 
 /** Reads one request. @return Whether it is complete; errors of the sender are answered here. */
-asio::awaitable<bool> CallerSession::readRequest(std::unique_ptr<Parser> &parser)
+asio::awaitable<bool> CallerSession::readRequest(std::unique_ptr<Reader> &reader)
 {
     ErrorCode error;
     if (buffer_.size() == 0)
@@ -95,13 +95,13 @@
     reading_ = true;
     headerRead_ = false;
     const SessionLimits limits = handlers_.limits();
-    parser = std::make_unique<Parser>();
-    parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
-    parser->body_limit(limits.maxBodyBytes);
-    co_await beasthttp::async_read_header(socket_, buffer_, *parser, captureError(error));
+    reader = std::make_unique<Reader>(socket_, buffer_,
+                                      MessageLimits {.maxSectionBytes = limits.maxHeaderBytes,
+                                                     .maxBodyBytes = limits.maxBodyBytes});
+    co_await reader->readHeader(error);
     headerRead_ = !error;
-    if (!error && !parser->is_done())
-        co_await beasthttp::async_read(socket_, buffer_, *parser, captureError(error));
+    while (!error && !reader->parser().is_done())
+        co_await reader->readSome(error);
     reading_ = false;
     if (!error)
         co_return true;
--- a/src/proxy/caller_session_base.h
+++ b/src/proxy/caller_session_base.h
@@ -3,6 +3,7 @@
 
 #include "core/clock_type.h"
 #include "proxy/asio_type.h"
+#include "proxy/message_reader_base.h"
 
 #include <cstdint>
 #include <deque>
@@ -29,7 +30,7 @@
 /** Size and time limits of requests; they change with the configuration. */
 struct SessionLimits
 {
-    std::size_t maxHeaderBytes = 16384;
+    std::size_t maxHeaderBytes = 16384; ///< Also of a trailer section, and of a chunk's line.
     std::size_t maxBodyBytes = 1048576;
     core::Micros headerTimeout {core::Seconds(3)};
     core::Micros idleTimeout {core::Seconds(15)};
@@ -75,9 +76,9 @@
     std::size_t pending() const { return pending_.size(); }
 
 private:
-    using Parser = beasthttp::request_parser<beasthttp::string_body>;
+    using Reader = MessageReader<true>;
 
-    asio::awaitable<bool> readRequest(std::unique_ptr<Parser> &parser);
+    asio::awaitable<bool> readRequest(std::unique_ptr<Reader> &reader);
     asio::awaitable<void> waitForPipelineSlot();
     asio::awaitable<void> handleRequest(std::shared_ptr<CallerExchange> exchange);
     asio::awaitable<void> writeResponses();
--- a/tests/proxy/message_limits_test.cpp
+++ b/tests/proxy/message_limits_test.cpp
@@ -42,3 +42,28 @@
         CHECK(fixture.sendRequest(callerRequest("GET", "/read/x", "a2")).ends_with("sound"));
     }
 }
+
+TEST_CASE("a trailer section or chunk extension of a caller's request ends the daemon or fills its "
+          "memory")
+{
+    const std::string chunked =
+        callerRequest("POST", "/book/x", "a1", "Transfer-Encoding: chunked\r\n");
+    const std::size_t longValue = 70000;
+    const std::vector<std::string> endings {
+        "5\r\nhello\r\n0\r\n" + trailerOf(longValue) + "\r\n",
+        "5\r\nhello\r\n0\r\n" + trailerOf(5000) + "\r\n",
+        "5;" + std::string(longValue, 'e'),
+    };
+    for (const std::string &ending : endings) {
+        CAPTURE(ending.substr(0, 20));
+        RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+            return RawReply {sealedReply(request, "sound")};
+        });
+        FlowFixture fixture;
+        fixture.addUpstream("i-1", upstream);
+        CHECK(fixture.sendRequest(chunked + ending).starts_with("HTTP/1.1 431"));
+        CHECK(upstream.requests() == 0);
+        const std::string small = "5;note=x\r\nhello\r\n0\r\n" + trailerOf(50) + "\r\n";
+        CHECK(fixture.sendRequest(chunked + small).ends_with("sound"));
+    }
+}
