Fix: [Core, Proxy, Daemon, Platform] An exception of one handler or thread ends the process

Cause: io_context::run() passes on what a handler throws. main() caught only core::Error around it, and then left; the daemon of the product's own interface ran it on a thread without any catch, as Ticker and WorkQueue ran their tasks. The handler of SIGHUP caught one type of exception.

Change: runGuarded() reports an exception (event task_failed with task, code and detail, and a count) and returns; runEventLoop() goes on after it.

--- a/src/core/ticker.cpp
+++ b/src/core/ticker.cpp
@@ -1,4 +1,5 @@
 /** @file ticker.cpp A thread that runs a task periodically and on request. */
+#include "core/task_guard_func.h"
 #include "core/ticker_base.h"
 
 #include <utility>
@@ -31,7 +32,7 @@
 void Ticker::run(const std::stop_token &stop)
 {
     while (!stop.stop_requested()) {
-        task_();
+        runGuarded("ticker", task_);
         std::unique_lock lock(mutex_);
         wake_.wait_for(lock, stop, interval_, [this] { return woken_; });
         woken_ = false;
--- a/src/core/ticker_base.h
+++ b/src/core/ticker_base.h
@@ -17,7 +17,7 @@
 public:
     /**
      * @param interval Time between two runs.
-     * @param task Must not throw.
+     * @param task An exception is reported, and the task runs again after the interval.
      */
     Ticker(Micros interval, std::function<void()> task);
     /** Waits for a running task and ends the thread. */
--- a/src/core/work_queue.cpp
+++ b/src/core/work_queue.cpp
@@ -1,4 +1,5 @@
 /** @file work_queue.cpp A bounded task queue with its own worker threads. */
+#include "core/task_guard_func.h"
 #include "core/work_queue_base.h"
 
 #include <utility>
@@ -45,7 +46,7 @@
             task = std::move(tasks_.front());
             tasks_.pop_front();
         }
-        task();
+        runGuarded("work_queue", task);
     }
 }
 
--- a/src/core/work_queue_base.h
+++ b/src/core/work_queue_base.h
@@ -22,7 +22,7 @@
 class WorkQueue
 {
 public:
-    /** A task; it must not throw. */
+    /** A task. An exception is reported and ends only this task. */
     using Task = std::function<void()>;
 
     /** @param options Threads and bounds. */
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,6 +4,7 @@
 #include "daemon/daemon_base.h"
 #include "daemon/entry_answer_func.h"
 #include "daemon/feeds_base.h"
+#include "proxy/event_loop_func.h"
 
 #include <condition_variable>
 #include <future>
@@ -74,7 +75,7 @@
                 .handlers = handlers_})
     , controlServer_((addHandlers(), controlOptions()), controlHandlers())
     , eventLoopWorkGuard_(context_.get_executor())
-    , eventLoopThread_([this] { context_.run(); })
+    , eventLoopThread_([this] { proxy::runEventLoop(context_); })
 {
     proxy::asio::co_spawn(
         context_, [this]() { return closeStaleConnectionsRegularly(); }, proxy::asio::detached);
@@ -169,7 +170,7 @@
 {
     std::promise<void> done;
     proxy::asio::post(context_, [&] {
-        task();
+        core::runGuarded("daemon_control", task);
         done.set_value();
     });
     done.get_future().wait();
