Fix: [Proxy, Daemon] An exception ends a coroutine and nobody learns of it

What else could come of it, by reading: a VM whose loop that reads the store, renews its registration, receives messages, accepts connections or runs the ticks has thrown once goes on with old state until it is restarted, since the loop is gone and the process is not.

Cause: all coroutines were started with asio::detached, which drops the exception. The loops caught core::Error only.

Change: spawn() reports an exception of any coroutine. Loops handle the exception of one round and go on; one item of the store does not keep the others from being applied. A handler that throws gives 500, which says nothing about whether the request has run; the policy learns of the end of an attempt that failed here. New gauge teaselreach_task_failures.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -77,8 +77,8 @@
     , eventLoopWorkGuard_(context_.get_executor())
     , eventLoopThread_([this] { proxy::runEventLoop(context_); })
 {
-    proxy::asio::co_spawn(
-        context_, [this]() { return closeStaleConnectionsRegularly(); }, proxy::asio::detached);
+    proxy::spawn(context_, "close_stale_connections",
+                 [this]() { return closeStaleConnectionsRegularly(); });
     core::logEvent(core::LogLevel::Info, "daemon_started",
                    {{"vm", settings_.vm.id.str()}, {"address", settings_.vm.address}});
 }
@@ -205,9 +205,11 @@
         timer.expires_after(staleConnectionCheckInterval);
         proxy::ErrorCode ignored; // The timer is never cancelled.
         co_await timer.async_wait(proxy::captureError(ignored));
-        const core::MonoTime now = core::MonoClock::now();
-        callerServer_.closeStale(now);
-        pipeline_.closeStaleUpstreamConnections(now);
+        core::runGuarded("close_stale_connections", [this] {
+            const core::MonoTime now = core::MonoClock::now();
+            callerServer_.closeStale(now);
+            pipeline_.closeStaleUpstreamConnections(now);
+        });
     }
 }
 
--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -1,6 +1,7 @@
 /** @file caller_session.cpp HTTP/1.1 server for callers with pipelining. */
 #include "http/server_base.h"
 #include "proxy/caller_session_base.h"
+#include "proxy/event_loop_func.h"
 
 namespace teaselreach::proxy {
 
@@ -39,6 +40,15 @@
     return response;
 }
 
+/** @return A response to a request that failed within this process. It does not say whether the
+ * request has run. */
+HttpResponse makeInternalErrorResponse()
+{
+    HttpResponse response(beasthttp::status::internal_server_error, httpVersion11);
+    response.prepare_payload();
+    return response;
+}
+
 bool isProtocolError(const ErrorCode &error)
 {
     return error.category() == beasthttp::make_error_code(beasthttp::error::bad_method).category()
@@ -128,10 +138,10 @@
     exchange->request = std::move(request);
     exchange->receivedAt = core::MonoClock::now();
     pending_.push_back(exchange);
-    asio::co_spawn(
-        socket_.get_executor(),
+    spawn(
+        socket_.get_executor(), "caller_request",
         [self = shared_from_this(), exchange]() { return self->handleRequest(exchange); },
-        asio::detached);
+        [self = shared_from_this()] { self->handleDisconnect(); });
 }
 
 void CallerSession::rejectUnreadable(RequestReadError error)
@@ -148,7 +158,12 @@
 asio::awaitable<void> CallerSession::handleRequest(std::shared_ptr<CallerExchange> exchange)
 {
     const auto self = shared_from_this();
-    co_await handlers_.serve(exchange);
+    try {
+        co_await handlers_.serve(exchange);
+    } catch (const std::exception &) {
+        core::reportTaskFailure("serve_request", std::current_exception());
+        exchange->response = makeInternalErrorResponse();
+    }
     exchange->responseReady = true;
     startWriter();
 }
@@ -159,9 +174,10 @@
         return;
     writing_ = true;
     writtenAt_ = core::MonoClock::now();
-    asio::co_spawn(
-        socket_.get_executor(), [self = shared_from_this()]() { return self->writeResponses(); },
-        asio::detached);
+    spawn(
+        socket_.get_executor(), "caller_response",
+        [self = shared_from_this()]() { return self->writeResponses(); },
+        [self = shared_from_this()] { self->handleDisconnect(); });
 }
 
 asio::awaitable<void> CallerSession::writeResponses()
@@ -288,8 +304,7 @@
     if (error)
         throw http::ServerUnavailable(address + ":" + std::to_string(port) + ": "
                                       + error.message());
-    asio::co_spawn(
-        context_, [this]() { return acceptConnections(); }, asio::detached);
+    spawn(context_, "accept_connections", [this]() { return acceptConnections(); });
 }
 
 asio::awaitable<void> CallerServer::acceptConnections()
@@ -306,13 +321,19 @@
             co_await pause.async_wait(captureError(ignored));
             continue;
         }
-        auto session = std::make_shared<CallerSession>(std::move(socket), handlers_);
-        sessions_.insert(session);
-        asio::co_spawn(
-            context_, [session]() { return session->run(); }, asio::detached);
+        core::runGuarded("start_session", [&] { startSession(std::move(socket)); });
     }
 }
 
+void CallerServer::startSession(Socket socket)
+{
+    auto session = std::make_shared<CallerSession>(std::move(socket), handlers_);
+    sessions_.insert(session);
+    spawn(
+        context_, "caller_session", [session]() { return session->run(); },
+        [session] { session->handleDisconnect(); });
+}
+
 void CallerServer::closeStale(core::MonoTime now)
 {
     for (const auto &session : sessions_)
--- a/src/proxy/caller_session_base.h
+++ b/src/proxy/caller_session_base.h
@@ -70,6 +70,8 @@
     void closeIfStale(core::MonoTime now);
     /** Closes the connection if no request is pending, being read or likely to be on its way. */
     void closeIfIdle(core::MonoTime now);
+    /** Closes the connection and gives up the requests that are pending on it. */
+    void handleDisconnect();
     /** @return Whether the connection is closed. */
     bool ended() const { return ended_; }
     /** @return Number of requests whose response has not been sent. */
@@ -88,7 +90,6 @@
     void startRequest(HttpRequest request);
     void rejectUnreadable(RequestReadError error);
     void startWriter();
-    void handleDisconnect();
     void close();
 
     Socket socket_;
@@ -138,6 +139,7 @@
 
 private:
     asio::awaitable<void> acceptConnections();
+    void startSession(Socket socket);
 
     asio::io_context &context_;
     asio::ip::tcp::acceptor acceptor_;
--- a/src/proxy/event_loop_func.h
+++ b/src/proxy/event_loop_func.h
@@ -16,4 +16,31 @@
         continue;
 }
 
+/**
+ * Runs a coroutine by itself. An exception that leaves it is reported and ends only this coroutine.
+ * @param executor Where it runs. @param task Name for the log; must outlive the coroutine.
+ * @param coroutine Returns the coroutine as an awaitable without a value.
+ * @param onFailure Called after an exception.
+ */
+template <typename Executor, typename Coroutine, typename FailureHandler>
+void spawn(Executor &&executor, std::string_view task, Coroutine &&coroutine,
+           FailureHandler &&onFailure)
+{
+    asio::co_spawn(std::forward<Executor>(executor), std::forward<Coroutine>(coroutine),
+                   [task, onFailure = std::forward<FailureHandler>(onFailure)](
+                       const std::exception_ptr &failure) mutable {
+                       if (!failure)
+                           return;
+                       core::reportTaskFailure(task, failure);
+                       onFailure();
+                   });
+}
+
+/** The same for a coroutine whose end needs no further action. */
+template <typename Executor, typename Coroutine>
+void spawn(Executor &&executor, std::string_view task, Coroutine &&coroutine)
+{
+    spawn(std::forward<Executor>(executor), task, std::forward<Coroutine>(coroutine), [] {});
+}
+
 } // namespace teaselreach::proxy
--- a/src/proxy/fleet_sync_base.h
+++ b/src/proxy/fleet_sync_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/log_func.h"
+#include "proxy/event_loop_func.h"
 #include "proxy/fleet_relay_base.h"
 #include "proxy/fleet_state_base.h"
 #include "proxy/fleet_store_type.h"
@@ -110,18 +111,15 @@
     /** Starts the watch loop and the registration loop. */
     void start()
     {
-        asio::co_spawn(
-            parts_.context, [this]() { return watchLoop(); }, asio::detached);
-        asio::co_spawn(
-            parts_.context, [this]() { return registrationLoop(); }, asio::detached);
+        spawn(parts_.context, "watch_store", [this]() { return watchLoop(); });
+        spawn(parts_.context, "register", [this]() { return registrationLoop(); });
     }
 
     /** Stops renewing the registration and removes it, so that callers are no longer sent here. */
     void deregister()
     {
         deregistering_ = true;
-        asio::co_spawn(
-            parts_.context, [this]() { return removeRegistration(); }, asio::detached);
+        spawn(parts_.context, "deregister", [this]() { return removeRegistration(); });
     }
 
 private:
@@ -214,14 +212,23 @@
                                {{"after", static_cast<std::int64_t>(revision_.count())}});
                 fullReadNeeded = true;
             } catch (const core::Error &error) {
-                catchUpNeeded_ = true;
-                contact_.callFailed(core::MonoClock::now(), sentAt, error);
-                wait = nextBackoff();
+                wait = recordFailedRead(sentAt, error);
+            } catch (const std::exception &error) {
+                core::reportTaskFailure("watch_store", std::current_exception());
+                wait = recordFailedRead(sentAt, core::Error("unexpected_exception", error.what()));
             }
             co_await sleepFor(wait);
         }
     }
 
+    /** @param sentAt Start of the call. @return Time until the next call. */
+    core::Micros recordFailedRead(core::MonoTime sentAt, const core::Error &error)
+    {
+        catchUpNeeded_ = true;
+        contact_.callFailed(core::MonoClock::now(), sentAt, error);
+        return nextBackoff();
+    }
+
     /** Reads and applies all items of the store. */
     asio::awaitable<void> readAll()
     {
@@ -322,6 +329,10 @@
                 parts_.state.removeUpstream(now, core::UpstreamId(item.id));
             relayedEntries_.erase(item.id);
             return true;
+        } catch (const std::exception &) {
+            // One item must not keep this VM from applying the others.
+            core::reportTaskFailure("apply_store_item", std::current_exception());
+            return true;
         }
     }
 
@@ -397,14 +408,24 @@
                 lease.reset();
                 wait = options_.initialBackoff;
             } catch (const core::Error &error) {
-                contact_.callFailed(core::MonoClock::now(), sentAt, error);
-                logRegistrationFailure(error);
-                wait = currentMaxBackoff();
+                wait = recordFailedRegistration(sentAt, error);
+            } catch (const std::exception &error) {
+                core::reportTaskFailure("register", std::current_exception());
+                wait = recordFailedRegistration(sentAt,
+                                                core::Error("unexpected_exception", error.what()));
             }
             co_await sleepFor(wait);
         }
     }
 
+    /** @param sentAt Start of the call. @return Time until the next call. */
+    core::Micros recordFailedRegistration(core::MonoTime sentAt, const core::Error &error)
+    {
+        contact_.callFailed(core::MonoClock::now(), sentAt, error);
+        logRegistrationFailure(error);
+        return currentMaxBackoff();
+    }
+
     /** Removes the registration from the store. */
     asio::awaitable<void> removeRegistration()
     {
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -123,8 +123,7 @@
     void start()
     {
         sync_.start();
-        asio::co_spawn(
-            context_, [this]() { return runTicks(); }, asio::detached);
+        spawn(context_, "ticks", [this]() { return runTicks(); });
     }
 
     /** Withdraws the registration, finishes pending requests and stops the event loop, at the
@@ -264,19 +263,26 @@
             timer.expires_after(tickInterval);
             ErrorCode ignored; // Nothing cancels the timer.
             co_await timer.async_wait(captureError(ignored));
-            const core::MonoTime now = core::MonoClock::now();
-            core::flushLog();
-            state_.tick(now);
-            flow_.dispatchWaiting(now);
-            if (count % ticksPerMessage == 0)
-                sendMessages(now);
-            if (count % ticksPerMaintenance == 0)
-                runMaintenance(now);
+            core::runGuarded("tick", [&] { runTick(core::MonoClock::now(), count); });
             if (shutdownStartedAt_)
-                continueShutdown(now - *shutdownStartedAt_);
+                core::runGuarded("shutdown", [this] {
+                    continueShutdown(core::MonoClock::now() - *shutdownStartedAt_);
+                });
         }
     }
 
+    /** @param count Number of the tick. */
+    void runTick(core::MonoTime now, int count)
+    {
+        core::flushLog();
+        state_.tick(now);
+        flow_.dispatchWaiting(now);
+        if (count % ticksPerMessage == 0)
+            sendMessages(now);
+        if (count % ticksPerMaintenance == 0)
+            runMaintenance(now);
+    }
+
     /** Sends the outcomes at upstreams and the admitted requests to the pool, outcomes and
      * heartbeats to the zone, and some outcomes to other regions. */
     void sendMessages(core::MonoTime now)
@@ -422,6 +428,8 @@
                            static_cast<double>(flow_.waiting()));
         registry_.setGauge("teaselreach_log_lines_dropped", {},
                            static_cast<double>(core::droppedLogLines()));
+        registry_.setGauge("teaselreach_task_failures", {},
+                           static_cast<double>(core::taskFailures()));
         registry_.setGauge("teaselreach_caller_connections", {},
                            static_cast<double>(callers_.size()));
         registry_.setGauge("teaselreach_limit_part", {}, shares_.effectiveShare());
--- a/src/proxy/peer_messenger.cpp
+++ b/src/proxy/peer_messenger.cpp
@@ -1,6 +1,7 @@
 /** @file peer_messenger.cpp UDP messages between the VMs of a pool. */
 #include "core/log_func.h"
 #include "http/server_base.h"
+#include "proxy/event_loop_func.h"
 #include "proxy/http_connection_base.h"
 #include "proxy/peer_messenger_base.h"
 
@@ -102,8 +103,7 @@
     if (error)
         throw http::ServerUnavailable(address + ":" + std::to_string(port)
                                       + "/udp: " + error.message());
-    asio::co_spawn(
-        context, [this]() { return receiveAll(); }, asio::detached);
+    spawn(context, "receive_peer_messages", [this]() { return receiveAll(); });
 }
 
 void PeerMessenger::send(const std::string &peer, const PeerMessage &message)
@@ -128,8 +128,10 @@
         // An error of one datagram, such as an unreachable peer, does not affect the next.
         if (error)
             continue;
-        if (const auto message = decodeMessage({buffer_.data(), size}))
-            receiver_(*message);
+        core::runGuarded("peer_message", [&] {
+            if (const auto message = decodeMessage({buffer_.data(), size}))
+                receiver_(*message);
+        });
     }
 }
 
--- a/src/proxy/request_loop_base.h
+++ b/src/proxy/request_loop_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "proxy/caller_session_base.h"
+#include "proxy/event_loop_func.h"
 #include "proxy/http_connection_base.h"
 
 #include <concepts>
@@ -109,20 +110,28 @@
                                   const auto &place)
     {
         const core::MonoTime startedAt = core::MonoClock::now();
-        const AttemptPlan plan = policy_.planAttempt(job, place, startedAt);
-        std::unique_ptr<HttpConnection> connection =
-            connections_.acquire(startedAt, plan.target, plan.maxIdle);
+        std::unique_ptr<HttpConnection> connection;
         const auto canceller = std::make_shared<ExchangeCanceller>();
         if (exchange->callerLeft)
             canceller->cancel();
-        if (plan.cancelOnCallerLeft)
-            exchange->onCallerLeft = [canceller] { canceller->cancel(); };
         cancellers_.insert(canceller);
-        ExchangeResult result =
-            co_await connection->exchange(plan.request, plan.options, canceller, plan.filter);
+        // The policy has to learn of the end of each attempt, also of one that failed here.
+        ExchangeResult result {.failure = ExchangeFailure::Cancelled};
+        try {
+            const AttemptPlan plan = policy_.planAttempt(job, place, startedAt);
+            if (plan.cancelOnCallerLeft)
+                exchange->onCallerLeft = [canceller] { canceller->cancel(); };
+            connection = connections_.acquire(startedAt, plan.target, plan.maxIdle);
+            result.failure = ExchangeFailure::Broken;
+            result =
+                co_await connection->exchange(plan.request, plan.options, canceller, plan.filter);
+        } catch (const std::exception &error) {
+            core::reportTaskFailure("attempt", std::current_exception());
+            result.detail = error.what();
+        }
         cancellers_.erase(canceller);
         // A connection whose response cannot be trusted carries no further request.
-        if (policy_.mayReuseConnection(result))
+        if (connection && policy_.mayReuseConnection(result))
             connections_.release(core::MonoClock::now(), std::move(connection));
         co_return policy_.finishAttempt(job, place, startedAt, std::move(result));
     }
--- a/tests/proxy/sync_test.cpp
+++ b/tests/proxy/sync_test.cpp
@@ -30,6 +30,19 @@
     CHECK(vm.version() == 9);
 }
 
+TEST_CASE("an unexpected exception while an item is applied ends the synchronization for good")
+{
+    SyncFixture vm;
+    vm.store.items = {config("1")};
+    vm.sync.start();
+    REQUIRE(vm.runUntil([&] { return vm.version() == 1; }));
+    // The decoder of the store throws std::invalid_argument for it, not an error of its own.
+    vm.store.events = {config("no number"), upstream("a")};
+    CHECK(vm.runUntil([&] { return vm.hasUpstream("a"); }));
+    vm.store.events = {config("2")};
+    CHECK(vm.runUntil([&] { return vm.version() == 2; }));
+}
+
 TEST_CASE("a malformed item does not affect the others, and a malformed entry removes its upstream")
 {
     SyncFixture vm;
--- a/tests/unit/task_guard_test.cpp
+++ b/tests/unit/task_guard_test.cpp
@@ -2,7 +2,9 @@
 #include "core/task_guard_func.h"
 #include "core/ticker_base.h"
 #include "core/work_queue_base.h"
+#include "proxy/caller_session_base.h"
 #include "proxy/event_loop_func.h"
+#include "standins/raw_server.h"
 
 #include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
@@ -48,3 +50,33 @@
     next.get_future().wait();
     CHECK(runs >= 2);
 }
+
+TEST_CASE("an exception in a request's handler leaves the caller without a response")
+{
+    proxy::asio::io_context context(1);
+    int handled = 0;
+    proxy::CallerServer server(
+        context, "127.0.0.1", 0,
+        {.serve =
+             [&](std::shared_ptr<proxy::CallerExchange> exchange) -> proxy::asio::awaitable<void> {
+             if (++handled == 1)
+                 throw std::invalid_argument("invalid request body");
+             exchange->response = proxy::HttpResponse(proxy::beasthttp::status::ok, 11);
+             exchange->response.prepare_payload();
+             co_return;
+         },
+         .limits = [] { return proxy::SessionLimits {}; },
+         .shouldClose = [] { return false; }});
+    std::thread loop([&] { proxy::runEventLoop(context); });
+    const int fd = standins::connectTo("127.0.0.1", server.port());
+    standins::limitReceiveTime(fd, 2);
+    standins::sendAll(fd,
+                      "GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+                      "GET /b HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    const std::string responses = standins::readAll(fd);
+    ::close(fd);
+    CHECK(responses.starts_with("HTTP/1.1 500"));
+    CHECK(responses.find("HTTP/1.1 200") != std::string::npos);
+    context.stop();
+    loop.join();
+}
