Fix: [Proxy] A relay's response of nested arrays exhausts the stack of a VM

What callers saw: nothing yet; found on the paths related to the long trailer field. Whoever answers at the address that a member entry names can end every VM that reads from it.

Cause: the MessagePack parser recurses for each level, and the body of a response may have 64 MB. JSON bodies of the store have a limit of levels, MessagePack documents of other VMs had none.

Datagrams have at most 4,096 bytes and did not show it.

--- a/src/proxy/fleet_relay.cpp
+++ b/src/proxy/fleet_relay.cpp
@@ -1,6 +1,7 @@
 /** @file fleet_relay.cpp Relays the store's changes to the VMs of an availability zone. */
 #include "proxy/exchange_func.h"
 #include "proxy/fleet_relay_base.h"
+#include "proxy/message_pack_func.h"
 
 #include <nlohmann/json.hpp>
 
@@ -76,7 +77,7 @@
 FleetUpdate decodeUpdate(std::string_view body)
 {
     try {
-        const nlohmann::json decoded = nlohmann::json::from_msgpack(body.begin(), body.end());
+        const nlohmann::json decoded = parseMessagePack(body);
         FleetUpdate update {.revision = StoreRevision(decoded.at(0).get<std::uint64_t>()),
                             .connectedFor = core::Micros(decoded.at(2).get<core::Micros::rep>())};
         for (const nlohmann::json &entry : decoded.at(1)) {
--- a/src/proxy/peer_messenger.cpp
+++ b/src/proxy/peer_messenger.cpp
@@ -3,6 +3,7 @@
 #include "http/server_base.h"
 #include "proxy/event_loop_func.h"
 #include "proxy/http_connection_base.h"
+#include "proxy/message_pack_func.h"
 #include "proxy/peer_messenger_base.h"
 
 #include <nlohmann/json.hpp>
@@ -64,7 +65,7 @@
 std::optional<PeerMessage> decodeMessage(std::string_view datagram)
 {
     try {
-        const nlohmann::json body = nlohmann::json::from_msgpack(datagram.begin(), datagram.end());
+        const nlohmann::json body = parseMessagePack(datagram);
         PeerMessage message {.sender = core::VmId(body.at(0).get<std::string>()),
                              .leaving = body.at(3).get<bool>()};
         for (const nlohmann::json &entry : body.at(1)) {
--- a/tests/proxy/sync_test.cpp
+++ b/tests/proxy/sync_test.cpp
@@ -43,6 +43,14 @@
     CHECK(vm.runUntil([&] { return vm.version() == 2; }));
 }
 
+TEST_CASE("a relay's response of nothing but nested arrays exhausts the stack of the process")
+{
+    constexpr char arrayOfOne = '\x91';
+    CHECK_THROWS_AS(decodeUpdate(std::string(1000000, arrayOfOne)), StoreUnreachable);
+    const FleetUpdate update {.items = {config("1")}, .revision = StoreRevision(3)};
+    CHECK(decodeUpdate(encodeUpdate(update)).items.size() == 1);
+}
+
 TEST_CASE("a malformed item does not affect the others, and a malformed entry removes its upstream")
 {
     SyncFixture vm;
