Fix: [Proxy] CONNECT is passed on, and TRACE with a body fails in the proxy

A CONNECT request with a path was sent to an upstream, which may answer 200 and then speak no HTTP on that connection.

Cause: prepare_payload() throws for a body that TRACE must not have; the method of a request was never looked at.

Change: TRACE with a body gets 400, CONNECT gets 501, neither is sent.

--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -159,9 +159,15 @@
         return false;
     }
     const HttpRequest &request = job.exchange->request;
+    if (request.method() == beasthttp::verb::connect) {
+        refuse(job, {.status = beasthttp::status::not_implemented, .code = "method_not_supported"});
+        return false;
+    }
+    const bool hasForbiddenBody =
+        request.method() == beasthttp::verb::trace && !request.body().empty();
     const auto host = request[beasthttp::field::host];
     const auto target = request.target();
-    if (host.empty() || target.empty() || target.front() != '/') {
+    if (host.empty() || target.empty() || target.front() != '/' || hasForbiddenBody) {
         refuse(job, {.status = beasthttp::status::bad_request, .code = "malformed_request"});
         return false;
     }
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -114,6 +114,23 @@
     CHECK(upstream.requests() == 1);
 }
 
+TEST_CASE("a TRACE or CONNECT request gets no response")
+{
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        return RawReply {sealedReply(request, "ran")};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    const auto statusFor = [&](const std::string &method, const std::string &body) {
+        return statusOf(fixture.sendRequest(callerRequest(method, "/book/", "a1", "", body)));
+    };
+    CHECK(statusFor("TRACE", "body") == "400");
+    CHECK(statusFor("CONNECT", "") == "501");
+    CHECK(statusFor("CONNECT", "body") == "501");
+    CHECK(upstream.requests() == 0);
+    CHECK(statusFor("TRACE", "") == "200");
+}
+
 TEST_CASE("a late response to an earlier request is not matched to the next request")
 {
     RawServer upstream("127.0.0.1", [](const RawRequest &request) {
