Fix: [Proxy] An interim response that has no name in Boost.Beast ends a request

What callers saw: an upstream sends 103 with the id of the request before its response.

Cause: the class of a status was taken from result(), which is `unknown` for each code that the library has no name for, and so was its class. On the same path: a 299 without a response seal passed as whole, a 599 did not count as a server error, and a 101, which nobody asked for, left the caller without a response until the deadline.

Change: statusClassOf() takes the number. 101 ends the exchange as broken.

--- a/src/proxy/asio_type.h
+++ b/src/proxy/asio_type.h
@@ -29,6 +29,12 @@
 /** HTTP/1.1 in the version numbers of Boost.Beast. */
 inline constexpr unsigned httpVersion11 = 11;
 
+/** @return The class of a response's status, also for a code that Boost.Beast has no name for. */
+inline beasthttp::status_class statusClassOf(const HttpResponse &response)
+{
+    return beasthttp::to_status_class(response.result_int());
+}
+
 /** @return A completion token that writes the error of an operation to @p error instead of throwing
  * it. */
 inline auto captureError(ErrorCode &error)
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -91,8 +91,7 @@
 
 AttemptEnd classifyResponse(const HttpResponse &response, const HeaderNames &names)
 {
-    const bool success =
-        beasthttp::to_status_class(response.result()) == beasthttp::status_class::successful;
+    const bool success = statusClassOf(response) == beasthttp::status_class::successful;
     if (response.result() == beasthttp::status::misdirected_request)
         return AttemptEnd::Misdirected;
     if (!fieldValue(response, names.notExecuted).empty())
@@ -101,7 +100,7 @@
         && (fieldValue(response, names.seal).empty()
             || response.count(beasthttp::field::content_encoding) > 0))
         return AttemptEnd::Broken;
-    if (beasthttp::to_status_class(response.result()) == beasthttp::status_class::server_error)
+    if (statusClassOf(response) == beasthttp::status_class::server_error)
         return AttemptEnd::ServerError;
     return AttemptEnd::Answered;
 }
--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -250,8 +250,11 @@
         result.response = co_await readMessage(request, error);
         if (error)
             co_return;
-        if (beasthttp::to_status_class(result.response.result())
-            == beasthttp::status_class::informational) {
+        if (result.response.result() == beasthttp::status::switching_protocols) {
+            error = beasthttp::error::bad_status; // No request asks for another protocol.
+            co_return;
+        }
+        if (statusClassOf(result.response) == beasthttp::status_class::informational) {
             ++informational;
             continue;
         }
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -173,6 +173,56 @@
     }
 }
 
+TEST_CASE("an interim response with the request's id is taken for its response")
+{
+    // Callers wait for the final response after a 1xx, and it was thrown away.
+    for (const std::string status :
+         {"100 Continue", "102 Processing", "103 Early Hints", "199 X"}) {
+        CAPTURE(status);
+        RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+            return RawReply {"HTTP/1.1 " + status
+                             + "\r\nX-Attempt: " + headerOf(request.head, "X-Attempt") + "\r\n\r\n"
+                             + sealedReply(request, "final")};
+        });
+        FlowFixture fixture;
+        fixture.addUpstream("i-1", upstream);
+        const std::string response = fixture.sendRequest(callerRequest("POST", "/book/", "a1"));
+        CHECK(statusOf(response) == "200");
+        CHECK(bodyOf(response) == "final");
+    }
+}
+
+TEST_CASE("a switch of protocols that no request asked for leaves the caller without a response")
+{
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        return RawReply {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nX-Attempt: "
+                         + headerOf(request.head, "X-Attempt") + "\r\n\r\n"};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    const core::MonoTime start = core::MonoClock::now();
+    CHECK(statusOf(fixture.sendRequest(callerRequest("POST", "/book/", "a1"))) == "502");
+    CHECK(core::MonoClock::now() - start < core::Millis(900));
+}
+
+TEST_CASE("a status without a name is judged as if it were no success and no server error")
+{
+    const std::vector<std::pair<std::string, std::string>> forms {
+        {"299 Odd", "502"}, // A success without a response seal is not whole.
+        {"599 Odd", "599"},
+    };
+    for (const auto &[status, expected] : forms) {
+        CAPTURE(status);
+        RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+            return RawReply {okReply(
+                "odd", "X-Attempt: " + headerOf(request.head, "X-Attempt") + "\r\n", status)};
+        });
+        FlowFixture fixture;
+        fixture.addUpstream("i-1", upstream);
+        CHECK(statusOf(fixture.sendRequest(callerRequest("POST", "/book/", "a1"))) == expected);
+    }
+}
+
 TEST_CASE("a connection with extra bytes after the response is not reused")
 {
     RawServer upstream("127.0.0.1", [](const RawRequest &request) {
