--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -200,6 +200,32 @@
     CHECK(contents.revision == proxy::StoreRevision(8));
 }
 
+TEST_CASE(
+    "a key that has a meaning in a query, or a page that does not advance, makes a read endless")
+{
+    const std::string key = "servers/R&D 1#%+";
+    const auto page = [](const std::string &name, bool truncated) {
+        return okReply(R"({"items":[{"key":")" + name + R"(","value":"dg==","revision":3}],)"
+                       + R"("truncated":)" + (truncated ? "true" : "false")
+                       + R"(,"currentRev":8})");
+    };
+    RawServer store("127.0.0.1", [&](const RawRequest &request) {
+        const bool second =
+            request.head.find("&after=servers/R%26D%201%23%25%2B HTTP") != std::string::npos;
+        return RawReply {second ? page("servers/z", false) : page(key, request.number < 50)};
+    });
+    proxy::asio::io_context context(1);
+    StoreClient client(context, {.address = store.address(), .port = store.port()});
+    CHECK(runCall(context, [&] { return client.readAll(); }).items.size() == 2);
+    CHECK(store.requests() == 2);
+    RawServer stuck("127.0.0.1", [&](const RawRequest &request) {
+        return RawReply {page("servers/a", request.number < 50)};
+    });
+    StoreClient other(context, {.address = stuck.address(), .port = stuck.port()});
+    CHECK_THROWS_AS(runCall(context, [&] { return other.readAll(); }), proxy::StoreUnreachable);
+    CHECK(stuck.requests() == 2);
+}
+
 TEST_CASE("an expired lease and a failing store are reported as different errors")
 {
     int step = 0;
