Fix: [Proxy, Platform] Entries of other writers fill the memory of every VM

Cause: the change log kept the last 512 changes with their values, whatever their size and whether they meant anything here, and passed them on to the followers in the zone. The JSON document of a response was copied once more to read its list of items.

Change: items under keys of no concern are skipped where they are decoded and are not kept; of a malformed upstream only the removal is passed on; the log keeps at most 8 MiB of values; the list is read in place.

--- a/src/proxy/fleet_change_log.cpp
+++ b/src/proxy/fleet_change_log.cpp
@@ -9,6 +9,7 @@
 {
     items_.clear();
     changes_.clear();
+    changeBytes_ = 0;
     for (const FleetItem &item : update.items)
         items_[{item.kind, item.id}] = item;
     compactedRevision_ = update.revision;
@@ -24,15 +25,22 @@
         else
             items_.erase({item.kind, item.id});
         changes_.push_back(item);
+        changeBytes_ += valueBytes(item);
         lastChangeRevision_ = std::max(lastChangeRevision_, item.revision);
     }
-    while (changes_.size() > maxChanges) {
+    while (changes_.size() > maxChanges || changeBytes_ > maxChangeBytes) {
+        changeBytes_ -= valueBytes(changes_.front());
         compactedRevision_ = std::max(compactedRevision_, changes_.front().revision);
         changes_.pop_front();
     }
     revision_ = std::max(revision_, changes.revision);
 }
 
+std::size_t FleetChangeLog::valueBytes(const FleetItem &item)
+{
+    return item.value ? item.value->size() : 0;
+}
+
 FleetUpdate FleetChangeLog::snapshot() const
 {
     FleetUpdate update {.revision = revision_};
--- a/src/proxy/fleet_change_log_base.h
+++ b/src/proxy/fleet_change_log_base.h
@@ -32,11 +32,16 @@
 private:
     /** Number of changes that are kept: more than a follower misses between two requests. */
     static constexpr std::size_t maxChanges = 512;
+    /** Bytes of the values of the kept changes; several configurations of the largest size. */
+    static constexpr std::size_t maxChangeBytes = std::size_t {8} * 1024 * 1024;
 
     using Key = std::pair<FleetItemKind, std::string>;
 
+    static std::size_t valueBytes(const FleetItem &item);
+
     std::map<Key, FleetItem> items_;
     std::deque<FleetItem> changes_;
+    std::size_t changeBytes_ = 0;     ///< Bytes of the values in changes_.
     StoreRevision compactedRevision_; ///< All changes after this revision are kept.
     StoreRevision revision_;
     StoreRevision lastChangeRevision_;
--- a/src/proxy/fleet_sync_base.h
+++ b/src/proxy/fleet_sync_base.h
@@ -232,16 +232,16 @@
     /** Reads and applies all items of the store. */
     asio::awaitable<void> readAll()
     {
-        const FleetUpdate snapshot = co_await parts_.store.readAll();
+        FleetUpdate snapshot = co_await parts_.store.readAll();
         recordResponse();
         const core::MonoTime now = core::MonoClock::now();
         std::vector<core::UpstreamId> listed;
         relayedEntries_.clear();
-        for (const FleetItem &item : snapshot.items) {
-            applyItem(now, item);
+        std::erase_if(snapshot.items, [&](FleetItem &item) {
             if (item.kind == FleetItemKind::Upstream)
                 listed.emplace_back(item.id);
-        }
+            return !applyItem(now, item) || !item.value;
+        });
         parts_.state.removeUnlistedUpstreams(now, listed);
         changeLog_.reset(snapshot);
         revision_ = snapshot.revision;
@@ -258,13 +258,13 @@
             co_return false;
         try {
             usingRelay_ = true;
-            const FleetUpdate changes =
+            FleetUpdate changes =
                 co_await relays_.fetch(relay->peerAddress, revision_,
                                        relayUnresponsive_ ? RelayWait::None : RelayWait::Change);
             relayUnresponsive_ = false;
             const core::MonoTime now = core::MonoClock::now();
             holdRemovalsAfter(now, contact_.endOutage(now), changes.connectedFor);
-            applyChanges(changes);
+            applyChanges(std::move(changes));
             co_return true;
         } catch (const RelayUnresponsive &error) {
             // A frozen relay must not delay the calls to the store, which may be silent as well.
@@ -289,15 +289,11 @@
     }
 
     /** Applies changes and adds those that followers need to the change log. */
-    void applyChanges(const FleetUpdate &changes)
+    void applyChanges(FleetUpdate changes)
     {
         const core::MonoTime now = core::MonoClock::now();
-        FleetUpdate relayed {.revision = changes.revision};
-        for (const FleetItem &item : changes.items) {
-            if (applyItem(now, item))
-                relayed.items.push_back(item);
-        }
-        changeLog_.append(relayed);
+        std::erase_if(changes.items, [&](FleetItem &item) { return !applyItem(now, item); });
+        changeLog_.append(changes);
         revision_ = std::max(revision_, changes.revision);
         contact_.readApplied(now);
     }
@@ -305,34 +301,37 @@
     /** Waits for changes of the store and applies them. */
     asio::awaitable<void> watchOnce()
     {
-        const FleetUpdate changes = co_await parts_.store.watch(
+        FleetUpdate changes = co_await parts_.store.watch(
             revision_, catchUpNeeded_ ? options_.watchTimeoutAfterFailure : options_.watchTimeout);
         catchUpNeeded_ = false;
         recordResponse();
-        applyChanges(changes);
+        applyChanges(std::move(changes));
     }
 
     /**
      * Applies one item. A malformed upstream entry removes the upstream; other malformed items are
      * ignored.
+     * @param item Loses its value if it is malformed: followers need to know of the removal only.
      * @return Whether the item has to be sent to followers. Upstreams renew their entries every
      * 1.5 s; without this check, unchanged entries would be most of what the relay sends.
      */
-    bool applyItem(core::MonoTime now, const FleetItem &item)
+    bool applyItem(core::MonoTime now, FleetItem &item)
     {
         try {
             return decodeAndApply(now, item);
         } catch (const StoreValueMalformed &error) {
             core::logEvent(core::LogLevel::Warn, "store_value_malformed",
                            {{"id", item.id}, {"detail", error.what()}});
-            if (item.kind == FleetItemKind::Upstream)
-                parts_.state.removeUpstream(now, core::UpstreamId(item.id));
+            item.value.reset();
+            if (item.kind != FleetItemKind::Upstream)
+                return false;
+            parts_.state.removeUpstream(now, core::UpstreamId(item.id));
             relayedEntries_.erase(item.id);
             return true;
         } catch (const std::exception &) {
             // One item must not keep this VM from applying the others.
             core::reportTaskFailure("apply_store_item", std::current_exception());
-            return true;
+            return false;
         }
     }
 
@@ -361,7 +360,7 @@
                 state.removeMember(now, core::VmId(item.id));
             break;
         case FleetItemKind::Other:
-            break;
+            return false;
         }
         return true;
     }
--- a/tests/proxy/sync_test.cpp
+++ b/tests/proxy/sync_test.cpp
@@ -51,6 +51,39 @@
     CHECK(decodeUpdate(encodeUpdate(update)).items.size() == 1);
 }
 
+TEST_CASE("large entries of other writers fill the change log of every VM")
+{
+    const std::string large(1000000, 'x');
+    const FleetItem foreign {.kind = FleetItemKind::Other, .value = large};
+    const FleetItem oddConfiguration {.kind = FleetItemKind::Configuration, .value = "unreadable"};
+    SyncFixture vm;
+    vm.store.items = {config("1"), upstream("a"), upstream("b", "unreadable"), foreign};
+    vm.sync.start();
+    REQUIRE(vm.runUntil([&] { return vm.hasUpstream("a"); }));
+    CHECK(vm.sync.changeLog().snapshot().items.size() == 2);
+    const StoreRevision before = vm.sync.changeLog().revision();
+    vm.store.events = {foreign, oddConfiguration, upstream("c", "unreadable"), upstream("d")};
+    for (FleetItem &event : vm.store.events)
+        event.revision = StoreRevision(before.count() + 1);
+    REQUIRE(vm.runUntil([&] { return vm.hasUpstream("d"); }));
+    const auto changes = vm.sync.changeLog().changesSince(before);
+    REQUIRE(changes);
+    REQUIRE(changes->items.size() == 2);
+    CHECK(changes->items.front().id == "c");
+    CHECK(!changes->items.front().value);
+
+    FleetChangeLog changeLog;
+    for (std::uint64_t revision = 1; revision <= 40; ++revision)
+        changeLog.append({.items = {{.kind = FleetItemKind::Configuration,
+                                     .revision = StoreRevision(revision),
+                                     .value = large}},
+                          .revision = StoreRevision(revision)});
+    CHECK(!changeLog.changesSince(StoreRevision(1)));
+    const auto latest = changeLog.changesSince(StoreRevision(38));
+    REQUIRE(latest);
+    CHECK(latest->items.size() == 2);
+}
+
 TEST_CASE("a malformed item does not affect the others, and a malformed entry removes its upstream")
 {
     SyncFixture vm;
