Fix: [Proxy] A refusal left on a kept connection makes a booking run twice

What callers saw: one upstream writes a refusal without an id late, on a connection that is in use again.

Cause: a 421 or not-executed response without an id counted as the response to the request just sent on any connection.

Change, the rule in one sentence: a refusal without an id proves that a request has not run only on a connection that had carried none before. On others it is skipped; if the own response does not follow within 250 ms, the outcome is unknown (502, or a retry if the request may run twice).

What it costs where upstreams shed load honestly: only upstreams that shed without an id on a kept connection lose retries of bookings. Ruled out: waiting for the own response until the deadline, which would hold such a caller for its whole time; a probe behind the refusal, since a probe is shed without an id as well.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -79,14 +79,17 @@
     return forwarded;
 }
 
-bool matchesAttempt(const HttpResponse &response, const HeaderNames &names,
-                    const std::string &attemptId)
+ResponseMatch matchAttempt(const HttpResponse &response, const HeaderNames &names,
+                           const std::string &attemptId, bool reused)
 {
     const std::string_view id = fieldValue(response, names.attemptId);
     if (!id.empty())
-        return id == attemptId;
-    return response.result() == beasthttp::status::misdirected_request
+        return id == attemptId ? ResponseMatch::Own : ResponseMatch::Earlier;
+    const bool isRefusal = response.result() == beasthttp::status::misdirected_request
         || !fieldValue(response, names.notExecuted).empty();
+    if (!isRefusal)
+        return ResponseMatch::Earlier;
+    return reused ? ResponseMatch::Unclear : ResponseMatch::Own;
 }
 
 AttemptEnd classifyResponse(const HttpResponse &response, const HeaderNames &names)
--- a/src/proxy/exchange_func.h
+++ b/src/proxy/exchange_func.h
@@ -26,11 +26,13 @@
                                const ForwardFields &fields);
 
 /**
- * @return Whether a response belongs to an attempt. A 421 or not-executed response may come
- * without the attempt id; any other response must carry it.
+ * Finds which request a response belongs to. Its attempt id tells. A 421 or not-executed response
+ * without an id proves that the request has not run only on a connection that had carried none
+ * before; on others it may be left over from an earlier one.
+ * @param reused Whether the connection had carried a request before.
  */
-bool matchesAttempt(const HttpResponse &response, const HeaderNames &names,
-                    const std::string &attemptId);
+ResponseMatch matchAttempt(const HttpResponse &response, const HeaderNames &names,
+                           const std::string &attemptId, bool reused);
 
 /** @return The outcome that a response stands for; a successful response without a seal or with a
  * content encoding is Broken. */
--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -13,6 +13,8 @@
 
 /** Limit of skipped responses to earlier requests; one more ends the exchange as broken. */
 constexpr int maxSkippedResponses = 4;
+/** Time for the own response to follow one that may belong to an earlier request. */
+constexpr core::Millis unclearResponseWait {250};
 /** Limit of informational responses (1xx) before a response. */
 constexpr int maxInformational = 8;
 /** Limits of a response. */
@@ -245,6 +247,7 @@
                                                    const HttpRequest &request,
                                                    const ResponseFilter &filter, ErrorCode &error)
 {
+    CloseTimer unclearTimer(context_, socket_);
     int informational = 0;
     for (int skipped = 0; skipped <= maxSkippedResponses && informational <= maxInformational;) {
         result.response = co_await readMessage(request, error);
@@ -258,8 +261,12 @@
             ++informational;
             continue;
         }
-        if (filter && !filter(result.response)) {
+        const ResponseMatch match =
+            filter ? filter(result.response, result.reused) : ResponseMatch::Own;
+        if (match != ResponseMatch::Own) {
             ++skipped;
+            if (match == ResponseMatch::Unclear)
+                unclearTimer.arm(unclearResponseWait);
             continue;
         }
         updateKeepAlive(result.response);
--- a/src/proxy/http_connection_base.h
+++ b/src/proxy/http_connection_base.h
@@ -63,8 +63,16 @@
     bool cancelled_ = false;
 };
 
-/** @return Whether a response belongs to the request just sent; other responses are skipped. */
-using ResponseFilter = std::function<bool(const HttpResponse &)>;
+/** Which request a response belongs to. */
+enum class ResponseMatch : std::uint8_t {
+    Own,     ///< The request just sent.
+    Earlier, ///< An earlier one; the response is skipped.
+    Unclear, ///< Either; the response is skipped, and the own one has to follow soon.
+};
+
+/** @return Which request a response belongs to. The second argument tells whether the connection
+ * had carried a request before. */
+using ResponseFilter = std::function<ResponseMatch(const HttpResponse &, bool)>;
 
 /** Memory for response bodies that are being read, shared by several connections. */
 class ReceiveBudget
@@ -118,7 +126,7 @@
      * @param request The request.
      * @param options Timeouts.
      * @param canceller Cancels the exchange.
-     * @param filter Accepts the response; a few other responses are skipped before. May be empty.
+     * @param filter Recognizes the response; a few others are skipped before. May be empty.
      */
     asio::awaitable<ExchangeResult> exchange(const HttpRequest &request,
                                              const ExchangeOptions &options,
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -273,8 +273,8 @@
                           idempotent ? core::Micros::max() : options_.maxIdleForNonIdempotent,
                       .cancelOnCallerLeft = idempotent};
     plan.filter = [this, attemptId = toString(fieldValue(plan.request, options_.names.attemptId))](
-                      const HttpResponse &response) {
-        return matchesAttempt(response, options_.names, attemptId);
+                      const HttpResponse &response, bool reused) {
+        return matchAttempt(response, options_.names, attemptId, reused);
     };
     job.request.retryGranted = false;
     return plan;
--- a/src/proxy/request_loop_base.h
+++ b/src/proxy/request_loop_base.h
@@ -18,7 +18,7 @@
     http::Target target;
     HttpRequest request;
     ExchangeOptions options;
-    ResponseFilter filter; ///< Accepts the response; may be empty.
+    ResponseFilter filter; ///< Recognizes the response; may be empty.
     /** Longest idle time of a connection that is reused. */
     core::Micros maxIdle = core::Micros::max();
     bool cancelOnCallerLeft = false; ///< Cancel the attempt when the caller disconnects.
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -173,6 +173,40 @@
     }
 }
 
+TEST_CASE("a refusal without an id that is left on a kept connection makes a booking run twice")
+{
+    const std::string refusal = okReply("", "X-Not-Run: 1\r\n", "503 Busy");
+    std::atomic<bool> runsAfterRefusal {true};
+    const auto reply = [&](const RawRequest &request) {
+        if (headerOf(request.head, "X-Attempt") == "first")
+            return RawReply {sealedReply(request, "first")};
+        return RawReply {refusal + (runsAfterRefusal ? sealedReply(request, "ran") : "")};
+    };
+    const auto request = [](const std::string &path, const std::string &id) {
+        return callerRequest(path == "/book/" ? "POST" : "GET", path, id);
+    };
+    // The upstream's own response follows: it ran the booking, once.
+    {
+        RawServer upstream("127.0.0.1", reply);
+        FlowFixture fixture;
+        fixture.addUpstream("i-1", upstream);
+        CHECK(statusOf(fixture.sendRequest(request("/read/", "first"))) == "200");
+        CHECK(bodyOf(fixture.sendRequest(request("/book/", "second"))) == "ran");
+        CHECK(upstream.requests() == 2);
+        CHECK(upstream.connections() == 1);
+    }
+    // Nothing follows: whether it ran is unknown, so only what may run twice is sent again.
+    runsAfterRefusal = false;
+    RawServer upstream("127.0.0.1", reply);
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    CHECK(statusOf(fixture.sendRequest(request("/read/", "first"))) == "200");
+    const core::MonoTime start = core::MonoClock::now();
+    CHECK(statusOf(fixture.sendRequest(request("/book/", "second"))) == "502");
+    CHECK(core::MonoClock::now() - start < core::Millis(900));
+    CHECK(upstream.requests() == 2);
+}
+
 TEST_CASE("an interim response with the request's id is taken for its response")
 {
     // Callers wait for the final response after a 1xx, and it was thrown away.
