Fix: [Proxy] Work goes on for a caller that left with 16 requests pending

What callers saw: upstreams worked for callers that were gone.

Cause: a session stops reading while 16 requests are pending, and only a read shows that the caller has closed the connection.

Change: while nothing is read, the regular check of the sessions asks the kernel whether the peer has closed (POLLRDHUP), which it tells also while bytes are unread. The platform's daemon checks each 250 ms.

Measured: proxy_flow_test, new case: the session was still there after 3 s before, it is gone within 500 ms now; 30 cases, 552 assertions.

--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -3,6 +3,8 @@
 #include "proxy/caller_session_base.h"
 #include "proxy/event_loop_func.h"
 
+#include <poll.h>
+
 namespace teaselreach::proxy {
 
 namespace {
@@ -49,6 +51,13 @@
     return response;
 }
 
+/** @return Whether the other side has closed a connection, also if bytes of it are still unread. */
+bool isClosedByPeer(int socket)
+{
+    pollfd state {.fd = socket, .events = POLLRDHUP};
+    return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 bool isProtocolError(const ErrorCode &error)
 {
     return error.category() == beasthttp::make_error_code(beasthttp::error::bad_method).category()
@@ -125,10 +134,12 @@
 asio::awaitable<void> CallerSession::waitForPipelineSlot()
 {
     while (pending_.size() >= maxPipelined && !ended_) {
+        waitingForSlot_ = true;
         slotFreed_.expires_at(asio::steady_timer::time_point::max());
         ErrorCode cancelled; // Cancelled each time a response was written.
         co_await slotFreed_.async_wait(captureError(cancelled));
     }
+    waitingForSlot_ = false;
 }
 
 void CallerSession::startRequest(HttpRequest request)
@@ -260,6 +271,11 @@
 {
     if (ended_)
         return;
+    // Nothing is read meanwhile, so no read would show that the caller has left.
+    if (waitingForSlot_ && isClosedByPeer(socket_.native_handle())) {
+        handleDisconnect();
+        return;
+    }
     const SessionLimits limits = handlers_.limits();
     if (writing_ && !lingering_ && now - writtenAt_ > limits.idleTimeout)
         handleDisconnect();
--- a/src/proxy/caller_session_base.h
+++ b/src/proxy/caller_session_base.h
@@ -65,7 +65,8 @@
     /** Reads requests until the connection ends or accepts no further requests. */
     asio::awaitable<void> run();
     /** Ends the connection if no request is pending and it exceeded the idle, header or request
-     * timeout, or if the caller has read nothing of a response for the idle timeout. A sender that
+     * timeout, if the caller has read nothing of a response for the idle timeout, or if it has left
+     * while no further requests are read. A sender that
      * is too slow first receives an error response if there is a handler for it. */
     void closeIfStale(core::MonoTime now);
     /** Closes the connection if no request is pending, being read or likely to be on its way. */
@@ -102,10 +103,11 @@
     core::MonoTime writtenAt_ {}; ///< Last time that bytes of a response were written.
     bool reading_ = false;
     bool headerRead_ = false;
-    bool writing_ = false;     ///< The writer runs, but may wait for the caller to read.
-    bool stopReading_ = false; ///< No further requests are read; pending ones are answered.
-    bool tooSlow_ = false;     ///< The request being read timed out; its sender gets an error.
-    bool lingering_ = false;   ///< The last response is sent; the caller has yet to close.
+    bool waitingForSlot_ = false; ///< Nothing is read until a response has been sent.
+    bool writing_ = false;        ///< The writer runs, but may wait for the caller to read.
+    bool stopReading_ = false;    ///< No further requests are read; pending ones are answered.
+    bool tooSlow_ = false;        ///< The request being read timed out; its sender gets an error.
+    bool lingering_ = false;      ///< The last response is sent; the caller has yet to close.
     bool ended_ = false;
 };
 
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -426,6 +426,28 @@
     CHECK(eventually([&] { return upstream.closed(); }));
 }
 
+TEST_CASE("work goes on for a caller that left with as many requests pending as are read")
+{
+    Gate release;
+    RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+        release.wait();
+        return RawReply {sealedReply(request, "late")};
+    });
+    FlowFixture fixture(testConfiguration(core::Seconds(5)));
+    fixture.addUpstream("i-1", upstream);
+    const int fd = fixture.connect();
+    std::string requests;
+    for (int i = 0; i < 20; ++i)
+        requests += callerRequest("GET", "/read/", "a" + std::to_string(i));
+    standins::sendAll(fd, requests);
+    REQUIRE(eventually([&] { return fixture.waiting() > 0 && upstream.requests() > 0; }));
+    ::close(fd);
+    const core::MonoTime leftAt = core::MonoClock::now();
+    CHECK(eventually([&] { return fixture.waiting() == 0 && fixture.connections() == 0; }));
+    CHECK(core::MonoClock::now() - leftAt < core::Millis(500));
+    release.open();
+}
+
 TEST_CASE("a request that would miss its deadline in the queue is refused at once")
 {
     // Guards against a queue that counts on all slots of the service. While eleven other VMs filled
