Codechange: [Tests] A structured binding in a check is an error for clang

Cause: doctest's CAPTURE takes its variable into a lambda, and clang 14 does not allow that for a structured binding; g++ does. Change: the case of statuses without a name takes the pair.

--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -245,7 +245,8 @@
         {"299 Odd", "502"}, // A success without a response seal is not whole.
         {"599 Odd", "599"},
     };
-    for (const auto &[status, expected] : forms) {
+    for (const auto &form : forms) {
+        const std::string &status = form.first;
         CAPTURE(status);
         RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
             return RawReply {okReply(
@@ -253,7 +254,7 @@
         });
         FlowFixture fixture;
         fixture.addUpstream("i-1", upstream);
-        CHECK(statusOf(fixture.sendRequest(callerRequest("POST", "/book/", "a1"))) == expected);
+        CHECK(statusOf(fixture.sendRequest(callerRequest("POST", "/book/", "a1"))) == form.second);
     }
 }
 
