Fix: [Proxy] A header at its limit is accepted or rejected by how its bytes arrive

What callers saw: a request whose start line and header fields together exceed maxHeaderBytes, but not each by itself, was served if its bytes came at once and got 431 if they came in parts.

Cause: the parser takes a start line that is complete and then bounds the fields by themselves; if the start line came in parts, it waits for the end of the whole header section within the limit.

Change: MessageReader counts the start line toward the header section.

--- a/src/proxy/message_reader_base.h
+++ b/src/proxy/message_reader_base.h
@@ -15,8 +15,8 @@
 /** Limits of one message. */
 struct MessageLimits
 {
-    /** Largest header section, trailer section, and line of a chunk's size and extensions, in bytes
-     * each. A longer one ends the message with the error header_limit. */
+    /** Largest header section with its start line, trailer section, and line of a chunk's size and
+     * extensions, in bytes each. A longer one ends the message with the error header_limit. */
     std::size_t maxSectionBytes = std::size_t {64} * 1024;
     /** Largest body in bytes. A longer one ends the message with the error body_limit. */
     std::uint64_t maxBodyBytes = std::uint64_t {1024} * 1024;
@@ -93,18 +93,22 @@
     asio::awaitable<void> parseOrReceive(ErrorCode &error)
     {
         if (buffer_.size() > 0) {
-            buffer_.consume(detail::parse(parser_, buffer_.cdata(), error));
+            const std::size_t parsed = detail::parse(parser_, buffer_.cdata(), error);
+            buffer_.consume(parsed);
+            // Once the header section is complete, the parser leaves nothing but parts of a later
+            // section or line.
+            headerBytes_ = parser_.is_header_done() ? 0 : headerBytes_ + parsed;
             if (error != beasthttp::error::need_more)
                 co_return;
             error = {};
         }
-        // What the parser left is a part of one section.
-        if (buffer_.size() >= maxSectionBytes_) {
+        const std::size_t sectionBytes = headerBytes_ + buffer_.size();
+        if (sectionBytes >= maxSectionBytes_) {
             error = beasthttp::error::header_limit;
             co_return;
         }
         const std::size_t size = std::min(boost::beast::read_size(buffer_, detail::maxReadBytes),
-                                          maxSectionBytes_ - buffer_.size());
+                                          maxSectionBytes_ - sectionBytes);
         const std::size_t received =
             co_await socket_.async_read_some(buffer_.prepare(size), captureError(error));
         buffer_.commit(received);
@@ -124,6 +128,7 @@
     Socket &socket_;
     boost::beast::flat_buffer &buffer_;
     std::size_t maxSectionBytes_;
+    std::size_t headerBytes_ = 0; ///< Parsed bytes of an incomplete header section.
     Parser parser_;
 };
 
--- a/tests/cmake/proxy.cmake
+++ b/tests/cmake/proxy.cmake
@@ -8,6 +8,7 @@
 teaselreach_test(proxy_upstream_limit_division_test SOURCES proxy/upstream_limit_division_test.cpp LIBS tr_proxy)
 teaselreach_test(proxy_endless_response_test SOURCES proxy/endless_response_test.cpp LIBS tr_proxy)
 teaselreach_test(proxy_message_limits_test SOURCES proxy/message_limits_test.cpp LIBS tr_proxy)
+teaselreach_test(proxy_message_reader_test SOURCES proxy/message_reader_test.cpp LIBS tr_proxy)
 teaselreach_test(platform_test SOURCES proxy/platform_test.cpp LIBS tr_platform)
 teaselreach_test(proxy_loop_daemon_test SOURCES proxy/loop_daemon_test.cpp LIBS tr_proxy)
 teaselreach_test(platform_main_test SOURCES proxy/platform_main_test.cpp LIBS tr_soak)
