Fix: [Tests] A named port is taken by an outgoing connection before its server binds it

Cause: free_port.h named ports of the ephemeral range, from which the kernel takes ports for outgoing connections; proxy_loop_daemon_test, which had a copy of it, failed once with "Address already in use" beside load.

The copy is gone.

--- a/tests/proxy/loop_daemon_test.cpp
+++ b/tests/proxy/loop_daemon_test.cpp
@@ -2,6 +2,7 @@
 #include "flow_fixture.h"
 #include "memory_store.h"
 #include "proxy/loop_daemon_base.h"
+#include "standins/free_port.h"
 
 using namespace teaselreach;
 using namespace teaselreach::proxytest;
@@ -32,13 +33,6 @@
     bool isReadinessRequest(const HttpRequest &) const { return true; }
 };
 
-std::uint16_t freePort()
-{
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address_v4("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
-}
-
 /** A LoopDaemon with an in-memory store, on an event loop of its own. */
 class DaemonFixture
 {
@@ -125,10 +119,10 @@
         context.poll();
     }
 
-    const std::uint16_t callerPort = freePort();
-    const std::uint16_t readinessPort = freePort();
-    const std::uint16_t directoryPort = freePort();
-    const std::uint16_t internalPort = freePort();
+    const std::uint16_t callerPort = standins::freePort("127.0.0.1");
+    const std::uint16_t readinessPort = standins::freePort("127.0.0.1");
+    const std::uint16_t directoryPort = standins::freePort("127.0.0.1");
+    const std::uint16_t internalPort = standins::freePort("127.0.0.1");
 
 private:
     LoopDaemonOptions options(ShutdownOptions shutdown) const
--- a/tests/unit/standins_test.cpp
+++ b/tests/unit/standins_test.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <fstream>
 #include <future>
 #include <set>
 #include <thread>
@@ -50,6 +51,15 @@
         REQUIRE(ports.insert(standins::freePort("127.0.0.1")).second);
 }
 
+TEST_CASE("a named port is taken by an outgoing connection before its server binds it")
+{
+    int firstEphemeral = 0;
+    std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> firstEphemeral;
+    REQUIRE(firstEphemeral > 0);
+    for (int i = 0; i < 100; ++i)
+        CHECK(standins::freePort("127.0.0.1") < firstEphemeral);
+}
+
 TEST_CASE("compare-and-swap reports the present version to the writer that lost")
 {
     standins::KvStore service({});
