Fix: [Proxy] A booking that ran is answered with an upstream's unproven refusal

Callers got 503, 429 or 408 for a booking that an upstream had run. They take these statuses as the promise that their request has not run, and book again.

Cause: an upstream may run a request and answer with such a status, without the field that states that it did not run. The proxy returned the status unchanged: a 503 counted as a server error, a 429 or 408 as an answer. Callers can't tell such a response from one that keeps the promise.

A booking gets 502 without the seal, and keeps the upstream's Retry-After.

--- a/src/daemon/attempt.cpp
+++ b/src/daemon/attempt.cpp
@@ -81,6 +81,7 @@
         return table::Refusal::UpstreamRefused;
     case proxy::AttemptEnd::Answered:
     case proxy::AttemptEnd::ServerError:
+    case proxy::AttemptEnd::UnprovenRefusal:
     case proxy::AttemptEnd::Broken:
     case proxy::AttemptEnd::CallerLeft:
         break;
--- a/src/daemon/upstream_service.cpp
+++ b/src/daemon/upstream_service.cpp
@@ -16,6 +16,7 @@
     case proxy::AttemptEnd::Answered:
         return upstream::Outcome::Success;
     case proxy::AttemptEnd::ServerError:
+    case proxy::AttemptEnd::UnprovenRefusal:
         return upstream::Outcome::Failed;
     case proxy::AttemptEnd::NotExecuted:
     case proxy::AttemptEnd::Misdirected:
--- a/src/proxy/proxy_type.cpp
+++ b/src/proxy/proxy_type.cpp
@@ -12,6 +12,8 @@
         return "server_error";
     case AttemptEnd::NotExecuted:
         return "not_executed";
+    case AttemptEnd::UnprovenRefusal:
+        return "unproven_refusal";
     case AttemptEnd::Misdirected:
         return "misdirected";
     case AttemptEnd::NotSent:
--- a/src/proxy/proxy_type.h
+++ b/src/proxy/proxy_type.h
@@ -99,6 +99,9 @@
     Answered,    ///< A complete response that is not a server error.
     ServerError, ///< A complete response with a server error status (5xx).
     NotExecuted, ///< A complete response stating that the request was not executed.
+    /** A complete response whose status promises callers that the request was not executed (408,
+     * 429, 503), while the upstream does not state it. */
+    UnprovenRefusal,
     Misdirected, ///< The address now belongs to another upstream; not executed.
     NotSent,     ///< The connection could not be established.
     Broken,      ///< Sent, but the response was cut off, malformed or for another request.
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -49,6 +49,13 @@
     return std::string(view);
 }
 
+/** Keeps the time at which an upstream wants the caller back, if it states one. */
+void copyRetryAfter(const HttpResponse &from, HttpResponse &to)
+{
+    if (from.count(beasthttp::field::retry_after) > 0)
+        to.set(beasthttp::field::retry_after, from[beasthttp::field::retry_after]);
+}
+
 } // namespace
 
 /** State of one request. */
@@ -337,6 +344,8 @@
         return false;
     }
     refuseAfterFailure(job, end);
+    if (end == AttemptEnd::UnprovenRefusal)
+        copyRetryAfter(result.response, job.exchange->response);
     return false;
 }
 
--- a/src/proxy/upstream_table.cpp
+++ b/src/proxy/upstream_table.cpp
@@ -244,7 +244,8 @@
 
 void UpstreamTable::updateLimit(const AttemptRecord &record, const Upstream &upstream)
 {
-    const bool ran = record.end == AttemptEnd::Answered || record.end == AttemptEnd::ServerError;
+    const bool ran = record.end == AttemptEnd::Answered || record.end == AttemptEnd::ServerError
+        || record.end == AttemptEnd::UnprovenRefusal;
     limiter_.responded(record.endedAt, record.upstream, record.status.limit, ran,
                        limitShareOf(upstream));
 }
--- a/src/proxy/upstream_table_internal.h
+++ b/src/proxy/upstream_table_internal.h
@@ -53,8 +53,8 @@
 
 inline bool countsAsFailure(AttemptEnd end)
 {
-    return end == AttemptEnd::ServerError || end == AttemptEnd::Broken
-        || end == AttemptEnd::TimedOut || end == AttemptEnd::NotSent;
+    return end == AttemptEnd::ServerError || end == AttemptEnd::UnprovenRefusal
+        || end == AttemptEnd::Broken || end == AttemptEnd::TimedOut || end == AttemptEnd::NotSent;
 }
 
 } // namespace teaselreach::proxy::detail
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -319,6 +319,55 @@
     CHECK(headerOf(answer, "X-Seal") == "s1");
 }
 
+TEST_CASE("a booking that ran is refused with a status that promises that it has not run")
+{
+    const std::vector<std::string> statuses {"408 Request Timeout", "429 Too Many Requests",
+                                             "503 Service Unavailable"};
+    for (const std::string &status : statuses) {
+        for (const std::string seal : {"", "X-Seal: s1\r\n"}) {
+            CAPTURE(status);
+            RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+                const std::string id = headerOf(request.head, "X-Attempt");
+                if (id == "first")
+                    return RawReply {sealedReply(request, "first")};
+                return RawReply {
+                    okReply("busy", "X-Attempt: " + id + "\r\nRetry-After: 1\r\n" + seal, status)};
+            });
+            FlowFixture fixture;
+            fixture.addUpstream("i-1", upstream);
+            const auto book = [&](const std::string &id) {
+                return fixture.sendRequest(callerRequest("POST", "/book/", id));
+            };
+            const std::string fresh = book("a1");
+            CHECK(statusOf(fresh) == "502");
+            CHECK(headerOf(fresh, "X-Seal").empty());
+            CHECK(headerOf(fresh, "X-Attempt") == "a1");
+            CHECK(statusOf(book("first")) == "200");
+            CHECK(statusOf(book("a2")) == "502"); // On a connection that is in use again.
+            CHECK(upstream.requests() == 3);
+            CHECK(upstream.connections() < 3);
+        }
+    }
+}
+
+TEST_CASE("an idempotent request ends with a refusal of one upstream while another has room")
+{
+    RawServer busy("127.0.0.1", [](const RawRequest &request) {
+        return RawReply {okReply("", "X-Attempt: " + headerOf(request.head, "X-Attempt") + "\r\n",
+                                 "429 Too Many Requests")};
+    });
+    RawServer healthy("127.0.0.2", [](const RawRequest &request) {
+        return RawReply {sealedReply(request, "good")};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", busy);
+    fixture.addUpstream("i-2", healthy);
+    for (int i = 0; i < 5; ++i)
+        CHECK(bodyOf(fixture.sendRequest(callerRequest("GET", "/read/", "a" + std::to_string(i))))
+              == "good");
+    CHECK(busy.requests() <= 1);
+}
+
 TEST_CASE("a request that an upstream did not execute goes elsewhere, also if not idempotent")
 {
     RawServer full("127.0.0.1", [](const RawRequest &) {
