Fix: [Proxy] A second copy of a refusal refuses the same request at the next owner of an address

Callers got 503 for a booking that an upstream had run; with a further upstream it could run there as well.

Cause: a restarted upstream has a new id at its address while its earlier id is still listed. A booking for the earlier id gets 421 and is sent to the new id, the same server, on the connection that was just kept. A second copy of the 421 that arrives there bears the id of this request, and was taken for the response of the attempt that runs. The id tells requests apart, not attempts.

Change: RequestLoop gives a repeat at the same server a connection of its own, where no earlier response can be left. Kept connections are as before for everything else.

--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -331,6 +331,11 @@
         if (connection->isReusable(now) && connection->idleFor(now) <= maxIdle)
             return connection;
     }
+    return open(target);
+}
+
+std::unique_ptr<HttpConnection> ConnectionPool::open(const http::Target &target) const
+{
     return std::make_unique<HttpConnection>(context_, target, budget_);
 }
 
--- a/src/proxy/http_connection_base.h
+++ b/src/proxy/http_connection_base.h
@@ -181,6 +181,8 @@
      */
     std::unique_ptr<HttpConnection> acquire(core::MonoTime now, const http::Target &target,
                                             core::Micros maxIdle);
+    /** @return A new connection that is not connected yet. */
+    std::unique_ptr<HttpConnection> open(const http::Target &target) const;
     /** Returns a connection to the pool, or closes it if it cannot be reused. */
     void release(core::MonoTime now, std::unique_ptr<HttpConnection> connection);
     /** Closes idle connections that can no longer be reused. */
--- a/src/proxy/request_loop_base.h
+++ b/src/proxy/request_loop_base.h
@@ -82,12 +82,13 @@
         static_assert(RequestPolicy<Policy>);
         auto job = policy_.createJob(exchange);
         if (co_await policy_.admit(job)) {
+            std::set<http::Target> contacted;
             bool again = true;
             while (again) {
                 const auto place = co_await policy_.place(job);
                 if (!place)
                     break;
-                again = co_await attempt(job, exchange, *place);
+                again = co_await attempt(job, exchange, *place, contacted);
             }
         }
         exchange->onCallerLeft = nullptr;
@@ -105,9 +106,10 @@
     }
 
 private:
-    /** Makes one attempt. @return Whether another attempt follows. */
+    /** Makes one attempt. @param contacted Servers of earlier attempts; the one of this attempt is
+     * added. @return Whether another attempt follows. */
     asio::awaitable<bool> attempt(auto &job, std::shared_ptr<CallerExchange> exchange,
-                                  const auto &place)
+                                  const auto &place, std::set<http::Target> &contacted)
     {
         const core::MonoTime startedAt = core::MonoClock::now();
         std::unique_ptr<HttpConnection> connection;
@@ -121,7 +123,11 @@
             const AttemptPlan plan = policy_.planAttempt(job, place, startedAt);
             if (plan.cancelOnCallerLeft)
                 exchange->onCallerLeft = [canceller] { canceller->cancel(); };
-            connection = connections_.acquire(startedAt, plan.target, plan.maxIdle);
+            // On a kept connection, a second copy of an earlier response to this very request could
+            // not be told from the response to this attempt.
+            const bool isRepeat = !contacted.insert(plan.target).second;
+            connection = isRepeat ? connections_.open(plan.target)
+                                  : connections_.acquire(startedAt, plan.target, plan.maxIdle);
             result.failure = ExchangeFailure::Broken;
             result =
                 co_await connection->exchange(plan.request, plan.options, canceller, plan.filter);
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -368,6 +368,31 @@
     CHECK(busy.requests() <= 1);
 }
 
+TEST_CASE("a second copy of a refusal refuses the same request at the next owner of the address")
+{
+    // After a restart the earlier id of an upstream is still listed at the same address.
+    for (const std::string &refusal :
+         {okReply("", "X-Attempt: a1\r\n", "421 Misdirected Request"),
+          okReply("", "X-Attempt: a1\r\nX-Not-Run: 1\r\n", "503 Busy")}) {
+        CAPTURE(refusal);
+        RawServer *server = nullptr;
+        RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+            if (request.number == 1)
+                return RawReply {refusal};
+            const bool isKept = server->connections() == 1;
+            return RawReply {(isKept ? refusal : "") + sealedReply(request, "ran")};
+        });
+        server = &upstream;
+        FlowFixture fixture;
+        fixture.addUpstream("i-earlier", upstream);
+        fixture.addUpstream("i-now", upstream);
+        const std::string response = fixture.sendRequest(callerRequest("POST", "/book/", "a1"));
+        CHECK(statusOf(response) == "200");
+        CHECK(bodyOf(response) == "ran");
+        CHECK(upstream.requests() == 2);
+    }
+}
+
 TEST_CASE("a request that an upstream did not execute goes elsewhere, also if not idempotent")
 {
     RawServer full("127.0.0.1", [](const RawRequest &) {
