Fix: [Proxy, Platform] Bodies that are held for others fill the memory of a VM

Cause: each kind of body had a limit of its own or none. A request's body was copied for each attempt; a response had 1 MiB outside of its budget, and left the budget while it waited for its caller.

Change: BodyBudget, one for the process, half of the memory that the platform allows, covers each body from its first byte until the response has been written. A request without room gets 503 and Retry-After at once (413 if it never fits), before it is passed on; a response of a stated length waits for room until the deadline, since it has been run. An attempt borrows the request's body. Freed blocks of 128 KiB and more go back to the system. The gauge teaselreach_body_bytes and the event request_unreadable tell what happens.

--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -1,4 +1,5 @@
 /** @file caller_session.cpp HTTP/1.1 server for callers with pipelining. */
+#include "core/log_func.h"
 #include "http/server_base.h"
 #include "proxy/caller_session_base.h"
 #include "proxy/event_loop_func.h"
@@ -21,23 +22,60 @@
 /** Pause after a failed accept, which usually means that file descriptors ran out. */
 constexpr core::Millis acceptPause {50};
 
+/** Retry-After of a request whose body finds no room: a few typical execution times. */
+constexpr const char *noRoomRetryAfter = "1";
+
 RequestReadError readErrorOf(const ErrorCode &error)
 {
     if (error == beasthttp::error::header_limit)
         return RequestReadError::HeaderTooLarge;
     if (error == beasthttp::error::body_limit)
         return RequestReadError::BodyTooLarge;
+    if (error == asio::error::no_memory)
+        return RequestReadError::NoRoom;
     return RequestReadError::Malformed;
 }
 
+/** @return The reason in logs; these names do not change. */
+std::string_view readErrorName(RequestReadError error)
+{
+    switch (error) {
+    case RequestReadError::HeaderTooLarge:
+        return "header_too_large";
+    case RequestReadError::BodyTooLarge:
+        return "body_too_large";
+    case RequestReadError::TooSlow:
+        return "too_slow";
+    case RequestReadError::NoRoom:
+        return "no_room";
+    case RequestReadError::Malformed:
+        break;
+    }
+    return "malformed";
+}
+
+beasthttp::status statusOf(RequestReadError error)
+{
+    switch (error) {
+    case RequestReadError::HeaderTooLarge:
+        return beasthttp::status::request_header_fields_too_large;
+    case RequestReadError::BodyTooLarge:
+        return beasthttp::status::payload_too_large;
+    case RequestReadError::NoRoom:
+        return beasthttp::status::service_unavailable;
+    case RequestReadError::Malformed:
+    case RequestReadError::TooSlow:
+        break;
+    }
+    return beasthttp::status::bad_request;
+}
+
 /** @return A response without a body to a request that could not be read. */
 HttpResponse plainErrorResponse(RequestReadError error)
 {
-    const beasthttp::status status = error == RequestReadError::HeaderTooLarge
-        ? beasthttp::status::request_header_fields_too_large
-        : error == RequestReadError::BodyTooLarge ? beasthttp::status::payload_too_large
-                                                  : beasthttp::status::bad_request;
-    HttpResponse response(status, httpVersion11);
+    HttpResponse response(statusOf(error), httpVersion11);
+    if (error == RequestReadError::NoRoom)
+        response.set(beasthttp::field::retry_after, noRoomRetryAfter);
     response.prepare_payload();
     return response;
 }
@@ -119,18 +157,27 @@
                                                      .maxBodyBytes = limits.maxBodyBytes});
     co_await reader->readHeader(error);
     headerRead_ = !error;
-    while (!error && !reader->parser().is_done())
-        co_await reader->readSome(error);
+    if (!error)
+        co_await readBody(*reader, error);
     reading_ = false;
     if (!error)
         co_return true;
     if (tooSlow_ && !ended_)
         rejectUnreadable(RequestReadError::TooSlow);
-    else if (isProtocolError(error) && !ended_)
+    else if ((isProtocolError(error) || error == asio::error::no_memory) && !ended_)
         rejectUnreadable(readErrorOf(error));
     co_return false;
 }
 
+/** Reads the body, if the process has room for it. */
+asio::awaitable<void> CallerSession::readBody(Reader &reader, ErrorCode &error)
+{
+    readingBody_ = BodyReservation(handlers_.budget);
+    reader.reserveStatedBody(readingBody_, error);
+    while (!error && !reader.parser().is_done())
+        co_await reader.readSome(readingBody_, error);
+}
+
 asio::awaitable<void> CallerSession::waitForPipelineSlot()
 {
     while (pending_.size() >= maxPipelined && !ended_) {
@@ -147,6 +194,7 @@
     auto exchange = std::make_shared<CallerExchange>();
     stopReading_ = !request.keep_alive();
     exchange->request = std::move(request);
+    exchange->requestBody = std::move(readingBody_);
     exchange->receivedAt = core::MonoClock::now();
     pending_.push_back(exchange);
     spawn(
@@ -157,6 +205,7 @@
 
 void CallerSession::rejectUnreadable(RequestReadError error)
 {
+    core::logEvent(core::LogLevel::Info, "request_unreadable", {{"reason", readErrorName(error)}});
     auto exchange = std::make_shared<CallerExchange>();
     exchange->response =
         handlers_.errorResponse ? handlers_.errorResponse(error) : plainErrorResponse(error);
@@ -175,6 +224,8 @@
         core::reportTaskFailure("serve_request", std::current_exception());
         exchange->response = makeInternalErrorResponse();
     }
+    std::string().swap(exchange->request.body());
+    exchange->requestBody.release();
     exchange->responseReady = true;
     startWriter();
 }
--- a/src/proxy/caller_session_base.h
+++ b/src/proxy/caller_session_base.h
@@ -3,6 +3,7 @@
 
 #include "core/clock_type.h"
 #include "proxy/asio_type.h"
+#include "proxy/body_budget_base.h"
 #include "proxy/message_reader_base.h"
 
 #include <cstdint>
@@ -18,8 +19,10 @@
 struct CallerExchange
 {
     HttpRequest request;
+    BodyReservation requestBody; ///< What the request's body has taken.
     core::MonoTime receivedAt {};
     HttpResponse response;
+    BodyReservation responseBody; ///< What the response's body has taken.
     bool responseReady = false;
     bool callerLeft = false;
     /** Close the connection after the response, unless further requests are pending. */
@@ -38,7 +41,13 @@
 };
 
 /** Why a request could not be read. */
-enum class RequestReadError : std::uint8_t { Malformed, HeaderTooLarge, BodyTooLarge, TooSlow };
+enum class RequestReadError : std::uint8_t {
+    Malformed,
+    HeaderTooLarge,
+    BodyTooLarge,
+    TooSlow,
+    NoRoom, ///< The bodies that the process holds leave no room for this one now.
+};
 
 /** Callbacks of a CallerServer. */
 struct CallerHandlers
@@ -52,6 +61,8 @@
     /** Makes the response to a request that could not be read. If empty, the response is a status
      * without a body, and the connection of a slow sender is closed without a response. */
     std::function<HttpResponse(RequestReadError)> errorResponse;
+    /** Bounds the memory of request bodies; nullptr for no bound. */
+    std::shared_ptr<BodyBudget> budget;
 };
 
 /** One connection of a caller. Handles pipelined requests concurrently and sends the responses in
@@ -82,6 +93,7 @@
     using Reader = MessageReader<true>;
 
     asio::awaitable<bool> readRequest(std::unique_ptr<Reader> &reader);
+    asio::awaitable<void> readBody(Reader &reader, ErrorCode &error);
     asio::awaitable<void> waitForPipelineSlot();
     asio::awaitable<void> handleRequest(std::shared_ptr<CallerExchange> exchange);
     asio::awaitable<void> writeResponses();
@@ -96,6 +108,7 @@
     Socket socket_;
     const CallerHandlers &handlers_;
     boost::beast::flat_buffer buffer_;
+    BodyReservation readingBody_; ///< What the body of the request being read has taken.
     std::deque<std::shared_ptr<CallerExchange>> pending_;
     asio::steady_timer slotFreed_;
     core::MonoTime idleSince_;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -74,8 +74,6 @@
     forwarded.set(names.targetUpstream, fields.upstream.str());
     if (!fields.account.empty())
         forwarded.set(names.account, fields.account.str());
-    forwarded.body() = request.body();
-    forwarded.prepare_payload();
     return forwarded;
 }
 
--- a/src/proxy/exchange_func.h
+++ b/src/proxy/exchange_func.h
@@ -20,8 +20,8 @@
     core::Micros timeLeft {0};
 };
 
-/** @return The request for an upstream: the caller's end-to-end fields without its credentials, and
- * the fields that the proxy adds. */
+/** @return The request for an upstream, without a body: the caller's end-to-end fields without its
+ * credentials, and the fields that the proxy adds. */
 HttpRequest makeForwardRequest(const HttpRequest &request, const HeaderNames &names,
                                const ForwardFields &fields);
 
--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -15,6 +15,8 @@
 constexpr int maxSkippedResponses = 4;
 /** Time for the own response to follow one that may belong to an earlier request. */
 constexpr core::Millis unclearResponseWait {250};
+/** Time between two checks for room in the budget of bodies. */
+constexpr core::Millis budgetCheckInterval {20};
 /** Limit of informational responses (1xx) before a response. */
 constexpr int maxInformational = 8;
 /** Limits of a response. */
@@ -133,6 +135,22 @@
     return core::Seconds(seconds);
 }
 
+/** Waits until the budget has room for a body of a stated length, at most until the exchange ends.
+ */
+asio::awaitable<void> waitForRoom(MessageReader<false> &reader, Socket &socket,
+                                  BodyReservation &body, ErrorCode &error)
+{
+    reader.reserveStatedBody(body, error);
+    while (error == asio::error::no_memory) {
+        asio::steady_timer pause(socket.get_executor(), budgetCheckInterval);
+        co_await pause.async_wait(captureError(error));
+        if (socket.is_open())
+            reader.reserveStatedBody(body, error);
+        else
+            error = asio::error::operation_aborted;
+    }
+}
+
 } // namespace
 
 http::Target parseTarget(const std::string &text)
@@ -153,26 +171,8 @@
     socket_->close(ignored);
 }
 
-ReceiveReservation::~ReceiveReservation()
-{
-    if (budget_)
-        budget_->left_ += taken_;
-}
-
-bool ReceiveReservation::extendTo(std::size_t bodyBytes)
-{
-    if (!budget_ || bodyBytes <= ReceiveBudget::freeBytes + taken_)
-        return true;
-    const std::size_t more = bodyBytes - ReceiveBudget::freeBytes - taken_;
-    if (more > budget_->left_)
-        return false;
-    budget_->left_ -= more;
-    taken_ += more;
-    return true;
-}
-
 HttpConnection::HttpConnection(asio::io_context &context, http::Target target,
-                               std::shared_ptr<ReceiveBudget> budget)
+                               std::shared_ptr<BodyBudget> budget)
     : context_(context)
     , target_(std::move(target))
     , budget_(std::move(budget))
@@ -250,7 +250,7 @@
     CloseTimer unclearTimer(context_, socket_);
     int informational = 0;
     for (int skipped = 0; skipped <= maxSkippedResponses && informational <= maxInformational;) {
-        result.response = co_await readMessage(request, error);
+        co_await readMessage(result, request, error);
         if (error)
             co_return;
         if (result.response.result() == beasthttp::status::switching_protocols) {
@@ -279,20 +279,21 @@
 }
 
 /** Reads one whole message. Sets an error if it is malformed or does not fit the limits. */
-asio::awaitable<HttpResponse> HttpConnection::readMessage(const HttpRequest &request,
-                                                          ErrorCode &error)
+asio::awaitable<void> HttpConnection::readMessage(ExchangeResult &result,
+                                                  const HttpRequest &request, ErrorCode &error)
 {
     MessageReader<false> reader(socket_, buffer_, responseLimits);
     MessageReader<false>::Parser &parser = reader.parser();
     parser.skip(request.method() == beasthttp::verb::head);
-    ReceiveReservation reservation(budget_);
+    result.body = BodyReservation(budget_);
     co_await reader.readHeader(error);
-    while (!error && !parser.is_done()) {
-        co_await reader.readSome(error);
-        if (!error && !reservation.extendTo(parser.get().body().size()))
-            error = beasthttp::error::body_limit;
-    }
-    co_return parser.release();
+    // A body of a known length gets all of its room before it is read, so that two of them cannot
+    // wait for what the other one holds.
+    if (!error)
+        co_await waitForRoom(reader, socket_, result.body, error);
+    while (!error && !parser.is_done())
+        co_await reader.readSome(result.body, error);
+    result.response = parser.release();
 }
 
 void HttpConnection::updateKeepAlive(const HttpResponse &response)
@@ -316,8 +317,7 @@
 
 ConnectionPool::ConnectionPool(asio::io_context &context, ConnectionPoolOptions options)
     : context_(context)
-    , options_(options)
-    , budget_(std::make_shared<ReceiveBudget>(options.maxReceiveBytes))
+    , options_(std::move(options))
 { }
 
 std::unique_ptr<HttpConnection>
@@ -336,7 +336,7 @@
 
 std::unique_ptr<HttpConnection> ConnectionPool::open(const http::Target &target) const
 {
-    return std::make_unique<HttpConnection>(context_, target, budget_);
+    return std::make_unique<HttpConnection>(context_, target, options_.budget);
 }
 
 void ConnectionPool::release(core::MonoTime now, std::unique_ptr<HttpConnection> connection)
--- a/src/proxy/http_connection_base.h
+++ b/src/proxy/http_connection_base.h
@@ -4,6 +4,7 @@
 #include "core/clock_type.h"
 #include "http/http_type.h"
 #include "proxy/asio_type.h"
+#include "proxy/body_budget_base.h"
 
 #include <deque>
 #include <functional>
@@ -32,6 +33,7 @@
 {
     ExchangeFailure failure = ExchangeFailure::None;
     HttpResponse response; ///< Valid if there was no failure.
+    BodyReservation body;  ///< What the response's body has taken; keep it as long as the body.
     bool reused = false;   ///< Whether the connection had carried a request before.
     std::string detail;    ///< Error message for logs.
 };
@@ -74,51 +76,14 @@
  * had carried a request before. */
 using ResponseFilter = std::function<ResponseMatch(const HttpResponse &, bool)>;
 
-/** Memory for response bodies that are being read, shared by several connections. */
-class ReceiveBudget
-{
-public:
-    /** Body bytes that each response may have outside of the budget. */
-    static constexpr std::size_t freeBytes = std::size_t {1024} * 1024;
-
-    /** @param maxBytes Largest total of what the bodies have beyond freeBytes each. */
-    explicit ReceiveBudget(std::size_t maxBytes)
-        : left_(maxBytes)
-    { }
-
-private:
-    friend class ReceiveReservation;
-    std::size_t left_;
-};
-
-/** What one response has taken from a budget; given back at the end of its life. */
-class ReceiveReservation
-{
-public:
-    /** @param budget The budget, or nullptr for no bound. */
-    explicit ReceiveReservation(std::shared_ptr<ReceiveBudget> budget)
-        : budget_(std::move(budget))
-    { }
-    ~ReceiveReservation();
-    ReceiveReservation(const ReceiveReservation &) = delete;
-    ReceiveReservation &operator=(const ReceiveReservation &) = delete;
-
-    /** Extends the reservation to the present size of a body. @return Whether it fits. */
-    bool extendTo(std::size_t bodyBytes);
-
-private:
-    std::shared_ptr<ReceiveBudget> budget_;
-    std::size_t taken_ = 0;
-};
-
 /** A client connection that carries one exchange at a time. */
 class HttpConnection
 {
 public:
     /** @param context The event loop. @param target The server.
-     * @param budget Bounds the memory of long responses; nullptr for no bound. */
+     * @param budget Bounds the memory of response bodies; nullptr for no bound. */
     HttpConnection(asio::io_context &context, http::Target target,
-                   std::shared_ptr<ReceiveBudget> budget = nullptr);
+                   std::shared_ptr<BodyBudget> budget = nullptr);
 
     /**
      * Sends a request and reads the response; connects first if this is the first exchange.
@@ -144,12 +109,13 @@
     asio::awaitable<void> connect(core::Micros timeout, ErrorCode &error);
     asio::awaitable<void> readResponse(ExchangeResult &result, const HttpRequest &request,
                                        const ResponseFilter &filter, ErrorCode &error);
-    asio::awaitable<HttpResponse> readMessage(const HttpRequest &request, ErrorCode &error);
+    asio::awaitable<void> readMessage(ExchangeResult &result, const HttpRequest &request,
+                                      ErrorCode &error);
     void updateKeepAlive(const HttpResponse &response);
 
     asio::io_context &context_;
     http::Target target_;
-    std::shared_ptr<ReceiveBudget> budget_;
+    std::shared_ptr<BodyBudget> budget_;
     Socket socket_;
     boost::beast::flat_buffer buffer_;
     bool used_ = false;
@@ -163,8 +129,8 @@
 {
     /** Idle connections to one server; above it, the oldest are closed. */
     std::size_t maxIdlePerServer = std::numeric_limits<std::size_t>::max();
-    /** Memory for long responses, over all connections of the pool; see ReceiveBudget. */
-    std::size_t maxReceiveBytes = std::size_t {32} * 1024 * 1024;
+    /** Bounds the memory of response bodies; nullptr for no bound. */
+    std::shared_ptr<BodyBudget> budget = std::make_shared<BodyBudget>();
 };
 
 /** Idle connections, grouped by server. */
@@ -193,7 +159,6 @@
 private:
     asio::io_context &context_;
     ConnectionPoolOptions options_;
-    std::shared_ptr<ReceiveBudget> budget_;
     std::map<http::Target, std::deque<std::unique_ptr<HttpConnection>>> idle_;
 };
 
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -117,6 +117,7 @@
     {
         if (!options_.firstStart)
             shares_.processRestarted(core::MonoClock::now());
+        returnFreedBodiesToSystem();
     }
 
     /** Starts following the store, and the periodic work. */
@@ -164,7 +165,8 @@
                         return flow_.serve(std::move(exchange));
                     },
                 .limits = [this] { return sessionLimits(); },
-                .shouldClose = [this] { return flow_.phase() != core::Phase::Serving; }};
+                .shouldClose = [this] { return flow_.phase() != core::Phase::Serving; },
+                .budget = options_.flow.bodies};
     }
 
     CallerHandlers syncHandlers(std::function<HttpResponse(const HttpRequest &)> respond)
@@ -432,6 +434,9 @@
                            static_cast<double>(core::taskFailures()));
         registry_.setGauge("teaselreach_caller_connections", {},
                            static_cast<double>(callers_.size()));
+        if (options_.flow.bodies)
+            registry_.setGauge("teaselreach_body_bytes", {},
+                               static_cast<double>(options_.flow.bodies->taken()));
         registry_.setGauge("teaselreach_limit_part", {}, shares_.effectiveShare());
         registry_.setGauge("teaselreach_members", {}, static_cast<double>(entries_.size()));
         registry_.setGauge("teaselreach_limited_upstreams", {},
--- a/src/proxy/message_reader_base.h
+++ b/src/proxy/message_reader_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "proxy/asio_type.h"
+#include "proxy/body_budget_base.h"
 
 #include <boost/beast/core/read_size.hpp>
 
@@ -80,15 +81,55 @@
             co_await parseOrReceive(error);
     }
 
+    /** Reserves the room of a body of a stated length. @param error As with readSome(). */
+    void reserveStatedBody(BodyReservation &body, ErrorCode &error)
+    {
+        if (!parser_.is_done())
+            reserve(body, parser_.content_length().value_or(0), error);
+    }
+
     /** Reads a part of the body, and what follows it, after the header section.
-     * @param error Set if it is malformed, too long or cut off. */
-    asio::awaitable<void> readSome(ErrorCode &error)
+     * @param body Grows with the body.
+     * @param error Set if it is malformed, too long or cut off; no_memory if the budget of the
+     * reservation has no room for it now. */
+    asio::awaitable<void> readSome(BodyReservation &body, ErrorCode &error)
     {
         parser_.eager(true);
-        return parseOrReceive(error);
+        growBody(body, error);
+        if (error)
+            co_return;
+        co_await parseOrReceive(error);
+        if (!error)
+            reserve(body, parser_.get().body().capacity(), error);
     }
 
 private:
+    static void reserve(BodyReservation &body, std::size_t bytes, ErrorCode &error)
+    {
+        if (!body.canEverHold(bytes))
+            error = beasthttp::error::body_limit;
+        else if (!body.extendTo(bytes))
+            error = asio::error::no_memory;
+    }
+
+    /**
+     * Makes room for the next read in a long body without a stated length. The string would grow by
+     * itself, but the budget has to hold its old and its new block until the bytes are copied.
+     */
+    void growBody(BodyReservation &body, ErrorCode &error)
+    {
+        std::string &bytes = parser_.get().body();
+        if (parser_.content_length() || bytes.size() < detail::maxReadBytes
+            || bytes.capacity() - bytes.size() >= 2 * detail::maxReadBytes)
+            return;
+        const std::size_t capacity = 2 * bytes.capacity() + detail::maxReadBytes;
+        reserve(body, bytes.capacity() + capacity, error);
+        if (error)
+            return;
+        bytes.reserve(capacity);
+        body.reduceTo(bytes.capacity());
+    }
+
     /** Parses the bytes in the buffer; receives more if the parser needs them. */
     asio::awaitable<void> parseOrReceive(ErrorCode &error)
     {
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -91,7 +91,7 @@
     : parts_(parts)
     , options_(std::move(options))
     , dispatcher_(parts.upstreams, options_.dispatch)
-    , loop_(parts.context, *this)
+    , loop_(parts.context, *this, {.budget = options_.bodies})
     , splits_(seed)
 { }
 
@@ -274,11 +274,14 @@
     const bool idempotent = job.request.route->idempotent;
     AttemptPlan plan {.target = {.address = placement.address, .port = placement.port},
                       .request = buildForwardRequest(job, placement, now),
+                      .bodyOwner = &job.exchange->request.body(),
                       .options = exchangeOptions(job, placement, now),
                       .filter = {},
                       .maxIdle =
                           idempotent ? core::Micros::max() : options_.maxIdleForNonIdempotent,
                       .cancelOnCallerLeft = idempotent};
+    plan.request.body() = std::move(*plan.bodyOwner);
+    plan.request.prepare_payload();
     plan.filter = [this, attemptId = toString(fieldValue(plan.request, options_.names.attemptId))](
                       const HttpResponse &response, bool reused) {
         return matchAttempt(response, options_.names, attemptId, reused);
--- a/src/proxy/request_loop_base.h
+++ b/src/proxy/request_loop_base.h
@@ -17,6 +17,8 @@
 {
     http::Target target;
     HttpRequest request;
+    /** Gets the request's body back after the attempt, unless it is nullptr. */
+    std::string *bodyOwner = nullptr;
     ExchangeOptions options;
     ResponseFilter filter; ///< Recognizes the response; may be empty.
     /** Longest idle time of a connection that is reused. */
@@ -73,7 +75,7 @@
      * @param connections Limits of the idle connections. */
     RequestLoop(asio::io_context &context, Policy &policy, ConnectionPoolOptions connections = {})
         : policy_(policy)
-        , connections_(context, connections)
+        , connections_(context, std::move(connections))
     { }
 
     /** Serves one request and fills its response. */
@@ -119,8 +121,9 @@
         cancellers_.insert(canceller);
         // The policy has to learn of the end of each attempt, also of one that failed here.
         ExchangeResult result {.failure = ExchangeFailure::Cancelled};
+        AttemptPlan plan;
         try {
-            const AttemptPlan plan = policy_.planAttempt(job, place, startedAt);
+            plan = policy_.planAttempt(job, place, startedAt);
             if (plan.cancelOnCallerLeft)
                 exchange->onCallerLeft = [canceller] { canceller->cancel(); };
             // On a kept connection, a second copy of an earlier response to this very request could
@@ -136,10 +139,16 @@
             result.detail = error.what();
         }
         cancellers_.erase(canceller);
+        if (plan.bodyOwner != nullptr)
+            *plan.bodyOwner = std::move(plan.request.body());
         // A connection whose response cannot be trusted carries no further request.
         if (connection && policy_.mayReuseConnection(result))
             connections_.release(core::MonoClock::now(), std::move(connection));
-        co_return policy_.finishAttempt(job, place, startedAt, std::move(result));
+        BodyReservation body = std::move(result.body);
+        const bool again = policy_.finishAttempt(job, place, startedAt, std::move(result));
+        if (!again)
+            exchange->responseBody = std::move(body);
+        co_return again;
     }
 
     Policy &policy_;
--- a/tests/cmake/proxy.cmake
+++ b/tests/cmake/proxy.cmake
@@ -7,6 +7,7 @@
 teaselreach_test(proxy_upstream_limit_test SOURCES proxy/upstream_limit_test.cpp LIBS tr_proxy)
 teaselreach_test(proxy_upstream_limit_division_test SOURCES proxy/upstream_limit_division_test.cpp LIBS tr_proxy)
 teaselreach_test(proxy_endless_response_test SOURCES proxy/endless_response_test.cpp LIBS tr_proxy)
+teaselreach_test(proxy_body_budget_test SOURCES proxy/body_budget_test.cpp LIBS tr_proxy)
 teaselreach_test(proxy_message_limits_test SOURCES proxy/message_limits_test.cpp LIBS tr_proxy)
 teaselreach_test(proxy_message_reader_test SOURCES proxy/message_reader_test.cpp LIBS tr_proxy)
 teaselreach_test(platform_test SOURCES proxy/platform_test.cpp LIBS tr_platform)
--- a/tests/proxy/flow_fixture.h
+++ b/tests/proxy/flow_fixture.h
@@ -98,29 +98,32 @@
 {
 public:
     explicit FlowFixture(Configuration configuration = testConfiguration(),
-                         core::Micros idleTimeout = core::Seconds(5))
+                         core::Micros idleTimeout = core::Seconds(5),
+                         const BodyBudgetOptions &bodies = {}, std::size_t maxBodyBytes = 10000)
         : upstreams_({.self = {core::AvailabilityZoneId("here"), core::RegionId("west")},
                       .regionOfZone = {{core::AvailabilityZoneId("here"), core::RegionId("west")}}},
                      1)
         , shares_({})
+        , bodies_(std::make_shared<BodyBudget>(bodies))
         , flow_({.context = context_,
                  .upstreams = upstreams_,
                  .shares = shares_,
                  .registry = registry_},
-                {.names = testHeaderNames(), .readStatus = readTestStatus}, 1)
+                {.names = testHeaderNames(), .readStatus = readTestStatus, .bodies = bodies_}, 1)
         , server_(context_, "127.0.0.1", 0,
                   {.serve =
                        [this](std::shared_ptr<CallerExchange> exchange) {
                            return flow_.serve(std::move(exchange));
                        },
                    .limits =
-                       [idleTimeout] {
+                       [idleTimeout, maxBodyBytes] {
                            return SessionLimits {.maxHeaderBytes = 4096,
-                                                 .maxBodyBytes = 10000,
+                                                 .maxBodyBytes = maxBodyBytes,
                                                  .headerTimeout = core::Millis(300),
                                                  .idleTimeout = idleTimeout};
                        },
-                   .shouldClose = [this] { return flow_.phase() != core::Phase::Serving; }})
+                   .shouldClose = [this] { return flow_.phase() != core::Phase::Serving; },
+                   .budget = bodies_})
         , workGuard_(context_.get_executor())
     {
         shares_.setShares(1, 1);
@@ -158,12 +161,13 @@
     }
 
     /** Adds the server at an address to the live upstreams. */
-    void addUpstreamAt(const std::string &id, const std::string &address, std::uint16_t port)
+    void addUpstreamAt(const std::string &id, const std::string &address, std::uint16_t port,
+                       const std::string &ofService = service.str())
     {
         onLoop([&] {
             upstreams_.update(core::MonoClock::now(),
                               {.id = core::UpstreamId(id),
-                               .service = service,
+                               .service = core::ServiceId(ofService),
                                .address = address,
                                .port = port,
                                .availabilityZone = core::AvailabilityZoneId("here"),
@@ -222,6 +226,7 @@
     metrics::Registry registry_;
     UpstreamTable upstreams_;
     AccountRateLimiter shares_;
+    std::shared_ptr<BodyBudget> bodies_;
     RequestFlow flow_;
     CallerServer server_;
     asio::executor_work_guard<asio::io_context::executor_type> workGuard_;
--- a/tests/proxy/message_reader_test.cpp
+++ b/tests/proxy/message_reader_test.cpp
@@ -60,9 +60,10 @@
     {
         MessageReader<isRequest> reader(reading_, buffer_, smallLimits);
         ErrorCode error;
+        BodyReservation body;
         co_await reader.readHeader(error);
         while (!error && !reader.parser().is_done()) {
-            co_await reader.readSome(error);
+            co_await reader.readSome(body, error);
             result.largestBuffer = std::max(result.largestBuffer, buffer_.size());
         }
         result.ended = true;
