Fix: [Proxy] A status that HTTP does not define is passed on as an answer

Callers got "HTTP/1.1 099" or "999" as the answer to a booking: bytes that are no response.

Cause: the class of such a status is unknown, and an unknown class counted as an answer.

Change: a response whose status is not 100 to 599 ends the exchange as broken, like 101 before.

--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -135,6 +135,14 @@
     return core::Seconds(seconds);
 }
 
+/** @return Whether a status is one that HTTP defines and that a request may get. No request asks
+ * for another protocol (101). */
+bool isFinalOrInterim(const HttpResponse &response)
+{
+    return statusClassOf(response) != beasthttp::status_class::unknown
+        && response.result() != beasthttp::status::switching_protocols;
+}
+
 /** Waits until the budget has room for a body of a stated length, at most until the exchange ends.
  */
 asio::awaitable<void> waitForRoom(MessageReader<false> &reader, Socket &socket,
@@ -253,8 +261,8 @@
         co_await readMessage(result, request, error);
         if (error)
             co_return;
-        if (result.response.result() == beasthttp::status::switching_protocols) {
-            error = beasthttp::error::bad_status; // No request asks for another protocol.
+        if (!isFinalOrInterim(result.response)) {
+            error = beasthttp::error::bad_status;
             co_return;
         }
         if (statusClassOf(result.response) == beasthttp::status_class::informational) {
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -258,6 +258,20 @@
     }
 }
 
+TEST_CASE("a status that HTTP does not define is passed on as an answer")
+{
+    for (const std::string status : {"000 Odd", "099 Odd", "600 Odd", "999 Odd"}) {
+        CAPTURE(status);
+        RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+            return RawReply {okReply(
+                "odd", "X-Attempt: " + headerOf(request.head, "X-Attempt") + "\r\n", status)};
+        });
+        FlowFixture fixture;
+        fixture.addUpstream("i-1", upstream);
+        CHECK(statusOf(fixture.sendRequest(callerRequest("POST", "/book/", "a1"))) == "502");
+    }
+}
+
 TEST_CASE("a connection with extra bytes after the response is not reused")
 {
     RawServer upstream("127.0.0.1", [](const RawRequest &request) {
