Fix: [Proxy, Platform] A body without end from another VM or the store fills the memory

Each connection to the store and to each relay read up to 64 MiB of a body, with no limit over all of them, so that a few faulty peers end the process of a VM.

--- a/src/proxy/body_budget.cpp
+++ b/src/proxy/body_budget.cpp
@@ -63,6 +63,13 @@
     bytes_ = bodyBytes;
 }
 
+std::shared_ptr<BodyBudget> makeControlBudget()
+{
+    constexpr std::size_t maxBytes = std::size_t {16} * 1024 * 1024;
+    return std::make_shared<BodyBudget>(
+        BodyBudgetOptions {.maxBytes = maxBytes, .shortBodyPart = 0});
+}
+
 void returnFreedBodiesToSystem()
 {
     // A fixed threshold: by default the allocator raises it with each long block that is freed, and
--- a/src/proxy/body_budget_base.h
+++ b/src/proxy/body_budget_base.h
@@ -79,6 +79,9 @@
     std::size_t bytes_ = 0;
 };
 
+/** @return A budget for responses that control the process: of the store, or of other VMs. */
+std::shared_ptr<BodyBudget> makeControlBudget();
+
 /** Makes the allocator return the memory of long bodies to the system as soon as it is freed. */
 void returnFreedBodiesToSystem();
 
--- a/src/proxy/fleet_relay.cpp
+++ b/src/proxy/fleet_relay.cpp
@@ -135,7 +135,7 @@
 {
     std::unique_ptr<HttpConnection> &connection = connections_[relay];
     if (!connection || !connection->isReusable(core::MonoClock::now()))
-        connection = std::make_unique<HttpConnection>(context_, parseTarget(relay));
+        connection = std::make_unique<HttpConnection>(context_, parseTarget(relay), budget_);
     HttpRequest request(beasthttp::verb::get, requestTarget(after, wait), httpVersion11);
     request.set(beasthttp::field::host, relay);
     const ExchangeOptions options {
--- a/src/proxy/fleet_relay_base.h
+++ b/src/proxy/fleet_relay_base.h
@@ -81,6 +81,7 @@
 
 private:
     asio::io_context &context_;
+    std::shared_ptr<BodyBudget> budget_ = makeControlBudget();
     std::map<std::string, std::unique_ptr<HttpConnection>> connections_;
 };
 
--- a/tests/proxy/endless_response_test.cpp
+++ b/tests/proxy/endless_response_test.cpp
@@ -1,5 +1,6 @@
 /** @file endless_response_test.cpp Upstreams that send bytes without end. */
 #include "flow_fixture.h"
+#include "proxy/fleet_relay_base.h"
 #include "standins/endless_server.h"
 
 #include <fstream>
@@ -112,3 +113,26 @@
         CHECK(response.ends_with(body));
     caller.join();
 }
+
+TEST_CASE("a body without end from another VM fills the memory of the VMs that read from it")
+{
+    constexpr std::uint64_t controlBytes = 16 * mebibyte;
+    EndlessServer relay("HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaaaaaaaaaa");
+    asio::io_context context(1);
+    FleetRelayClient client(context);
+    bool failed = false;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            try {
+                co_await client.fetch("127.0.0.1:" + std::to_string(relay.port()), StoreRevision(0),
+                                      RelayWait::Change);
+            } catch (const StoreUnreachable &) {
+                failed = true;
+            }
+        },
+        asio::detached);
+    context.run();
+    CHECK(failed);
+    CHECK(relay.sentBytes() < controlBytes + socketBytes);
+}
