Fix: [Proxy] A caller that waits for longer than the clock can count is refused at once

Cause: the milliseconds of the field overflowed in the conversion to microseconds, so the deadline had passed long before the request arrived.

Change: the value is limited to the longest time that can be expressed; the route's timeout bounds it further, as before.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -164,13 +164,14 @@
 
 std::optional<core::Micros> callerTimeout(const HttpRequest &request, const HeaderNames &names)
 {
+    constexpr core::Millis longest = std::chrono::duration_cast<core::Millis>(core::Micros::max());
     const std::string_view value = fieldValue(request, names.deadlineMs);
     std::int64_t milliseconds = 0;
     const auto [end, error] =
         std::from_chars(value.data(), value.data() + value.size(), milliseconds);
     if (value.empty() || error != std::errc() || milliseconds < 0)
         return std::nullopt;
-    return core::Millis(milliseconds);
+    return std::min(longest, core::Millis(milliseconds));
 }
 
 } // namespace teaselreach::proxy
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -272,6 +272,22 @@
     }
 }
 
+TEST_CASE("a caller that waits for longer than the clock can count is refused at once")
+{
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        return RawReply {sealedReply(request, "booked")};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    for (const std::string milliseconds :
+         {"9223372036854775", "9223372036854776", "52777777777777777", "9223372036854775807"}) {
+        CAPTURE(milliseconds);
+        const std::string response = fixture.sendRequest(
+            callerRequest("POST", "/book/", "a1", "X-Deadline: " + milliseconds + "\r\n"));
+        CHECK(statusOf(response) == "200");
+    }
+}
+
 TEST_CASE("a connection with extra bytes after the response is not reused")
 {
     RawServer upstream("127.0.0.1", [](const RawRequest &request) {
