Fix: [Proxy] A caller that stops in the middle of its body holds the room of others without end

Since bodies have a common budget, a body of a stated length takes its room before it is read. A caller that sent the header of an upload and nothing more kept that room for as long as its connection lasted, and the uploads of others got 503. Nothing bounded the time of a body.

Change: a connection whose request sends nothing of its body for the idle timeout is closed, as one whose caller reads nothing of a response; a failed read gives its room back at once.

--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -174,8 +174,12 @@
 {
     readingBody_ = BodyReservation(handlers_.budget);
     reader.reserveStatedBody(readingBody_, error);
-    while (!error && !reader.parser().is_done())
+    while (!error && !reader.parser().is_done()) {
+        bodyReadAt_ = core::MonoClock::now();
         co_await reader.readSome(readingBody_, error);
+    }
+    if (error)
+        readingBody_.release();
 }
 
 asio::awaitable<void> CallerSession::waitForPipelineSlot()
@@ -336,12 +340,13 @@
     const bool slowHeader = reading_ && !headerRead_ && reading > limits.headerTimeout;
     const bool slowRequest =
         reading_ && limits.requestTimeout > core::Micros(0) && reading > limits.requestTimeout;
+    const bool stoppedBody = reading_ && headerRead_ && now - bodyReadAt_ > limits.idleTimeout;
     const bool idle = !reading_ && now - idleSince_ > limits.idleTimeout;
-    if ((slowHeader || slowRequest) && handlers_.errorResponse) {
+    if ((slowHeader || slowRequest || stoppedBody) && handlers_.errorResponse) {
         tooSlow_ = true;
         ErrorCode ignored; // The pending read fails, and readRequest() sends the error response.
         socket_.cancel(ignored);
-    } else if (slowHeader || slowRequest || idle) {
+    } else if (slowHeader || slowRequest || stoppedBody || idle) {
         close();
     }
 }
--- a/src/proxy/caller_session_base.h
+++ b/src/proxy/caller_session_base.h
@@ -76,9 +76,9 @@
     /** Reads requests until the connection ends or accepts no further requests. */
     asio::awaitable<void> run();
     /** Ends the connection if no request is pending and it exceeded the idle, header or request
-     * timeout, if the caller has read nothing of a response for the idle timeout, or if it has left
-     * while no further requests are read. A sender that
-     * is too slow first receives an error response if there is a handler for it. */
+     * timeout, or sent nothing of a body for the idle timeout; if the caller has read nothing of a
+     * response for the idle timeout; or if it has left while no further requests are read. A sender
+     * that is too slow first receives an error response if there is a handler for it. */
     void closeIfStale(core::MonoTime now);
     /** Closes the connection if no request is pending, being read or likely to be on its way. */
     void closeIfIdle(core::MonoTime now);
@@ -113,7 +113,8 @@
     asio::steady_timer slotFreed_;
     core::MonoTime idleSince_;
     core::MonoTime readingSince_ {};
-    core::MonoTime writtenAt_ {}; ///< Last time that bytes of a response were written.
+    core::MonoTime bodyReadAt_ {}; ///< Last time that bytes of the request's body were read.
+    core::MonoTime writtenAt_ {};  ///< Last time that bytes of a response were written.
     bool reading_ = false;
     bool headerRead_ = false;
     bool waitingForSlot_ = false; ///< Nothing is read until a response has been sent.
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -54,6 +54,15 @@
     }
 }
 
+/** @return Whether callers take a status as the promise that their request was not executed and
+ * never will be. 421 is the fourth one; an upstream that sends it proves it. */
+bool promisesNotExecuted(const HttpResponse &response)
+{
+    return response.result() == beasthttp::status::request_timeout
+        || response.result() == beasthttp::status::too_many_requests
+        || response.result() == beasthttp::status::service_unavailable;
+}
+
 } // namespace
 
 HttpRequest makeForwardRequest(const HttpRequest &request, const HeaderNames &names,
@@ -90,19 +99,6 @@
     return reused ? ResponseMatch::Unclear : ResponseMatch::Own;
 }
 
-namespace {
-
-/** @return Whether callers take a status as the promise that their request was not executed and
- * never will be. 421 is the fourth one; an upstream that sends it proves it. */
-bool promisesNotExecuted(const HttpResponse &response)
-{
-    return response.result() == beasthttp::status::request_timeout
-        || response.result() == beasthttp::status::too_many_requests
-        || response.result() == beasthttp::status::service_unavailable;
-}
-
-} // namespace
-
 AttemptEnd classifyResponse(const HttpResponse &response, const HeaderNames &names)
 {
     const bool success = statusClassOf(response) == beasthttp::status_class::successful;
--- a/tests/proxy/body_budget_test.cpp
+++ b/tests/proxy/body_budget_test.cpp
@@ -219,6 +219,7 @@
     SmallBookings bookings(fixture);
     const std::string body(uploadBytes, 'x');
     std::vector<std::thread> threads;
+    threads.reserve(uploads);
     std::atomic<int> served {0};
     std::atomic<int> refused {0};
     for (int i = 0; i < uploads; ++i) {
@@ -257,3 +258,45 @@
     CHECK(statusOf(fixture.sendRequest(callerRequest("POST", "/book/", "a1", "", body))) == "413");
     CHECK(upstream.requests() == 0);
 }
+
+TEST_CASE("a caller that stops in the middle of its body holds the room of others without end")
+{
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        return RawReply {sealedReply(request, "booked")};
+    });
+    const BodyBudgetOptions options {.maxBytes = 6 * mebibyte};
+    FlowFixture fixture(twoServices(core::Seconds(4)), core::Millis(300), options, 4 * mebibyte);
+    fixture.addUpstream("i-1", upstream);
+    const std::string upload =
+        callerRequest("POST", "/book/", "a1", "", std::string(3 * mebibyte, 'x'));
+    const int stopped = fixture.connect();
+    standins::sendAll(stopped, upload.substr(0, upload.size() / 2));
+    // It has the room until it has sent nothing for the idle timeout.
+    CHECK(eventually([&] { return statusOf(fixture.sendRequest(upload)) == "503"; }));
+    CHECK(eventually([&] { return statusOf(fixture.sendRequest(upload)) == "200"; }));
+    CHECK(upstream.requests() == 1);
+    ::close(stopped);
+}
+
+TEST_CASE("a caller that sends its body slowly is cut off")
+{
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        return RawReply {sealedReply(request, request.body)};
+    });
+    FlowFixture fixture(twoServices(core::Seconds(4)), core::Millis(300));
+    fixture.addUpstream("i-1", upstream);
+    const std::string request = callerRequest("POST", "/book/", "a1", "", "one crew");
+    const int slow = fixture.connect();
+    standins::limitReceiveTime(slow, 3);
+    standins::sendAll(slow, request.substr(0, request.size() - 8));
+    for (const char byte : std::string("one crew")) {
+        const core::MonoTime next = core::MonoClock::now() + core::Millis(100);
+        CHECK(eventually([&] { return core::MonoClock::now() > next; }));
+        standins::sendAll(slow, std::string(1, byte));
+    }
+    std::string start(sizeof "HTTP/1.1 200" - 1, '\0');
+    CHECK(::recv(slow, start.data(), start.size(), MSG_WAITALL)
+          == static_cast<ssize_t>(start.size()));
+    CHECK(start == "HTTP/1.1 200");
+    ::close(slow);
+}
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -360,8 +360,9 @@
                 const std::string id = headerOf(request.head, "X-Attempt");
                 if (id == "first")
                     return RawReply {sealedReply(request, "first")};
-                return RawReply {
-                    okReply("busy", "X-Attempt: " + id + "\r\nRetry-After: 1\r\n" + seal, status)};
+                std::string fields = "X-Attempt: ";
+                fields.append(id).append("\r\nRetry-After: 1\r\n").append(seal);
+                return RawReply {okReply("busy", fields, status)};
             });
             FlowFixture fixture;
             fixture.addUpstream("i-1", upstream);
