--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds everything, runs formatter and linter, and runs all tests.
+# Builds everything, runs formatter and linter, all tests and, for about a minute, the fuzz targets.
 # Tests named in KNOWN-RED.txt (lines "test: NAME") are run and printed, but do not fail the check.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -17,3 +17,4 @@
 else
     ctest --test-dir "$build" --output-on-failure -j 4
 fi
+scripts/fuzz.sh
--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Installs the Debian packages that the build, the tests and the demo need.
 set -euo pipefail
-packages=(g++ cmake make ninja-build ccache clang-format clang-tidy pkg-config
+packages=(g++ cmake make ninja-build ccache clang clang-format clang-tidy
+    libclang-rt-14-dev pkg-config
     libulfius-dev libboost-dev libgflags-dev liblog4cplus-dev doctest-dev libyaml-cpp-dev
     nlohmann-json3-dev libssl-dev libbenchmark-dev)
 missing=()
