--- a/tests/fuzz/message_feed.h
+++ b/tests/fuzz/message_feed.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "proxy/event_loop_func.h"
+#include "proxy/header_names_type.h"
 #include "proxy/message_reader_base.h"
 
 #include <cstdlib>
@@ -16,6 +17,17 @@
 /** Limits that inputs of a few kilobytes reach. */
 inline constexpr MessageLimits feedLimits {.maxSectionBytes = 512, .maxBodyBytes = 1024};
 
+/** The header fields of the corpus. */
+inline const HeaderNames names {.attemptId = "X-Attempt",
+                                .deadlineMs = "X-Deadline",
+                                .seal = "X-Seal",
+                                .account = "X-Account",
+                                .targetUpstream = "X-Target",
+                                .load = "X-Load",
+                                .notExecuted = "X-Not-Run",
+                                .upstreamId = "X-Upstream",
+                                .keyScheme = "Bearer"};
+
 /** Ends the process, which the fuzzer reports, unless a condition holds. */
 inline void require(bool holds)
 {
--- a/tests/fuzz/response_fuzz.cpp
+++ b/tests/fuzz/response_fuzz.cpp
@@ -4,19 +4,10 @@
 #include "proxy/exchange_func.h"
 
 using namespace teaselreach;
+using fuzz::names;
 
 namespace {
 
-const proxy::HeaderNames names {.attemptId = "X-Attempt",
-                                .deadlineMs = "X-Deadline",
-                                .seal = "X-Seal",
-                                .account = "X-Account",
-                                .targetUpstream = "X-Target",
-                                .load = "X-Load",
-                                .notExecuted = "X-Not-Run",
-                                .upstreamId = "X-Upstream",
-                                .keyScheme = "Bearer"};
-
 void judge(const proxy::HttpResponse &response)
 {
     const bool isNamed = proxy::fieldValue(response, names.attemptId) == "a1";
--- a/tests/proxy/body_budget_test.cpp
+++ b/tests/proxy/body_budget_test.cpp
@@ -2,7 +2,9 @@
 #include "flow_fixture.h"
 #include "standins/endless_server.h"
 
+#include <algorithm>
 #include <fstream>
+#include <optional>
 
 using namespace teaselreach;
 using namespace teaselreach::proxytest;
@@ -84,6 +86,55 @@
     std::thread thread_;
 };
 
+/** Many callers that request a file of an upstream and read nothing of the response, and bookings
+ * at a sound upstream beside them. */
+class FileCallers
+{
+public:
+    FileCallers(const EndlessServer &files, int count, core::Micros timeout)
+        : sound_(
+            "127.0.0.1",
+            [](const RawRequest &request) { return RawReply {sealedReply(request, "booked")}; })
+        , fixture_(twoServices(timeout))
+    {
+        fixture_.addUpstream("i-sound", sound_);
+        for (int i = 0; i < count; ++i)
+            fixture_.addUpstreamAt("i-" + std::to_string(i), "127.0.0.1", files.port(), "files");
+        bookings_.emplace(fixture_);
+        for (int i = 0; i < count; ++i) {
+            sockets_.push_back(fixture_.connect());
+            standins::sendAll(sockets_.back(), callerRequest("GET", "/read/", "large"));
+        }
+    }
+    ~FileCallers()
+    {
+        bookings_.reset();
+        for (const int socket : sockets_)
+            ::close(socket);
+    }
+    FileCallers(const FileCallers &) = delete;
+    FileCallers &operator=(const FileCallers &) = delete;
+
+    /** @return Whether all responses have begun. */
+    bool allAnswered() const
+    {
+        return std::all_of(sockets_.begin(), sockets_.end(), [](int socket) {
+            char byte = 0;
+            return ::recv(socket, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) >= 0;
+        });
+    }
+    void stopBookings() { bookings_->stop(); }
+    /** @return Bookings that were served in time, and that were not. */
+    int served() const { return bookings_->served(); }
+    int failed() const { return bookings_->failed(); }
+
+private:
+    RawServer sound_;
+    FlowFixture fixture_;
+    std::optional<SmallBookings> bookings_;
+    std::vector<int> sockets_;
+};
+
 } // namespace
 
 TEST_CASE("long bodies leave no room for short ones")
@@ -136,33 +187,18 @@
     EndlessServer large("HTTP/1.1 200 OK\r\nX-Seal: s1\r\nX-Attempt: large\r\nContent-Length: "
                             + std::to_string(bodyBytes) + "\r\n\r\n",
                         "aaaaaaaa");
-    RawServer sound("127.0.0.1", [](const RawRequest &request) {
-        return RawReply {sealedReply(request, "booked")};
-    });
-    FlowFixture fixture(twoServices(core::Seconds(4)));
-    fixture.addUpstream("i-sound", sound);
-    for (int i = 0; i < callers; ++i)
-        fixture.addUpstreamAt("i-" + std::to_string(i), "127.0.0.1", large.port(), "files");
-    const std::size_t before = residentMemory();
-    SmallBookings bookings(fixture);
-    std::vector<int> sockets;
-    for (int i = 0; i < callers; ++i) {
-        sockets.push_back(fixture.connect());
-        standins::sendAll(sockets.back(), callerRequest("GET", "/read/", "large"));
-    }
-    std::size_t peak = before;
+    FileCallers calls(large, callers, core::Seconds(4));
+    std::size_t peak = 0;
     const core::MonoTime end = core::MonoClock::now() + core::Seconds(3);
     CHECK(eventually([&] { return large.sentBytes() > 8 * bodyBytes; }));
     while (core::MonoClock::now() < end) {
         peak = std::max(peak, residentMemory());
         std::this_thread::yield();
     }
-    bookings.stop();
+    calls.stopBookings();
     CHECK(peak < smallestMachine);
-    CHECK(bookings.served() > 0);
-    CHECK(bookings.failed() == 0);
-    for (const int socket : sockets)
-        ::close(socket);
+    CHECK(calls.served() > 0);
+    CHECK(calls.failed() == 0);
 }
 
 TEST_CASE("bodies without end from many upstreams at once exhaust the memory of a daemon")
@@ -171,32 +207,14 @@
     EndlessServer endless("HTTP/1.1 200 OK\r\nX-Seal: s1\r\nX-Attempt: large\r\n"
                           "Transfer-Encoding: chunked\r\n\r\n",
                           "2000\r\n" + std::string(0x2000, 'a') + "\r\n");
-    RawServer sound("127.0.0.1", [](const RawRequest &request) {
-        return RawReply {sealedReply(request, "booked")};
-    });
-    FlowFixture fixture(twoServices(core::Seconds(2)));
-    fixture.addUpstream("i-sound", sound);
-    for (int i = 0; i < callers; ++i)
-        fixture.addUpstreamAt("i-" + std::to_string(i), "127.0.0.1", endless.port(), "files");
-    SmallBookings bookings(fixture);
-    std::vector<int> sockets;
-    for (int i = 0; i < callers; ++i) {
-        sockets.push_back(fixture.connect());
-        standins::sendAll(sockets.back(), callerRequest("GET", "/read/", "large"));
-    }
+    FileCallers calls(endless, callers, core::Seconds(2));
     std::size_t peak = 0;
-    for (std::size_t answered = 0; answered < sockets.size();) {
+    while (!calls.allAnswered())
         peak = std::max(peak, residentMemory());
-        char byte = 0;
-        if (::recv(sockets[answered], &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0)
-            ++answered;
-    }
-    bookings.stop();
+    calls.stopBookings();
     CHECK(peak < smallestMachine);
-    CHECK(bookings.served() > 0);
-    CHECK(bookings.failed() == 0);
-    for (const int socket : sockets)
-        ::close(socket);
+    CHECK(calls.served() > 0);
+    CHECK(calls.failed() == 0);
 }
 
 TEST_CASE("uploads that are sent at once are all kept, or fail without a word whether they ran")
