--- a/src/proxy/peer_messenger.cpp
+++ b/src/proxy/peer_messenger.cpp
@@ -8,6 +8,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace teaselreach::proxy {
 
 namespace {
@@ -18,12 +20,14 @@
 /** @throws nlohmann::json::exception if an entry is malformed */
 std::vector<UpstreamLimitReport> decodeLimits(const nlohmann::json &entries)
 {
+    constexpr std::int64_t longest =
+        std::chrono::duration_cast<core::Millis>(core::Micros::max()).count();
     std::vector<UpstreamLimitReport> reports;
     for (const nlohmann::json &entry : entries) {
-        UpstreamLimitReport report {
-            .upstream = core::UpstreamId(entry.at(0).get<std::string>()),
-            .age = core::Millis(std::max<std::int64_t>(0, entry.at(2).get<std::int64_t>())),
-            .requests = std::max(0, entry.at(3).get<int>())};
+        UpstreamLimitReport report {.upstream = core::UpstreamId(entry.at(0).get<std::string>()),
+                                    .age = core::Millis(std::clamp<std::int64_t>(
+                                        entry.at(2).get<std::int64_t>(), 0, longest)),
+                                    .requests = std::max(0, entry.at(3).get<int>())};
         if (!entry.at(1).is_null())
             report.limit = RequestRate {.perSecond = std::max(0.0, entry.at(1).get<double>())};
         reports.push_back(std::move(report));
--- a/tests/proxy/upstream_limit_division_test.cpp
+++ b/tests/proxy/upstream_limit_division_test.cpp
@@ -429,3 +429,17 @@
     REQUIRE(decodeMessage(earlier));
     CHECK(decodeMessage(earlier)->limits.empty());
 }
+
+TEST_CASE("an age beyond the clock makes an old report of a limit newer than all others")
+{
+    // An array of five; its last element has one report: upstream, no limit, age, requests.
+    const std::string head("\x95\xa4vm-1\x90\x90\xc2\x91\x94\xa3i-1\xc0\xd3", 17);
+    const std::vector<std::string> ages {std::string("\x00\x40\x00\x00\x00\x00\x00\x64", 8),
+                                         std::string("\x7f\xff\xff\xff\xff\xff\xff\xff", 8)};
+    for (const std::string &age : ages) {
+        const std::optional<PeerMessage> decoded = decodeMessage(head + age + "\x03");
+        REQUIRE(decoded);
+        REQUIRE(decoded->limits.size() == 1);
+        CHECK(decoded->limits.front().age > core::Seconds(1000000));
+    }
+}
