--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -16,7 +16,9 @@
 cmake --build "$build" --target "${targets[@]}"
 mkdir -p "$build/findings"
 for target in "${targets[@]}"; do
-    # Inputs that are found are kept beside the build, not in the tree.
+    # Inputs that are found are kept beside the build, not in the tree. A run with a number of
+    # inputs starts from the tree alone, so that it does the same each time.
+    [ -n "${FUZZ_SECONDS:-}" ] || rm -rf "$build/corpus/$target"
     mkdir -p "$build/corpus/$target"
     limit=(-runs="$runs")
     [ -n "${FUZZ_SECONDS:-}" ] && limit=(-max_total_time="$FUZZ_SECONDS")
