Fix: [Proxy] A response that contradicts itself refuses a booking that ran

What callers saw: 503, or a second run elsewhere, for a booking whose upstream had answered 200, 500 or 504 together with the not-executed field. Cause: the field alone was taken for the statement, whatever the status said. Change: statesNotExecuted() asks for a status that goes with the field, for the outcome of an attempt and for the match of a response without an id. A success with the field is broken; an error of the upstream's own is passed on without the field. Ruled out: taking such a response for an answer of another request, since it bears the id. Result: the new case of proxy_flow_test failed before in all four forms (503 for 502, 504, 500 and 504, and two runs each); it passes now.

--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -54,6 +54,23 @@
     }
 }
 
+/** @return Whether an upstream states that it has not run the request. The field alone is not such
+ * a statement: with a success or an error of the upstream's own work, it contradicts the status. */
+bool statesNotExecuted(const HttpResponse &response, const HeaderNames &names)
+{
+    switch (response.result()) {
+    case beasthttp::status::misdirected_request:
+        return true;
+    case beasthttp::status::bad_request:
+    case beasthttp::status::request_timeout:
+    case beasthttp::status::too_many_requests:
+    case beasthttp::status::service_unavailable:
+        return !fieldValue(response, names.notExecuted).empty();
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
 HttpRequest makeForwardRequest(const HttpRequest &request, const HeaderNames &names,
@@ -83,9 +100,7 @@
     const std::string_view id = fieldValue(response, names.attemptId);
     if (!id.empty())
         return id == attemptId ? ResponseMatch::Own : ResponseMatch::Earlier;
-    const bool isRefusal = response.result() == beasthttp::status::misdirected_request
-        || !fieldValue(response, names.notExecuted).empty();
-    if (!isRefusal)
+    if (!statesNotExecuted(response, names))
         return ResponseMatch::Earlier;
     return reused ? ResponseMatch::Unclear : ResponseMatch::Own;
 }
@@ -103,8 +118,10 @@
     const bool success = statusClassOf(response) == beasthttp::status_class::successful;
     if (response.result() == beasthttp::status::misdirected_request)
         return AttemptEnd::Misdirected;
-    if (!fieldValue(response, names.notExecuted).empty())
+    if (statesNotExecuted(response, names))
         return AttemptEnd::NotExecuted;
+    if (success && !fieldValue(response, names.notExecuted).empty())
+        return AttemptEnd::Broken;
     if (promisesNotExecuted(response))
         return AttemptEnd::UnprovenRefusal;
     if (success
@@ -150,7 +167,8 @@
     forwarded.result(response.result_int());
     copyEndToEndFields(response, forwarded, [&](std::string_view name) {
         return http::equalIgnoringCase(name, names.load)
-            || http::equalIgnoringCase(name, names.upstreamId);
+            || http::equalIgnoringCase(name, names.upstreamId)
+            || http::equalIgnoringCase(name, names.notExecuted);
     });
     forwarded.body() = std::move(response.body());
     forwarded.prepare_payload();
--- a/src/proxy/exchange_func.h
+++ b/src/proxy/exchange_func.h
@@ -50,7 +50,8 @@
 AttemptVerdict judgeExchange(const ExchangeResult &result, const HeaderNames &names);
 
 /** @return The response for the caller: the upstream's status, body and end-to-end fields, without
- * load report and upstream id. */
+ * load report, upstream id and the statement that it was not executed: where that holds, the caller
+ * gets a response of the proxy. */
 HttpResponse toCallerResponse(HttpResponse response, const HeaderNames &names);
 
 /** @return The API key in the Authorization field, or nothing. */
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -381,6 +381,37 @@
     }
 }
 
+TEST_CASE("a status that contradicts the statement of not being run refuses a booking that ran")
+{
+    struct Case
+    {
+        std::string status;
+        std::string fields;
+        std::string expected; ///< No promise.
+    };
+    const std::vector<Case> cases {
+        {"200 OK", "X-Attempt: a1\r\nX-Seal: s1\r\nX-Not-Run: 1\r\n", "502"},
+        {"200 OK", "X-Seal: s1\r\nX-Not-Run: 1\r\n", "504"}, // Not its own without the id.
+        {"500 Broken", "X-Attempt: a1\r\nX-Not-Run: 1\r\n", "500"},
+        {"504 Late", "X-Attempt: a1\r\nX-Not-Run: 1\r\n", "504"},
+    };
+    for (const Case &entry : cases) {
+        CAPTURE(entry.status);
+        const auto reply = [&](const RawRequest &) {
+            return RawReply {okReply("ran", entry.fields, entry.status)};
+        };
+        RawServer first("127.0.0.1", reply);
+        RawServer second("127.0.0.2", reply);
+        FlowFixture fixture;
+        fixture.addUpstream("i-1", first);
+        fixture.addUpstream("i-2", second);
+        const std::string response = fixture.sendRequest(callerRequest("POST", "/book/", "a1"));
+        CHECK(statusOf(response) == entry.expected);
+        CHECK(headerOf(response, "X-Not-Run").empty());
+        CHECK(first.requests() + second.requests() == 1);
+    }
+}
+
 TEST_CASE("an idempotent request ends with a refusal of one upstream while another has room")
 {
     RawServer busy("127.0.0.1", [](const RawRequest &request) {
