Fix: [Proxy] Fields after the body are taken for fields of the message

What callers saw: 503, or a second run elsewhere, for a booking whose upstream had answered with an unproven 503 in chunks and named the not-executed field in the trailer section. In the other direction, a caller's trailer section put a second attempt id and any other field into the head that upstreams get. Cause: the library's parser adds the fields of a trailer section to those of the head, and all decisions read that one set. Change: MessageReader keeps the head of a message in chunks and returns the message with it; the trailer section is discarded. Ruled out: merging known harmless fields, as nothing here needs any.

--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -121,7 +121,7 @@
         std::unique_ptr<Reader> reader;
         if (!co_await readRequest(reader) || stopReading_)
             break;
-        startRequest(reader->parser().release());
+        startRequest(reader->release());
         co_await waitForPipelineSlot();
     }
     if (stopReading_ && !ended_)
--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -301,7 +301,7 @@
         co_await waitForRoom(reader, socket_, result.body, error);
     while (!error && !parser.is_done())
         co_await reader.readSome(result.body, error);
-    result.response = parser.release();
+    result.response = reader.release();
 }
 
 void HttpConnection::updateKeepAlive(const HttpResponse &response)
--- a/src/proxy/message_reader_base.h
+++ b/src/proxy/message_reader_base.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <stdexcept>
 
 namespace teaselreach::proxy {
@@ -48,14 +49,17 @@
 } // namespace detail
 
 /**
- * Reads one message. Everything that the parser must see as a whole, such as a trailer section, has
- * to fit the limit of a section, so neither the buffer nor a field grows beyond it.
+ * Reads one message. The fields of a trailer section are discarded: they come after everything that
+ * a message's sender has been judged by. Everything that the parser must see as a whole, such as a
+ * trailer section, has to fit the limit of a section, so neither the buffer nor a field grows
+ * beyond it.
  */
 template <bool isRequest>
 class MessageReader
 {
 public:
     using Parser = beasthttp::parser<isRequest, beasthttp::string_body>;
+    using Message = typename Parser::value_type;
 
     /** @param socket The connection. @param buffer Holds received bytes between messages; both must
      * outlive the reader. @param limits Limits of the message. */
@@ -79,6 +83,18 @@
         parser_.eager(false);
         while (!error && !parser_.is_header_done())
             co_await parseOrReceive(error);
+        if (!error && parser_.chunked())
+            header_ = parser_.get().base();
+    }
+
+    /** @return The whole message, once the parser is done. */
+    Message release()
+    {
+        Message message = parser_.release();
+        // The parser has added the fields of the trailer section.
+        if (header_)
+            message.base() = std::move(*header_);
+        return message;
     }
 
     /** Reserves the room of a body of a stated length. @param error As with readSome(). */
@@ -171,6 +187,8 @@
     std::size_t maxSectionBytes_;
     std::size_t headerBytes_ = 0; ///< Parsed bytes of an incomplete header section.
     Parser parser_;
+    /** The header section of a message in chunks. */
+    std::optional<typename Message::header_type> header_;
 };
 
 } // namespace teaselreach::proxy
--- a/tests/fuzz/message_feed.h
+++ b/tests/fuzz/message_feed.h
@@ -60,7 +60,7 @@
     }
     result.whole = !error;
     if (result.whole)
-        result.message = reader.parser().release();
+        result.message = reader.release();
     ErrorCode ignored; // The socket is discarded either way.
     socket.close(ignored);
     ended = true;
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -412,6 +412,42 @@
     }
 }
 
+TEST_CASE("a trailer section after the body refuses a booking that ran")
+{
+    const auto reply = [](const RawRequest &request) {
+        return RawReply {"HTTP/1.1 503 Busy\r\nX-Attempt: " + headerOf(request.head, "X-Attempt")
+                         + "\r\nTransfer-Encoding: chunked\r\n\r\n"
+                           "3\r\nran\r\n0\r\nX-Not-Run: 1\r\n\r\n"};
+    };
+    RawServer first("127.0.0.1", reply);
+    RawServer second("127.0.0.2", reply);
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", first);
+    fixture.addUpstream("i-2", second);
+    const std::string response = fixture.sendRequest(callerRequest("POST", "/book/", "a1"));
+    CHECK(statusOf(response) == "502");
+    CHECK(first.requests() + second.requests() == 1);
+}
+
+TEST_CASE("a caller names another request or account in the trailer section of its body")
+{
+    std::string head;
+    RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+        head = request.head;
+        return RawReply {sealedReply(request, "ran")};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    const std::string response = fixture.sendRequest(
+        "POST /book/ HTTP/1.1\r\nHost: shop.example\r\nX-Attempt: a1\r\n"
+        "Authorization: Bearer k1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\none\r\n0\r\nX-Attempt: a2\r\nAuthorization: Bearer k2\r\nX-Other: 1\r\n\r\n");
+    CHECK(statusOf(response) == "200");
+    CHECK(headerOf(head, "X-Attempt") == "a1");
+    CHECK(head.find("a2") == std::string::npos);
+    CHECK(headerOf(head, "X-Other").empty());
+}
+
 TEST_CASE("an idempotent request ends with a refusal of one upstream while another has room")
 {
     RawServer busy("127.0.0.1", [](const RawRequest &request) {
