Add: [Soak] Upstreams that refuse without proof, late and twice, and cut paths to them

Change: a table of 24 behaviours (upstream_behaviour_type.h) in place of five faults, played with raw responses; a relay before each upstream that cuts one way or both and delivers later; an upstream that starts again under a new id at its address; kept connections, bodies and callers that disconnect.

--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -26,6 +26,10 @@
 constexpr core::Millis storeSettleTime {3000 + 500};
 /** Time within which a daemon must apply a version: 2500 ms and a margin for slow processes. */
 constexpr core::Millis configurationBound {2500 + 500};
+/** Longest time after which an impatient caller disconnects, in milliseconds. */
+constexpr std::uint64_t longestPatienceMs = 400;
+/** Longest body of a request in bytes; daemons accept 100,000. */
+constexpr std::uint64_t longestBody = 90000;
 /** Time that a caller waits for a response. */
 constexpr core::Seconds callerTimeout {3};
 /** Time after the last request in which the outstanding responses arrive. */
@@ -46,15 +50,19 @@
     , random_(options_.seed)
     , storePort_(standins::freePort(loopback))
     , store_(context_, storePort_)
-    , accounts_ {{"bakery", "key-bakery", 40, 40}, {"clinic", "key-clinic", 5, 5}}
+    , accounts_ {{"bakery", "key-bakery", 90, 90}, {"clinic", "key-clinic", 5, 5}}
 {
     for (const SoakAccount &account : accounts_)
         ledger_.configured(account);
     for (int i = 0; i < options_.upstreams; ++i) {
+        const std::uint16_t port = standins::freePort(loopback);
+        upstreams_.push_back(std::make_unique<SoakUpstream>(context_, "i-" + std::to_string(i),
+                                                            port, ledger_, random_()));
         upstreamPorts_.push_back(standins::freePort(loopback));
-        upstreams_.push_back(std::make_unique<SoakUpstream>(
-            context_, "i-" + std::to_string(i), upstreamPorts_.back(), ledger_, random_()));
-        writeUpstream(*upstreams_.back(), upstreamPorts_.back(), false);
+        upstreamPaths_.push_back(std::make_unique<standins::Relay>(
+            standins::ListenOptions {.address = loopback, .port = upstreamPorts_.back()},
+            standins::ListenOptions {.address = loopback, .port = port}));
+        writeUpstream(upstreams_.size() - 1, false);
     }
     writeConfiguration();
     for (int i = 0; i < options_.daemons; ++i) {
@@ -137,9 +145,10 @@
                    .dump());
 }
 
-void SoakSite::writeUpstream(const SoakUpstream &upstream, std::uint16_t port, bool draining)
+void SoakSite::writeUpstream(std::size_t index, bool draining)
 {
-    store_.put("servers/" + upstream.id(),
+    const std::uint16_t port = upstreamPorts_[index];
+    store_.put("servers/" + upstreams_[index]->id(),
                json {{"service", "work"},
                      {"address", loopback + ":" + std::to_string(port)},
                      {"zone", "z" + std::to_string(port % 3)},
@@ -217,12 +226,28 @@
     request.set(names.deadlineMs, "2000");
     if (!key.empty())
         request.set(proxy::beasthttp::field::authorization, names.keyScheme + " " + key);
+    if (method == "POST")
+        request.body() = std::string(random_() % 10 == 0 ? random_() % longestBody : 1, 'x');
     request.prepare_payload();
-    const proxy::ExchangeOptions times {.deadline = core::MonoClock::now() + callerTimeout};
+    const core::MonoTime now = core::MonoClock::now();
+    const proxy::ExchangeOptions times {.deadline = now + callerTimeout};
     const auto canceller = std::make_shared<proxy::ExchangeCanceller>();
     const proxy::ResponseFilter all;
-    proxy::HttpConnection link(context_, {.address = loopback, .port = port});
-    co_return co_await link.exchange(request, times, canceller, all);
+    const http::Target target {.address = loopback, .port = port};
+    std::unique_ptr<proxy::HttpConnection> connection = random_() % 2 == 0
+        ? callerConnections_.open(target)
+        : callerConnections_.acquire(now, target, core::Micros::max());
+    proxy::asio::steady_timer disconnect(context_);
+    if (random_() % 10 == 0) {
+        disconnect.expires_after(core::Millis(random_() % longestPatienceMs));
+        disconnect.async_wait([canceller](proxy::ErrorCode error) {
+            if (!error)
+                canceller->cancel();
+        });
+    }
+    ExchangeResult result = co_await connection->exchange(request, times, canceller, all);
+    callerConnections_.release(core::MonoClock::now(), std::move(connection));
+    co_return result;
 }
 
 proxy::asio::awaitable<std::uint16_t> SoakSite::resolveDaemonPort()
@@ -256,7 +281,7 @@
     if (port == 0)
         co_return;
     const bool idempotent = number % 3 == 0;
-    const SoakAccount &account = accounts_[number % 2];
+    const SoakAccount &account = accounts_[number % 6 == 5 ? 1 : 0];
     const std::string id = "a" + std::to_string(number);
     ledger_.sent(id, account.key, idempotent);
     const core::MonoTime startedAt = core::MonoClock::now();
@@ -393,21 +418,46 @@
 {
     const std::size_t index = random_() % upstreams_.size();
     SoakUpstream &upstream = *upstreams_[index];
-    const std::uint64_t kind = random_() % 6;
-    constexpr std::array<const char *, 6> names {"errors", "hangs", "sheds",
-                                                 "slow",   "naked", "drains"};
-    constexpr std::array<UpstreamFault, 5> faults {UpstreamFault::Errors, UpstreamFault::Hangs,
-                                                   UpstreamFault::Sheds, UpstreamFault::Slow,
-                                                   UpstreamFault::MissingSeal};
-    recordEvent(upstream.id() + " " + names[kind]);
-    if (kind == 5) {
-        writeUpstream(upstream, upstreamPorts_[index], true);
+    const std::uint64_t kind = random_() % 10;
+    if (kind == 0) {
+        recordEvent(upstream.id() + " drains");
+        writeUpstream(index, true);
         upstream.startDrain(core::MonoClock::now());
         co_return;
     }
-    upstream.setFault(faults[kind]);
+    if (kind == 1)
+        co_return co_await cutUpstreamPath(index);
+    if (kind == 2)
+        co_return co_await replaceUpstream(index);
+    const UpstreamBehaviour &fault = upstreamFaults[random_() % upstreamFaults.size()];
+    recordEvent(upstream.id() + " " + std::string(fault.name));
+    upstream.setFault(&fault);
+    co_await sleepFor(core::Millis(500 + random_() % 4000));
+    upstream.setFault(nullptr);
+}
+
+/** Stops one or both directions between the daemons and an upstream for a while. What was sent
+ * meanwhile arrives at the end, also if its sender has given up. */
+proxy::asio::awaitable<void> SoakSite::cutUpstreamPath(std::size_t index)
+{
+    const std::uint64_t kind = random_() % 3;
+    recordEvent(upstreams_[index]->id() + " is cut off");
+    upstreams_[index]->restartDrainTimer(core::MonoClock::now());
+    upstreamPaths_[index]->setCuts({.toTarget = kind != 0, .toCaller = kind != 1});
+    co_await sleepFor(core::Millis(100 + random_() % 3000));
+    upstreamPaths_[index]->setCuts({});
+    upstreams_[index]->restartDrainTimer(core::MonoClock::now());
+}
+
+/** Starts an upstream again under a new id; the earlier one is listed for a while longer. */
+proxy::asio::awaitable<void> SoakSite::replaceUpstream(std::size_t index)
+{
+    const std::string earlier = upstreams_[index]->id();
+    upstreams_[index]->restartAs(earlier + "x");
+    writeUpstream(index, false);
+    recordEvent(upstreams_[index]->id() + " takes over the address of " + earlier);
     co_await sleepFor(core::Millis(500 + random_() % 4000));
-    upstream.setFault(UpstreamFault::None);
+    store_.remove("servers/" + earlier);
 }
 
 } // namespace teaselreach::soak
--- a/soak/soak_site_base.h
+++ b/soak/soak_site_base.h
@@ -24,7 +24,7 @@
     core::Seconds length {20};
     int daemons = 6;
     int upstreams = 6;
-    double requestsPerSecond = 60;
+    double requestsPerSecond = 90;
 };
 
 /** Runs daemons as processes under random load and faults, and checks what callers see. */
@@ -59,7 +59,7 @@
 
     void writeSettings(int index, Vm &vm, std::uint16_t storePort);
     void writeConfiguration();
-    void writeUpstream(const SoakUpstream &upstream, std::uint16_t port, bool draining);
+    void writeUpstream(std::size_t index, bool draining);
     proxy::asio::awaitable<void> sleepFor(core::Micros time);
     proxy::asio::awaitable<void> expireStoreLeases();
     proxy::asio::awaitable<void> injectFaults();
@@ -73,6 +73,8 @@
     proxy::asio::awaitable<void> injectDaemonFault();
     proxy::asio::awaitable<void> injectStoreFault();
     proxy::asio::awaitable<void> injectUpstreamFault();
+    proxy::asio::awaitable<void> cutUpstreamPath(std::size_t index);
+    proxy::asio::awaitable<void> replaceUpstream(std::size_t index);
     void recordEvent(const std::string &line);
     void recordFaultForAll();
 
@@ -83,7 +85,9 @@
     std::uint16_t storePort_;
     PlatformStore store_;
     std::vector<std::unique_ptr<SoakUpstream>> upstreams_;
-    std::vector<std::uint16_t> upstreamPorts_;
+    std::vector<std::uint16_t> upstreamPorts_; ///< Of the relays before them.
+    std::vector<std::unique_ptr<standins::Relay>> upstreamPaths_;
+    proxy::ConnectionPool callerConnections_ {context_};
     std::vector<Vm> vms_;
     std::vector<SoakAccount> accounts_;
     std::int64_t version_ = 0;
--- a/soak/soak_upstream_base.h
+++ b/soak/soak_upstream_base.h
@@ -3,23 +3,16 @@
 
 #include "daemon_process_base.h"
 #include "ledger_base.h"
-#include "proxy/caller_session_base.h"
+#include "proxy/asio_type.h"
+#include "upstream_behaviour_type.h"
 
+#include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
 namespace teaselreach::soak {
 
-/** Fault that an upstream simulates. It applies to a random part of the requests. */
-enum class UpstreamFault : std::uint8_t {
-    None,
-    Errors,      ///< Runs the request and answers with 500.
-    Hangs,       ///< Runs the request and answers after 8 s.
-    Sheds,       ///< Refuses the request with 503 and marks it as not run.
-    Slow,        ///< Takes ten times as long.
-    MissingSeal, ///< Answers with success but without the seal.
-};
-
 /** An upstream with its own HTTP server. */
 class SoakUpstream
 {
@@ -28,27 +21,52 @@
     SoakUpstream(proxy::asio::io_context &context, std::string id, std::uint16_t port,
                  Ledger &ledger, std::uint64_t seed);
 
-    /** Sets the simulated fault. */
-    void setFault(UpstreamFault fault) { fault_ = fault; }
+    /** Sets the behaviour for most requests from now on; nullptr for the proper one. Some requests
+     * always meet a fault at random. */
+    void setFault(const UpstreamBehaviour *fault) { fault_ = fault; }
     /** @return Its id, under which it is registered in the store. */
     const std::string &id() const { return id_; }
+    /** Starts again under another id at the same address. Requests for the earlier one are refused.
+     */
+    void restartAs(std::string id);
     /** Starts a drain. Requests that arrive later than the drain bound are violations. */
     void startDrain(core::MonoTime now) { drainingSince_ = now; }
     /** Restarts the time of a running drain, because a fault may have delayed the news of it. */
     void restartDrainTimer(core::MonoTime now);
 
 private:
-    proxy::asio::awaitable<void> serve(std::shared_ptr<proxy::CallerExchange> exchange);
+    /** One connection; late responses keep it until they are written. */
+    struct Connection
+    {
+        explicit Connection(proxy::asio::io_context &context)
+            : socket(context)
+        { }
+        proxy::Socket socket;
+        bool open = true;
+    };
+    using ConnectionPtr = std::shared_ptr<Connection>;
+
+    void write(const ConnectionPtr &connection, const std::string &bytes);
+    void writeSoon(const ConnectionPtr &connection, const std::string &bytes);
+
+    proxy::asio::awaitable<void> acceptConnections();
+    proxy::asio::awaitable<void> serveConnection(ConnectionPtr connection);
+    proxy::asio::awaitable<void> serve(const ConnectionPtr &connection,
+                                       const proxy::HttpRequest &request);
+    proxy::asio::awaitable<void> perform(UpstreamStep step, const ConnectionPtr &connection,
+                                         const proxy::HttpRequest &request);
     proxy::asio::awaitable<void> sleepFor(core::Micros time);
-    void checkDrain(const std::string &id);
+    void run(const proxy::HttpRequest &request);
+    const UpstreamBehaviour &chooseBehaviour();
+    std::string makeResponse(UpstreamStep step, const std::string &id);
 
     proxy::asio::io_context &context_;
     std::string id_;
     Ledger &ledger_;
     std::mt19937_64 random_;
-    UpstreamFault fault_ = UpstreamFault::None;
+    const UpstreamBehaviour *fault_ = nullptr;
     std::optional<core::MonoTime> drainingSince_;
-    proxy::CallerServer server_;
+    proxy::asio::ip::tcp::acceptor acceptor_;
 };
 
 } // namespace teaselreach::soak
--- /dev/null
+++ b/tests/unit/soak_ledger_test.cpp
@@ -0,0 +1,106 @@
+/** @file soak_ledger_test.cpp Each check of the soak finds its violation and nothing beside it. */
+#include "ledger_base.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+
+using namespace teaselreach;
+using soak::Ledger;
+
+namespace {
+
+const core::MonoTime start {core::Seconds(100)};
+
+/** @return The rules that a history breaks, separated by commas. */
+std::string broken(const std::function<void(Ledger &)> &history)
+{
+    Ledger ledger;
+    ledger.configured({.name = "bakery", .key = "k1", .ratePerSecond = 10, .burst = 10});
+    ledger.sent("a", "k1", false);
+    ledger.sent("read", "k1", true);
+    history(ledger);
+    std::string rules;
+    for (const soak::Violation &violation : ledger.violations())
+        rules += (rules.empty() ? "" : ",") + violation.rule;
+    return rules;
+}
+
+void run(Ledger &ledger, const std::string &id, core::MonoTime at = start)
+{
+    ledger.ran(at, id, "bakery", false);
+}
+
+} // namespace
+
+TEST_CASE("a booking that ran after or before a promise is not reported")
+{
+    for (const int promise : {408, 421, 429, 503}) {
+        CAPTURE(promise);
+        CHECK(broken([&](Ledger &ledger) {
+                  run(ledger, "a");
+                  ledger.answered("a", promise, "", false);
+              })
+              == "not run");
+        CHECK(broken([&](Ledger &ledger) {
+                  ledger.answered("a", promise, "", false);
+                  run(ledger, "a");
+              })
+              == "not run");
+        CHECK(broken([&](Ledger &ledger) {
+                  ledger.answered("a", promise, "", false);
+                  run(ledger, "read");
+                  ledger.answered("read", promise, "", false);
+              }).empty());
+    }
+    for (const int noPromise : {500, 502, 504}) {
+        CHECK(broken([&](Ledger &ledger) {
+                  run(ledger, "a");
+                  ledger.answered("a", noPromise, "", false);
+              }).empty());
+    }
+}
+
+TEST_CASE("a booking that ran twice, or that no caller sent, is not reported")
+{
+    CHECK(broken([](Ledger &ledger) { run(ledger, "a"), run(ledger, "a"); }) == "at most once");
+    CHECK(broken([](Ledger &ledger) { run(ledger, "read"), run(ledger, "read"); }).empty());
+    CHECK(broken([](Ledger &ledger) { run(ledger, "b"); }) == "unasked");
+}
+
+TEST_CASE("a success of another request, cut or without a seal is not reported")
+{
+    const auto answered = [](const std::string &body, bool sealed) {
+        return broken([&](Ledger &ledger) { ledger.answered("a", 200, body, sealed); });
+    };
+    CHECK(answered("ran a", true).empty());
+    CHECK(answered("ran a", false) == "own answer");
+    CHECK(answered("ran", true) == "own answer");
+    CHECK(answered("ran b", true) == "own answer");
+}
+
+TEST_CASE("a run for the wrong account, with the key, or over the limit is not reported")
+{
+    CHECK(broken([](Ledger &ledger) { ledger.ran(start, "a", "clinic", false); }) == "account");
+    CHECK(broken([](Ledger &ledger) { ledger.ran(start, "a", "bakery", true); }) == "key");
+    // 10/s and a burst of 10, with an overrun of 10% and 20 requests, allow 86 in 5 s.
+    const auto runs = [](int count, core::Micros apart) {
+        return broken([&](Ledger &ledger) {
+            for (int i = 0; i < count; ++i) {
+                const std::string id = "r" + std::to_string(i);
+                ledger.sent(id, "k1", true);
+                run(ledger, id, start + i * apart);
+            }
+        });
+    };
+    CHECK(runs(86, core::Micros(1)).empty());
+    CHECK(runs(87, core::Micros(1)) == "limit");
+    CHECK(runs(200, core::Millis(60)).empty());
+}
+
+TEST_CASE("a request that a planned stop cut off while it ran is not reported")
+{
+    CHECK(broken([](Ledger &ledger) { run(ledger, "a"), ledger.closedByShutdown("a"); })
+          == "graceful stop");
+    CHECK(broken([](Ledger &ledger) { ledger.closedByShutdown("a"); }).empty());
+}
