--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -35,6 +35,12 @@
 /** Time after the last request in which the outstanding responses arrive. */
 constexpr core::Seconds completionTime {4};
 
+/** @return A key that an account has in one version of the configuration only. */
+std::string versionKey(const std::string &account, std::int64_t version)
+{
+    return "key-" + account + "-" + std::to_string(version);
+}
+
 proxy::asio::awaitable<void> stopLoopAfter(proxy::asio::io_context &context, core::Micros after)
 {
     proxy::asio::steady_timer timer(context, after);
@@ -130,7 +136,7 @@
     json tenants = json::array();
     for (const SoakAccount &account : accounts_)
         tenants.push_back({{"name", account.name},
-                           {"apiKeys", {account.key}},
+                           {"apiKeys", {account.key, versionKey(account.name, version_)}},
                            {"ratePerS", account.ratePerSecond},
                            {"burst", account.burst}});
     store_.put("op/config",
@@ -155,6 +161,7 @@
                      {"slots", 4},
                      {"state", draining ? "draining" : "ready"},
                      {"warmupLeft", "0ms"},
+                     {"born", upstreams_[index]->bornAt()},
                      {"sequence", 1}}
                    .dump());
 }
@@ -326,9 +333,12 @@
                            "a daemon went back to before version " + std::to_string(version));
         const bool calm =
             askedAt - vm.lastOwnFaultAt > settleTime && askedAt - storeFaultAt_ > storeSettleTime;
-        if (unknown && calm && askedAt - writtenAt > configurationBound)
+        const bool settled = calm && askedAt - writtenAt > configurationBound;
+        if (unknown && settled)
             ledger_.broken("configuration",
                            "version " + std::to_string(version) + " is not in force in time");
+        if (settled)
+            co_await probeWithdrawnKey(vm, version - 1);
         if (unknown || refused || start != vm.process->starts())
             continue;
         vm.newestServedVersion =
@@ -337,6 +347,18 @@
     }
 }
 
+/** Sends a request with the key of an earlier version to a daemon that must know a later one. */
+proxy::asio::awaitable<void> SoakSite::probeWithdrawnKey(const Vm &vm, std::int64_t version)
+{
+    const SoakAccount &account = accounts_.front();
+    const std::string id = "w" + std::to_string(lastKeyProbe_++);
+    ledger_.sent(id, account.key, true);
+    const ExchangeResult result = co_await sendRequest(vm.callerPort, "GET", "/read/x", id,
+                                                       versionKey(account.name, version));
+    if (result.failure == ExchangeFailure::None && result.response.result_int() == 200)
+        ledger_.broken("configuration", id + " ran with a key that was withdrawn");
+}
+
 proxy::asio::awaitable<void> SoakSite::injectFaults()
 {
     co_await sleepFor(startupTime);
@@ -366,7 +388,13 @@
 {
     const std::size_t index = random_() % vms_.size();
     Vm &vm = vms_[index];
-    const std::uint64_t kind = random_() % 4;
+    const std::uint64_t kind = random_() % 5;
+    if (kind == 4) {
+        // Reloading the settings must not cost a request, so it excuses nothing.
+        recordEvent("vm-" + std::to_string(index) + " reloads its settings");
+        vm.process->signal(SIGHUP);
+        co_return;
+    }
     const core::Millis time(200 + random_() % 2500);
     vm.lastFaultAt = vm.lastOwnFaultAt = core::MonoClock::now();
     if (kind == 2)
@@ -449,15 +477,18 @@
     upstreams_[index]->restartDrainTimer(core::MonoClock::now());
 }
 
-/** Starts an upstream again under a new id; the earlier one is listed for a while longer. */
+/** Starts an upstream again, under the same id or a new one; an earlier id is listed for a while
+ * longer. */
 proxy::asio::awaitable<void> SoakSite::replaceUpstream(std::size_t index)
 {
     const std::string earlier = upstreams_[index]->id();
-    upstreams_[index]->restartAs(earlier + "x");
+    const bool keepsId = random_() % 2 == 0;
+    upstreams_[index]->restartAs(keepsId ? earlier : earlier + "x");
     writeUpstream(index, false);
-    recordEvent(upstreams_[index]->id() + " takes over the address of " + earlier);
+    recordEvent(earlier + " starts again as " + upstreams_[index]->id());
     co_await sleepFor(core::Millis(500 + random_() % 4000));
-    store_.remove("servers/" + earlier);
+    if (!keepsId)
+        store_.remove("servers/" + earlier);
 }
 
 } // namespace teaselreach::soak
--- a/soak/soak_site_base.h
+++ b/soak/soak_site_base.h
@@ -66,6 +66,7 @@
     proxy::asio::awaitable<void> generateRequests();
     proxy::asio::awaitable<void> sendOneRequest(std::uint64_t number);
     proxy::asio::awaitable<void> probeVersions();
+    proxy::asio::awaitable<void> probeWithdrawnKey(const Vm &vm, std::int64_t version);
     proxy::asio::awaitable<std::uint16_t> resolveDaemonPort();
     proxy::asio::awaitable<proxy::ExchangeResult>
     sendRequest(std::uint16_t port, const std::string &method, const std::string &path,
@@ -91,6 +92,7 @@
     std::vector<Vm> vms_;
     std::vector<SoakAccount> accounts_;
     std::int64_t version_ = 0;
+    std::uint64_t lastKeyProbe_ = 0;
     core::MonoTime versionAt_ {};
     core::MonoTime storeFaultAt_ {}; ///< Start or end of the last fault of the store.
     core::MonoTime end_ {};
--- a/soak/soak_upstream.cpp
+++ b/soak/soak_upstream.cpp
@@ -51,6 +51,12 @@
 {
     id_ = std::move(id);
     drainingSince_.reset();
+    ++starts_;
+    for (const auto &entry : std::exchange(connections_, {})) {
+        const ConnectionPtr connection = entry.lock();
+        if (connection)
+            close(*connection);
+    }
 }
 
 void SoakUpstream::restartDrainTimer(core::MonoTime now)
@@ -69,11 +75,13 @@
 proxy::asio::awaitable<void> SoakUpstream::acceptConnections()
 {
     while (true) {
-        const auto connection = std::make_shared<Connection>(context_);
+        const auto connection = std::make_shared<Connection>(context_, starts_);
         proxy::ErrorCode error;
         co_await acceptor_.async_accept(connection->socket, proxy::captureError(error));
         if (error)
             co_return;
+        std::erase_if(connections_, [](const auto &entry) { return entry.expired(); });
+        connections_.push_back(connection);
         proxy::spawn(context_, "soak_upstream",
                      [this, connection] { return serveConnection(connection); });
     }
@@ -93,9 +101,14 @@
             break;
         co_await serve(connection, reader.release());
     }
-    connection->open = false;
+    close(*connection);
+}
+
+void SoakUpstream::close(Connection &connection)
+{
+    connection.open = false;
     proxy::ErrorCode ignored; // The connection is discarded either way.
-    connection->socket.close(ignored);
+    connection.socket.close(ignored);
 }
 
 const UpstreamBehaviour &SoakUpstream::chooseBehaviour()
@@ -120,8 +133,11 @@
             writeSoon(connection, refusal);
         co_return;
     }
-    for (const UpstreamStep step : chooseBehaviour().steps)
+    for (const UpstreamStep step : chooseBehaviour().steps) {
+        if (connection->start != starts_)
+            co_return; // The process that read the request has ended.
         co_await perform(step, connection, request);
+    }
 }
 
 void SoakUpstream::run(const proxy::HttpRequest &request)
@@ -223,10 +239,8 @@
         connection->socket.set_option(proxy::asio::socket_base::linger(true, 0), ignored);
     write(connection, bytes);
     if (step == UpstreamStep::Reset || step == UpstreamStep::Close
-        || step == UpstreamStep::CutAnswer) {
-        connection->open = false;
-        connection->socket.close(ignored);
-    }
+        || step == UpstreamStep::CutAnswer)
+        close(*connection);
 }
 
 } // namespace teaselreach::soak
--- a/soak/soak_upstream_base.h
+++ b/soak/soak_upstream_base.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace teaselreach::soak {
 
@@ -24,10 +25,13 @@
     /** Sets the behaviour for most requests from now on; nullptr for the proper one. Some requests
      * always meet a fault at random. */
     void setFault(const UpstreamBehaviour *fault) { fault_ = fault; }
+    /** @return The time of its last start as it reports it, in milliseconds. */
+    std::int64_t bornAt() const { return starts_; }
     /** @return Its id, under which it is registered in the store. */
     const std::string &id() const { return id_; }
-    /** Starts again under another id at the same address. Requests for the earlier one are refused.
-     */
+    /** Starts again at the same address, as a new process: requests in progress and connections
+     * end.
+     * @param id The same id or a new one; requests for another one are refused. */
     void restartAs(std::string id);
     /** Starts a drain. Requests that arrive later than the drain bound are violations. */
     void startDrain(core::MonoTime now) { drainingSince_ = now; }
@@ -38,10 +42,12 @@
     /** One connection; late responses keep it until they are written. */
     struct Connection
     {
-        explicit Connection(proxy::asio::io_context &context)
+        Connection(proxy::asio::io_context &context, int ofStart)
             : socket(context)
+            , start(ofStart)
         { }
         proxy::Socket socket;
+        int start; ///< The start of the upstream to which it belongs.
         bool open = true;
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
@@ -56,6 +62,7 @@
     proxy::asio::awaitable<void> perform(UpstreamStep step, const ConnectionPtr &connection,
                                          const proxy::HttpRequest &request);
     proxy::asio::awaitable<void> sleepFor(core::Micros time);
+    static void close(Connection &connection);
     void run(const proxy::HttpRequest &request);
     const UpstreamBehaviour &chooseBehaviour();
     std::string makeResponse(UpstreamStep step, const std::string &id);
@@ -65,6 +72,8 @@
     Ledger &ledger_;
     std::mt19937_64 random_;
     const UpstreamBehaviour *fault_ = nullptr;
+    int starts_ = 1;
+    std::vector<std::weak_ptr<Connection>> connections_;
     std::optional<core::MonoTime> drainingSince_;
     proxy::asio::ip::tcp::acceptor acceptor_;
 };
