Add: [Soak] Upstreams that answer before they have read a long body

Found while reading: the first connection after an upstream's restart counted as one of the process before, so its requests were never answered. Change: a quarter of the requests whose body has not arrived with the head are answered before it is read, and the connection is kept. A connection belongs to the start in which it was accepted.

--- a/soak/soak_upstream.cpp
+++ b/soak/soak_upstream.cpp
@@ -18,6 +18,9 @@
 constexpr core::Seconds hangTime {8};
 /** Longest delay of a late response, in milliseconds. */
 constexpr std::uint64_t longestDelayMs = 60;
+/** One in so many requests with a body that has not arrived with its head is answered before the
+ * body is read. */
+constexpr std::uint64_t earlyInterval = 4;
 /** One in so many requests meets a fault at random. */
 constexpr std::uint64_t faultInterval = 5;
 
@@ -75,11 +78,12 @@
 proxy::asio::awaitable<void> SoakUpstream::acceptConnections()
 {
     while (true) {
-        const auto connection = std::make_shared<Connection>(context_, starts_);
+        const auto connection = std::make_shared<Connection>(context_);
         proxy::ErrorCode error;
         co_await acceptor_.async_accept(connection->socket, proxy::captureError(error));
         if (error)
             co_return;
+        connection->start = starts_;
         std::erase_if(connections_, [](const auto &entry) { return entry.expired(); });
         connections_.push_back(connection);
         proxy::spawn(context_, "soak_upstream",
@@ -95,11 +99,15 @@
         proxy::BodyReservation body;
         proxy::ErrorCode error;
         co_await reader.readHeader(error);
+        const bool early = !error && !reader.parser().is_done() && random_() % earlyInterval == 0;
+        if (early)
+            co_await serve(connection, reader.parser().get());
         while (!error && !reader.parser().is_done())
             co_await reader.readSome(body, error);
         if (error)
             break;
-        co_await serve(connection, reader.release());
+        if (!early)
+            co_await serve(connection, reader.release());
     }
     close(*connection);
 }
--- a/soak/soak_upstream_base.h
+++ b/soak/soak_upstream_base.h
@@ -25,7 +25,8 @@
     /** Sets the behaviour for most requests from now on; nullptr for the proper one. Some requests
      * always meet a fault at random. */
     void setFault(const UpstreamBehaviour *fault) { fault_ = fault; }
-    /** @return The time of its last start as it reports it, in milliseconds. */
+    /** @return The time that it reports for its last start; it only has to differ between starts.
+     */
     std::int64_t bornAt() const { return starts_; }
     /** @return Its id, under which it is registered in the store. */
     const std::string &id() const { return id_; }
@@ -42,12 +43,11 @@
     /** One connection; late responses keep it until they are written. */
     struct Connection
     {
-        Connection(proxy::asio::io_context &context, int ofStart)
+        explicit Connection(proxy::asio::io_context &context)
             : socket(context)
-            , start(ofStart)
         { }
         proxy::Socket socket;
-        int start; ///< The start of the upstream to which it belongs.
+        int start = 0; ///< The start of the upstream to which it belongs.
         bool open = true;
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
