--- a/scripts/soak_retrospect.sh
+++ b/scripts/soak_retrospect.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Prints, for each fix named, in how many seeds the soak finds the fault in the commit before it.
-# A row "not found" means that the soak as it is cannot show that fault.
+# A row "not found" means that the soak as it is cannot show that fault. A row with a number shows
+# that the program breaks a rule, which may be due to a fault that a later commit has mended.
 # Usage: scripts/soak_retrospect.sh SOAK_PROGRAM COMMIT... (SEEDS=20, SECONDS_EACH=20, JOBS=3)
 set -euo pipefail
 soak=$(realpath "$1")
