Codechange: [Placement] Move the decisions of the request path to src/placement

Cause: src/proxy held decisions, the state shared between VMs, and input and output side by side. The namespace teaselreach::proxy is unchanged.

--- a/src/daemon/collaborator_type.h
+++ b/src/daemon/collaborator_type.h
@@ -6,7 +6,7 @@
 #include "core/id_type.h"
 #include "http/http_type.h"
 #include "limit/limit_type.h"
-#include "proxy/proxy_type.h"
+#include "placement/placement_type.h"
 #include "queue/queue_type.h"
 #include "record/record_type.h"
 
--- a/src/proxy/account_rate_limiter.cpp
+++ b/src/placement/account_rate_limiter.cpp
@@ -1,5 +1,5 @@
 /** @file account_rate_limiter.cpp Rate limiting of accounts by this VM's share of each limit. */
-#include "proxy/account_rate_limiter_base.h"
+#include "placement/account_rate_limiter_base.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/proxy/account_rate_limiter_base.h
+++ b/src/placement/account_rate_limiter_base.h
@@ -1,7 +1,7 @@
 /** @file account_rate_limiter_base.h Rate limiting of accounts by this VM's share of each limit. */
 #pragma once
 
-#include "proxy/proxy_type.h"
+#include "placement/placement_type.h"
 
 #include <deque>
 #include <optional>
--- a/src/proxy/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -1,9 +1,9 @@
 /** @file dispatcher_base.h Dispatches, queues, refuses and retries the requests of one VM. */
 #pragma once
 
-#include "proxy/retry_share_base.h"
-#include "proxy/upstream_table_base.h"
-#include "proxy/wait_queue_base.h"
+#include "placement/retry_share_base.h"
+#include "placement/upstream_table_base.h"
+#include "placement/wait_queue_base.h"
 
 #include <algorithm>
 #include <concepts>
--- a/src/proxy/proxy_type.cpp
+++ b/src/placement/placement_type.cpp
@@ -1,5 +1,5 @@
 /** @file proxy_type.cpp Names of attempt outcomes for logs and metrics. */
-#include "proxy/proxy_type.h"
+#include "placement/placement_type.h"
 
 namespace teaselreach::proxy {
 
--- a/src/proxy/retry_share.cpp
+++ b/src/placement/retry_share.cpp
@@ -1,5 +1,5 @@
 /** @file retry_share.cpp This VM's share of the fleet's retry budget for one service. */
-#include "proxy/retry_share_base.h"
+#include "placement/retry_share_base.h"
 
 namespace teaselreach::proxy {
 
--- a/src/proxy/route_table.cpp
+++ b/src/placement/route_table.cpp
@@ -1,6 +1,6 @@
 /** @file route_table.cpp Look-up of routes and client accounts, and traffic splitting. */
 #include "core/digest_func.h"
-#include "proxy/route_table_base.h"
+#include "placement/route_table_base.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/proxy/route_table_base.h
+++ b/src/placement/route_table_base.h
@@ -1,7 +1,7 @@
 /** @file route_table_base.h Look-up of routes and client accounts, and traffic splitting. */
 #pragma once
 
-#include "proxy/proxy_type.h"
+#include "placement/placement_type.h"
 
 #include <map>
 #include <memory>
--- a/src/proxy/upstream_coverage.cpp
+++ b/src/placement/upstream_coverage.cpp
@@ -1,6 +1,6 @@
 /** @file upstream_coverage.cpp Bounds how many upstreams of a service get no requests. */
 #include "core/log_func.h"
-#include "proxy/upstream_coverage_base.h"
+#include "placement/upstream_coverage_base.h"
 
 #include <algorithm>
 
--- a/src/proxy/upstream_coverage_base.h
+++ b/src/placement/upstream_coverage_base.h
@@ -1,7 +1,7 @@
 /** @file upstream_coverage_base.h Bounds how many upstreams of a service get no requests. */
 #pragma once
 
-#include "proxy/proxy_type.h"
+#include "placement/placement_type.h"
 
 #include <unordered_map>
 #include <vector>
--- a/src/proxy/upstream_notices.cpp
+++ b/src/placement/upstream_notices.cpp
@@ -1,6 +1,6 @@
 /** @file upstream_notices.cpp Upstreams that asked this VM not to send them requests. */
 #include "core/log_func.h"
-#include "proxy/upstream_notices_base.h"
+#include "placement/upstream_notices_base.h"
 
 #include <algorithm>
 
--- a/src/proxy/upstream_notices_base.h
+++ b/src/placement/upstream_notices_base.h
@@ -1,7 +1,7 @@
 /** @file upstream_notices_base.h Upstreams that asked this VM not to send them requests. */
 #pragma once
 
-#include "proxy/proxy_type.h"
+#include "placement/placement_type.h"
 
 #include <string>
 #include <unordered_map>
--- a/src/proxy/upstream_rate_limiter.cpp
+++ b/src/placement/upstream_rate_limiter.cpp
@@ -1,6 +1,6 @@
 /** @file upstream_rate_limiter.cpp Keeps to the request rates that upstreams name. */
 #include "core/log_func.h"
-#include "proxy/upstream_rate_limiter_base.h"
+#include "placement/upstream_rate_limiter_base.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/proxy/upstream_rate_limiter_base.h
+++ b/src/placement/upstream_rate_limiter_base.h
@@ -1,7 +1,7 @@
 /** @file upstream_rate_limiter_base.h Keeps to the request rates that upstreams name. */
 #pragma once
 
-#include "proxy/proxy_type.h"
+#include "placement/placement_type.h"
 
 #include <deque>
 #include <optional>
--- a/src/proxy/upstream_table.cpp
+++ b/src/placement/upstream_table.cpp
@@ -1,5 +1,5 @@
 /** @file upstream_table.cpp Selection of upstreams, and updates of their health, load and speed. */
-#include "proxy/upstream_table_internal.h"
+#include "placement/upstream_table_internal.h"
 
 namespace teaselreach::proxy {
 
--- a/src/proxy/upstream_table_base.h
+++ b/src/placement/upstream_table_base.h
@@ -1,10 +1,10 @@
 /** @file upstream_table_base.h Table of live upstreams: health, load and selection. */
 #pragma once
 
-#include "proxy/proxy_type.h"
-#include "proxy/upstream_coverage_base.h"
-#include "proxy/upstream_notices_base.h"
-#include "proxy/upstream_rate_limiter_base.h"
+#include "placement/placement_type.h"
+#include "placement/upstream_coverage_base.h"
+#include "placement/upstream_notices_base.h"
+#include "placement/upstream_rate_limiter_base.h"
 
 #include <map>
 #include <optional>
--- a/src/proxy/upstream_table_internal.h
+++ b/src/placement/upstream_table_internal.h
@@ -1,7 +1,7 @@
 /** @file upstream_table_internal.h Constants and helpers of the files of UpstreamTable. */
 #pragma once
 
-#include "proxy/upstream_table_base.h"
+#include "placement/upstream_table_base.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/proxy/upstream_table_query.cpp
+++ b/src/placement/upstream_table_query.cpp
@@ -1,6 +1,6 @@
 /** @file upstream_table_query.cpp Estimates of the health, load and speed of upstreams. */
 #include "core/digest_func.h"
-#include "proxy/upstream_table_internal.h"
+#include "placement/upstream_table_internal.h"
 
 namespace teaselreach::proxy {
 
--- a/src/proxy/wait_queue.cpp
+++ b/src/placement/wait_queue.cpp
@@ -1,5 +1,5 @@
 /** @file wait_queue.cpp Priority queue of the requests that wait for an upstream. */
-#include "proxy/wait_queue_base.h"
+#include "placement/wait_queue_base.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/proxy/wait_queue_base.h
+++ b/src/placement/wait_queue_base.h
@@ -1,7 +1,7 @@
 /** @file wait_queue_base.h Priority queue of the requests that wait for an upstream. */
 #pragma once
 
-#include "proxy/proxy_type.h"
+#include "placement/placement_type.h"
 
 #include <map>
 #include <optional>
--- a/src/proxy/entry_vm_selector_base.h
+++ b/src/proxy/entry_vm_selector_base.h
@@ -1,8 +1,8 @@
 /** @file entry_vm_selector_base.h Selection of active entry VMs, and each VM's share of limits. */
 #pragma once
 
-#include "proxy/proxy_type.h"
-#include "proxy/upstream_rate_limiter_base.h"
+#include "placement/placement_type.h"
+#include "placement/upstream_rate_limiter_base.h"
 
 #include <functional>
 #include <map>
--- a/src/proxy/exchange_func.h
+++ b/src/proxy/exchange_func.h
@@ -1,11 +1,11 @@
 /** @file exchange_func.h Builds upstream requests and interprets upstream responses. */
 #pragma once
 
+#include "placement/placement_type.h"
 #include "proxy/asio_type.h"
 #include "proxy/execution_evidence_base.h"
 #include "proxy/header_names_type.h"
 #include "proxy/http_connection_base.h"
-#include "proxy/proxy_type.h"
 
 #include <optional>
 #include <string>
--- a/src/proxy/execution_evidence_base.h
+++ b/src/proxy/execution_evidence_base.h
@@ -1,7 +1,7 @@
 /** @file execution_evidence_base.h What is known about whether a request has been executed. */
 #pragma once
 
-#include "proxy/proxy_type.h"
+#include "placement/placement_type.h"
 
 namespace teaselreach::proxy {
 
--- a/src/proxy/fleet_store_type.h
+++ b/src/proxy/fleet_store_type.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "core/error_type.h"
+#include "placement/placement_type.h"
 #include "proxy/asio_type.h"
-#include "proxy/proxy_type.h"
 
 #include <concepts>
 #include <optional>
--- a/src/proxy/peer_messenger_base.h
+++ b/src/proxy/peer_messenger_base.h
@@ -1,9 +1,9 @@
 /** @file peer_messenger_base.h UDP messages between the VMs of a pool. */
 #pragma once
 
-#include "proxy/account_rate_limiter_base.h"
+#include "placement/account_rate_limiter_base.h"
+#include "placement/upstream_table_base.h"
 #include "proxy/asio_type.h"
-#include "proxy/upstream_table_base.h"
 
 #include <boost/asio/ip/udp.hpp>
 
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -3,11 +3,11 @@
 
 #include "core/phase_type.h"
 #include "metrics/registry_base.h"
-#include "proxy/account_rate_limiter_base.h"
-#include "proxy/dispatcher_base.h"
+#include "placement/account_rate_limiter_base.h"
+#include "placement/dispatcher_base.h"
+#include "placement/route_table_base.h"
 #include "proxy/exchange_func.h"
 #include "proxy/request_loop_base.h"
-#include "proxy/route_table_base.h"
 
 #include <functional>
 #include <map>
--- a/tests/proxy/dispatcher_test.cpp
+++ b/tests/proxy/dispatcher_test.cpp
@@ -1,5 +1,5 @@
 /** @file dispatcher_test.cpp Tests of abandoning slow attempts after the soft timeout. */
-#include "proxy/dispatcher_base.h"
+#include "placement/dispatcher_base.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/proxy/placement_test.cpp
+++ b/tests/proxy/placement_test.cpp
@@ -1,6 +1,6 @@
 /** @file placement_test.cpp Tests of upstream selection and of the wait queue. */
-#include "proxy/upstream_table_base.h"
-#include "proxy/wait_queue_base.h"
+#include "placement/upstream_table_base.h"
+#include "placement/wait_queue_base.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/proxy/upstream_coverage_test.cpp
+++ b/tests/proxy/upstream_coverage_test.cpp
@@ -1,5 +1,5 @@
 /** @file upstream_coverage_test.cpp Use of a service's upstreams after many of them failed. */
-#include "proxy/upstream_table_base.h"
+#include "placement/upstream_table_base.h"
 #include "standins/event_queue.h"
 
 #include <doctest/doctest.h>
--- a/tests/standins/emulator_type.h
+++ b/tests/standins/emulator_type.h
@@ -1,7 +1,7 @@
 /** @file emulator_type.h Loads that the emulator of dispatchers plays, and their outcome. */
 #pragma once
 
-#include "proxy/proxy_type.h"
+#include "placement/placement_type.h"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/standins/plain_choosers.h
+++ b/tests/standins/plain_choosers.h
@@ -1,7 +1,7 @@
 /** @file plain_choosers.h Plain strategies of placement, as baselines for the product's. */
 #pragma once
 
-#include "proxy/upstream_table_base.h"
+#include "placement/upstream_table_base.h"
 
 #include <algorithm>
 #include <map>
--- a/tests/standins/proxy_emulator.h
+++ b/tests/standins/proxy_emulator.h
@@ -1,7 +1,7 @@
 /** @file proxy_emulator.h Dispatchers of many VMs before emulated upstreams, in virtual time. */
 #pragma once
 
-#include "proxy/dispatcher_base.h"
+#include "placement/dispatcher_base.h"
 #include "proxy/execution_evidence_base.h"
 #include "standins/emulator_type.h"
 #include "standins/event_queue.h"
