Codechange: [Fleet] Move what VMs know and tell each other to src/fleet

Cause: the state shared between VMs stood between the connections and the request flow. The namespace is unchanged.

--- a/src/proxy/entry_vm_selector.cpp
+++ b/src/fleet/entry_vm_selector.cpp
@@ -1,6 +1,6 @@
 /** @file entry_vm_selector.cpp Selection of active entry VMs, and each VM's share of limits. */
 #include "core/digest_func.h"
-#include "proxy/entry_vm_selector_base.h"
+#include "fleet/entry_vm_selector_base.h"
 
 #include <algorithm>
 #include <set>
--- a/src/proxy/fleet_change_log.cpp
+++ b/src/fleet/fleet_change_log.cpp
@@ -1,5 +1,5 @@
 /** @file fleet_change_log.cpp Snapshot and change log of the store, served to follower VMs. */
-#include "proxy/fleet_change_log_base.h"
+#include "fleet/fleet_change_log_base.h"
 
 #include <algorithm>
 
--- a/src/proxy/fleet_change_log_base.h
+++ b/src/fleet/fleet_change_log_base.h
@@ -1,7 +1,7 @@
 /** @file fleet_change_log_base.h Snapshot and change log of the store, served to follower VMs. */
 #pragma once
 
-#include "proxy/fleet_store_type.h"
+#include "fleet/fleet_store_type.h"
 
 #include <deque>
 #include <map>
--- a/src/proxy/fleet_relay.cpp
+++ b/src/fleet/fleet_relay.cpp
@@ -1,7 +1,7 @@
 /** @file fleet_relay.cpp Relays the store's changes to the VMs of an availability zone. */
+#include "fleet/fleet_relay_base.h"
+#include "fleet/message_pack_func.h"
 #include "proxy/exchange_func.h"
-#include "proxy/fleet_relay_base.h"
-#include "proxy/message_pack_func.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/proxy/fleet_relay_base.h
+++ b/src/fleet/fleet_relay_base.h
@@ -1,7 +1,7 @@
 /** @file fleet_relay_base.h Relays the store's changes to the VMs of an availability zone. */
 #pragma once
 
-#include "proxy/fleet_change_log_base.h"
+#include "fleet/fleet_change_log_base.h"
 #include "proxy/http_connection_base.h"
 
 #include <functional>
--- a/src/proxy/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -1,6 +1,6 @@
 /** @file fleet_state.cpp Applies configuration, upstreams and members from the store. */
 #include "core/log_func.h"
-#include "proxy/fleet_state_base.h"
+#include "fleet/fleet_state_base.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/proxy/fleet_state_base.h
+++ b/src/fleet/fleet_state_base.h
@@ -1,10 +1,10 @@
 /** @file fleet_state_base.h Applies configuration, upstreams and members from the store. */
 #pragma once
 
+#include "fleet/entry_vm_selector_base.h"
+#include "fleet/fleet_store_type.h"
+#include "fleet/removal_hold_base.h"
 #include "placement/upstream_table_base.h"
-#include "proxy/entry_vm_selector_base.h"
-#include "proxy/fleet_store_type.h"
-#include "proxy/removal_hold_base.h"
 #include "proxy/request_flow_base.h"
 
 #include <memory>
--- a/src/proxy/fleet_sync_base.h
+++ b/src/fleet/fleet_sync_base.h
@@ -2,11 +2,11 @@
 #pragma once
 
 #include "core/log_func.h"
+#include "fleet/fleet_relay_base.h"
+#include "fleet/fleet_state_base.h"
+#include "fleet/fleet_store_type.h"
+#include "fleet/store_contact_base.h"
 #include "proxy/event_loop_func.h"
-#include "proxy/fleet_relay_base.h"
-#include "proxy/fleet_state_base.h"
-#include "proxy/fleet_store_type.h"
-#include "proxy/store_contact_base.h"
 
 #include <map>
 #include <random>
--- a/src/proxy/message_pack.cpp
+++ b/src/fleet/message_pack.cpp
@@ -1,5 +1,5 @@
 /** @file message_pack.cpp Parses MessagePack documents of other VMs. */
-#include "proxy/message_pack_func.h"
+#include "fleet/message_pack_func.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/proxy/peer_messenger.cpp
+++ b/src/fleet/peer_messenger.cpp
@@ -1,10 +1,10 @@
 /** @file peer_messenger.cpp UDP messages between the VMs of a pool. */
 #include "core/log_func.h"
+#include "fleet/message_pack_func.h"
+#include "fleet/peer_messenger_base.h"
 #include "http/server_base.h"
 #include "proxy/event_loop_func.h"
 #include "proxy/http_connection_base.h"
-#include "proxy/message_pack_func.h"
-#include "proxy/peer_messenger_base.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -1,11 +1,11 @@
 /** @file loop_daemon_base.h The proxy daemon on one event loop: servers, fleet state, shutdown. */
 #pragma once
 
+#include "fleet/fleet_sync_base.h"
+#include "fleet/peer_liveness_base.h"
+#include "fleet/peer_messenger_base.h"
+#include "fleet/pool_usage_coverage_base.h"
 #include "metrics/registry_base.h"
-#include "proxy/fleet_sync_base.h"
-#include "proxy/peer_liveness_base.h"
-#include "proxy/peer_messenger_base.h"
-#include "proxy/pool_usage_coverage_base.h"
 
 #include <boost/asio/signal_set.hpp>
 
--- a/tests/fuzz/peer_fuzz.cpp
+++ b/tests/fuzz/peer_fuzz.cpp
@@ -1,6 +1,6 @@
 /** @file peer_fuzz.cpp Messages and updates of other VMs. */
-#include "proxy/fleet_relay_base.h"
-#include "proxy/peer_messenger_base.h"
+#include "fleet/fleet_relay_base.h"
+#include "fleet/peer_messenger_base.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/tests/fuzz/record_fuzz.cpp
+++ b/tests/fuzz/record_fuzz.cpp
@@ -1,7 +1,7 @@
 /** @file record_fuzz.cpp Values of the platform's store: configuration, upstreams, members. */
+#include "fleet/fleet_store_type.h"
 #include "platform/json_func.h"
 #include "platform/record_codec_func.h"
-#include "proxy/fleet_store_type.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/tests/proxy/decisions_test.cpp
+++ b/tests/proxy/decisions_test.cpp
@@ -1,10 +1,10 @@
 /** @file decisions_test.cpp Tests of routing, rate limits, retries, removals and entry VMs. */
+#include "fleet/entry_vm_selector_base.h"
+#include "fleet/pool_usage_coverage_base.h"
+#include "fleet/removal_hold_base.h"
 #include "placement/account_rate_limiter_base.h"
 #include "placement/retry_share_base.h"
 #include "placement/route_table_base.h"
-#include "proxy/entry_vm_selector_base.h"
-#include "proxy/pool_usage_coverage_base.h"
-#include "proxy/removal_hold_base.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/proxy/endless_response_test.cpp
+++ b/tests/proxy/endless_response_test.cpp
@@ -1,6 +1,6 @@
 /** @file endless_response_test.cpp Upstreams that send bytes without end. */
+#include "fleet/fleet_relay_base.h"
 #include "flow_fixture.h"
-#include "proxy/fleet_relay_base.h"
 #include "standins/endless_server.h"
 
 #include <fstream>
--- a/tests/proxy/memory_store.h
+++ b/tests/proxy/memory_store.h
@@ -1,7 +1,7 @@
 /** @file memory_store.h In-memory fleet store for tests, with failures that can be switched on. */
 #pragma once
 
-#include "proxy/fleet_store_type.h"
+#include "fleet/fleet_store_type.h"
 
 #include <algorithm>
 #include <deque>
--- a/tests/proxy/sync_fixture.h
+++ b/tests/proxy/sync_fixture.h
@@ -1,8 +1,8 @@
 /** @file sync_fixture.h A VM that synchronizes with an in-memory store, for tests. */
 #pragma once
 
+#include "fleet/fleet_sync_base.h"
 #include "memory_store.h"
-#include "proxy/fleet_sync_base.h"
 
 #include <functional>
 
--- a/tests/proxy/upstream_limit_division_test.cpp
+++ b/tests/proxy/upstream_limit_division_test.cpp
@@ -1,7 +1,7 @@
 /** @file upstream_limit_division_test.cpp Several VMs keep to the limits of upstreams together. */
+#include "fleet/entry_vm_selector_base.h"
+#include "fleet/peer_messenger_base.h"
 #include "placement/upstream_table_base.h"
-#include "proxy/entry_vm_selector_base.h"
-#include "proxy/peer_messenger_base.h"
 #include "standins/event_queue.h"
 
 #include <doctest/doctest.h>
