Fix: [Platform] Downloads that fail at one upstream are not retried at another

Clearing files and extracts that failed at one upstream went back to the caller as failures, and were not cancelled when the caller left.

--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -120,6 +120,20 @@
     CHECK(configuration.limits.idleTimeout == core::Seconds(15));
 }
 
+// Failure guarded against: downloads that fail at one upstream are not retried at another.
+TEST_CASE("downloads may be repeated, requests of an unknown kind may not")
+{
+    const auto isIdempotent = [](const std::string &kind) {
+        std::string text = configText;
+        const std::string from = "\"kind\": \"idempotent\"";
+        text.replace(text.find(from), from.size(), "\"kind\": \"" + kind + "\"");
+        return platform::decodeConfiguration(text).routes[1].idempotent;
+    };
+    CHECK(isIdempotent("download"));
+    CHECK(!isIdempotent("downloads"));
+    CHECK(!isIdempotent("subscription"));
+}
+
 TEST_CASE("a configuration or entry with a missing or mistyped field is rejected as a whole")
 {
     CHECK_THROWS_AS(platform::decodeConfiguration("{}"), StoreValueMalformed);
