Feature: [Placement] Serve requests in their home regions only, and evacuate zones

Cause: routes and accounts may require that their requests are served in certain regions, and operators need to take a zone out of service without a change of the upstreams' entries. Change: routes and accounts have a list of allowed regions; selection, retries, trials and queued requests use upstreams in the intersection only, and a request without any is refused at once with 503 (no_allowed_region). Queues are kept per service and region set, with stride scheduling among them. Relays forward the new item kind. The directory takes the host and returns VMs of the home regions that its routes have in common. The tests of the request flow and the daemon are not run yet.

--- a/src/fleet/entry_vm_selector.cpp
+++ b/src/fleet/entry_vm_selector.cpp
@@ -86,16 +86,32 @@
 
 std::vector<std::string>
 EntryVmSelector::addressesFor(const core::Location &caller,
-                              const std::function<bool(const core::VmId &)> &isSilent) const
+                              const std::function<bool(const core::VmId &)> &isSilent,
+                              const RegionSet &homeRegions) const
 {
+    std::vector<std::string> addresses = addressesWithin(homeRegions, caller, isSilent);
+    if (addresses.empty() && !homeRegions.isAny())
+        addresses = addressesWithin({}, caller, isSilent);
+    return addresses;
+}
+
+std::vector<std::string>
+EntryVmSelector::addressesWithin(const RegionSet &allowed, const core::Location &caller,
+                                 const std::function<bool(const core::VmId &)> &isSilent) const
+{
+    std::set<core::AvailabilityZoneId> callerZone;
     std::set<core::AvailabilityZoneId> regionZones;
     std::set<core::AvailabilityZoneId> allZones;
     for (const auto &[id, member] : members_) {
+        if (!allowed.allows(member.location.region))
+            continue;
+        if (member.location.availabilityZone == caller.availabilityZone)
+            callerZone.insert(caller.availabilityZone);
         allZones.insert(member.location.availabilityZone);
         if (member.location.region == caller.region)
             regionZones.insert(member.location.availabilityZone);
     }
-    for (const auto &zones : {std::set {caller.availabilityZone}, regionZones, allZones}) {
+    for (const auto &zones : {callerZone, regionZones, allZones}) {
         std::vector<std::string> addresses = addressesIn(zones, isSilent);
         if (!addresses.empty())
             return addresses;
--- a/src/fleet/entry_vm_selector_base.h
+++ b/src/fleet/entry_vm_selector_base.h
@@ -12,6 +12,13 @@
 
 namespace teaselreach::proxy {
 
+/** A caller's lookup of the VMs to connect to. */
+struct EntryLookup
+{
+    core::Location caller;
+    std::string host; ///< Host that the caller will send requests for; empty if it is unknown.
+};
+
 /** Number of active entry VMs, and their shares of the limits. */
 struct EntryVmSelectorOptions
 {
@@ -65,12 +72,14 @@
      * @param caller Availability zone and region of the caller.
      * @param isSilent Returns whether a VM is shutting down or its messages have stopped. Such a VM
      * is only returned if all active VMs of the selected zone or region are silent.
-     * @return Addresses of active VMs: of the caller's zone, else of its region, else of all
-     * regions.
+     * @param homeRegions Regions in which the caller's requests may be served. VMs of other regions
+     * are only returned if these have none, so that no VM outside gets the requests' bodies.
+     * @return Addresses of active VMs: of the caller's zone, else of its region, else of the home
+     * regions, else of all regions.
      */
-    std::vector<std::string>
-    addressesFor(const core::Location &caller,
-                 const std::function<bool(const core::VmId &)> &isSilent) const;
+    std::vector<std::string> addressesFor(const core::Location &caller,
+                                          const std::function<bool(const core::VmId &)> &isSilent,
+                                          const RegionSet &homeRegions = {}) const;
     /** @return A VM's share of every limit; the shares of all VMs add up to at most one. Forgets
      * departed VMs whose shareHoldTime is over. */
     double limitShareOf(core::MonoTime now, const core::VmId &id);
@@ -112,6 +121,10 @@
 
     /** @return The active VMs of a zone, largest capacity first. */
     std::vector<const EntryMember *> activeMembers(const core::AvailabilityZoneId &zone) const;
+    /** As addressesFor(), with VMs of the allowed regions only. */
+    std::vector<std::string>
+    addressesWithin(const RegionSet &allowed, const core::Location &caller,
+                    const std::function<bool(const core::VmId &)> &isSilent) const;
     /** @return Caller addresses of the active VMs that are not silent, or of all if all are. */
     std::vector<std::string>
     addressesIn(const std::set<core::AvailabilityZoneId> &zones,
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -4,9 +4,17 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace teaselreach::proxy {
 
+namespace {
+
+/** Most pairs of a route and an account without a common region that are logged for a version. */
+constexpr int maxDisjointWarnings = 1000;
+
+} // namespace
+
 FleetState::FleetState(Parts parts, core::VmId self)
     : parts_(parts)
     , self_(std::move(self))
@@ -42,9 +50,79 @@
                         {"rate_per_s", std::llround(account.ratePerSecond)},
                         {"burst", std::llround(account.burst)}});
     }
+    warnOfRegions(configuration);
     parts_.flow.configure(std::make_shared<const RouteTable>(std::move(configuration)));
 }
 
+/** Logs the regions that no zone of the settings has, and the routes and accounts whose lists have
+ * no region in common. */
+void FleetState::warnOfRegions(const Configuration &configuration) const
+{
+    const std::int64_t version = configuration.version.count();
+    std::set<core::RegionId> listed;
+    for (const Route &route : configuration.routes)
+        listed.insert(route.allowedRegions.regions().begin(), route.allowedRegions.regions().end());
+    for (const Account &account : configuration.accounts)
+        listed.insert(account.allowedRegions.regions().begin(),
+                      account.allowedRegions.regions().end());
+    for (const core::RegionId &region : listed) {
+        if (!parts_.upstreams.hasRegion(region))
+            core::logEvent(core::LogLevel::Warn, "region_unknown",
+                           {{"region", region.str()}, {"version", version}});
+    }
+    int disjoint = 0;
+    for (const Route &route : configuration.routes) {
+        if (route.allowedRegions.isAny())
+            continue;
+        for (const Account &account : configuration.accounts) {
+            if (!route.allowedRegions.intersect(account.allowedRegions).isNone())
+                continue;
+            if (++disjoint > maxDisjointWarnings)
+                continue;
+            core::logEvent(core::LogLevel::Warn, "regions_disjoint",
+                           {{"route", route.id.str()},
+                            {"account", account.id.str()},
+                            {"route_regions", route.allowedRegions.text()},
+                            {"account_regions", account.allowedRegions.text()},
+                            {"version", version}});
+        }
+    }
+    if (disjoint > maxDisjointWarnings)
+        core::logEvent(
+            core::LogLevel::Warn, "regions_disjoint_more",
+            {{"pairs", disjoint}, {"logged", maxDisjointWarnings}, {"version", version}});
+}
+
+void FleetState::applyEvacuation(const core::AvailabilityZoneId &zone)
+{
+    const auto upstreams = static_cast<std::int64_t>(parts_.upstreams.countInZone(zone));
+    const bool isNew = !zone.empty() && parts_.upstreams.beginEvacuation(zone);
+    core::logEvent(core::LogLevel::Info, isNew ? "evacuation_started" : "evacuation_ignored",
+                   {{"zone", zone.str()},
+                    {"upstreams", upstreams},
+                    {"evacuated_zones",
+                     static_cast<std::int64_t>(parts_.upstreams.evacuations().zones().size())}});
+}
+
+void FleetState::endEvacuation(core::MonoTime now, const core::AvailabilityZoneId &zone)
+{
+    if (!parts_.upstreams.endEvacuation(now, zone))
+        return;
+    core::logEvent(core::LogLevel::Info, "evacuation_ended",
+                   {{"zone", zone.str()},
+                    {"upstreams", static_cast<std::int64_t>(parts_.upstreams.countInZone(zone))}});
+}
+
+void FleetState::endUnlistedEvacuations(core::MonoTime now,
+                                        const std::vector<core::AvailabilityZoneId> &listed)
+{
+    const std::set<core::AvailabilityZoneId> evacuated = parts_.upstreams.evacuations().zones();
+    for (const core::AvailabilityZoneId &zone : evacuated) {
+        if (std::find(listed.begin(), listed.end(), zone) == listed.end())
+            endEvacuation(now, zone);
+    }
+}
+
 void FleetState::applyUpstream(core::MonoTime now, const UpstreamEntry &entry)
 {
     upstreamRemovals_.cancel(entry.id);
--- a/src/fleet/fleet_state_base.h
+++ b/src/fleet/fleet_state_base.h
@@ -41,6 +41,14 @@
     void removeMember(core::MonoTime now, const core::VmId &id);
     /** Removes the upstreams that a full read of the store did not list; see removeUpstream(). */
     void removeUnlistedUpstreams(core::MonoTime now, const std::vector<core::UpstreamId> &listed);
+    /** Stops to send requests to the upstreams of a zone, also to those that are listed later. */
+    void applyEvacuation(const core::AvailabilityZoneId &zone);
+    /** Ends the evacuation of a zone at once: its key has no lease, so an outage of the store
+     * cannot remove it. */
+    void endEvacuation(core::MonoTime now, const core::AvailabilityZoneId &zone);
+    /** Ends the evacuations that a full read of the store did not list. */
+    void endUnlistedEvacuations(core::MonoTime now,
+                                const std::vector<core::AvailabilityZoneId> &listed);
     /** Records the end of an outage of the store; removals are held back for some time. */
     void storeRecovered(core::MonoTime now)
     {
@@ -53,6 +61,7 @@
     bool ready() const;
 
 private:
+    void warnOfRegions(const Configuration &configuration) const;
     void dropUpstream(const core::UpstreamId &id, std::string_view cause);
     void dropMember(core::MonoTime now, const core::VmId &id);
 
--- a/src/fleet/fleet_store_type.h
+++ b/src/fleet/fleet_store_type.h
@@ -17,14 +17,20 @@
 /** Id of a lease that the store has granted. */
 using StoreLease = core::StrongInt<struct StoreLeaseTag, std::uint64_t>;
 
-/** What an item of the store describes. */
-enum class FleetItemKind : std::uint8_t { Configuration, Upstream, Member, Other };
+/** What an item of the store describes. Relays send the numeric values: new kinds are appended. */
+enum class FleetItemKind : std::uint8_t {
+    Configuration,
+    Upstream,
+    Member,
+    Other,
+    Evacuation, ///< Operators want no more traffic at the upstreams of a zone.
+};
 
 /** An item of the store, or its removal. */
 struct FleetItem
 {
     FleetItemKind kind = FleetItemKind::Other;
-    std::string id; ///< Id of the upstream or the VM; empty for other kinds.
+    std::string id; ///< Id of the upstream, the VM or the zone; empty for other kinds.
     StoreRevision revision;
     std::optional<std::string> value; ///< Not set if the item was removed.
 };
--- a/src/fleet/fleet_sync_base.h
+++ b/src/fleet/fleet_sync_base.h
@@ -236,13 +236,17 @@
         recordResponse();
         const core::MonoTime now = core::MonoClock::now();
         std::vector<core::UpstreamId> listed;
+        std::vector<core::AvailabilityZoneId> evacuated;
         relayedEntries_.clear();
         std::erase_if(snapshot.items, [&](FleetItem &item) {
             if (item.kind == FleetItemKind::Upstream)
                 listed.emplace_back(item.id);
+            if (item.kind == FleetItemKind::Evacuation)
+                evacuated.emplace_back(item.id);
             return !applyItem(now, item) || !item.value;
         });
         parts_.state.removeUnlistedUpstreams(now, listed);
+        parts_.state.endUnlistedEvacuations(now, evacuated);
         changeLog_.reset(snapshot);
         revision_ = snapshot.revision;
         contact_.readApplied(now);
@@ -359,6 +363,13 @@
             else
                 state.removeMember(now, core::VmId(item.id));
             break;
+        case FleetItemKind::Evacuation:
+            // Only the key counts. An evacuation is not put off because of an odd value.
+            if (item.value)
+                state.applyEvacuation(core::AvailabilityZoneId(item.id));
+            else
+                state.endEvacuation(now, core::AvailabilityZoneId(item.id));
+            break;
         case FleetItemKind::Other:
             return false;
         }
--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -6,6 +6,7 @@
 #include "placement/wait_queue_base.h"
 
 #include <algorithm>
+#include <cmath>
 #include <concepts>
 #include <map>
 #include <optional>
@@ -18,7 +19,8 @@
 concept UpstreamChooser = requires(T &chooser, const T &reader, core::MonoTime now,
                                    const PlacementRequest &request, Placement &placement,
                                    const AttemptRecord &record, const core::RouteId &route,
-                                   core::Micros time, const core::ServiceId &service)
+                                   core::Micros time, const core::ServiceId &service,
+                                   const RegionSet &regions)
 {
     {
         chooser.choose(now, request)
@@ -29,7 +31,7 @@
         reader.expectedProcessingTime(route, time)
         } -> std::same_as<core::Micros>;
     {
-        reader.slotsOf(service, time)
+        reader.slotsOf(service, time, regions)
         } -> std::same_as<double>;
 };
 
@@ -57,6 +59,7 @@
     const Route *route = nullptr;  ///< Must outlive the request.
     core::ClientAccountId account; ///< Empty on public routes.
     int accountPriority = 0;
+    RegionSet allowedRegions; ///< Common to the route and the account.
     core::MonoTime arrivedAt {};
     core::MonoTime deadline {};
     std::vector<core::UpstreamId> tried; ///< Upstreams of all finished attempts.
@@ -110,7 +113,9 @@
      * started. */
     DispatchResult submit(core::MonoTime now, const DispatchRequest &request)
     {
-        ServiceQueue &queue = queues_.try_emplace(request.service, options_.queue).first->second;
+        ServiceQueues &queues = queues_[request.service];
+        RegionQueue &queue =
+            queues.ofRegions.try_emplace(request.allowedRegions, options_.queue).first->second;
         if (queue.order.size() == 0) {
             PlacementResult result = upstreams_.choose(now, placementRequest(now, request));
             if (result.placement) {
@@ -123,8 +128,11 @@
         const WaitTicket ticket(++lastTicket_);
         // Other VMs use the same upstreams, so only this VM's share of the slots serves its queue.
         const WaitRequest waiting = waitRequest(ticket, request);
-        const double slotShare =
-            fleetShare_ * upstreams_.slotsOf(request.service, waiting.expectedProcessingTime);
+        const double slotShare = fleetShare_
+            * upstreams_.slotsOf(request.service, waiting.expectedProcessingTime,
+                                 request.allowedRegions);
+        if (queue.order.size() == 0)
+            queue.pass = std::max(queue.pass, queues.servedPass);
         if (!queue.order.enqueue(now, waiting, slotShare))
             return {.refusal = PlacementFailure::AllBusy};
         queue.requests.emplace(ticket, request);
@@ -134,21 +142,25 @@
     /** Moves later deadlines of queued requests forward to a time, at which the process ends. */
     void limitDeadlines(core::MonoTime latest)
     {
-        for (auto &[service, queue] : queues_) {
-            queue.order.limitDeadlines(latest);
-            for (auto &[ticket, request] : queue.requests)
-                request.deadline = std::min(request.deadline, latest);
+        for (auto &[service, queues] : queues_) {
+            for (auto &[regions, queue] : queues.ofRegions) {
+                queue.order.limitDeadlines(latest);
+                for (auto &[ticket, request] : queue.requests)
+                    request.deadline = std::min(request.deadline, latest);
+            }
         }
     }
 
     /** Removes a queued request whose caller has disconnected. */
     void withdraw(const core::ServiceId &service, WaitTicket ticket)
     {
-        const auto queue = queues_.find(service);
-        if (queue == queues_.end())
+        const auto queues = queues_.find(service);
+        if (queues == queues_.end())
             return;
-        queue->second.order.remove(ticket, false);
-        queue->second.requests.erase(ticket);
+        for (auto &[regions, queue] : queues->second.ofRegions) {
+            if (queue.requests.erase(ticket) > 0)
+                queue.order.remove(ticket, false);
+        }
     }
 
     /** Dispatches the queued requests for which an upstream has room, and refuses those that can no
@@ -157,8 +169,8 @@
     std::vector<DispatchDecision> dispatchWaiting(core::MonoTime now)
     {
         std::vector<DispatchDecision> decided;
-        for (auto &[service, queue] : queues_)
-            dispatchQueue(now, queue, decided);
+        for (auto &[service, queues] : queues_)
+            dispatchQueues(now, queues, decided);
         return decided;
     }
 
@@ -171,8 +183,8 @@
         request.tried.push_back(record.upstream);
         ++(record.end == AttemptEnd::NotSent ? request.connectFailures : request.sent);
         std::vector<DispatchDecision> decided;
-        if (const auto queue = queues_.find(request.service); queue != queues_.end())
-            dispatchQueue(record.endedAt, queue->second, decided);
+        if (const auto queues = queues_.find(request.service); queues != queues_.end())
+            dispatchQueues(record.endedAt, queues->second, decided);
         return decided;
     }
 
@@ -200,7 +212,7 @@
     bool grantAbandon(core::MonoTime now, DispatchRequest &request,
                       const core::UpstreamId &upstream)
     {
-        if (!hasTimeForAttempt(now, request) || queueLength(request.service) > 0)
+        if (!hasTimeForAttempt(now, request) || queueLength(request) > 0)
             return false;
         PlacementRequest next = placementRequest(now, request);
         next.tried.push_back(upstream);
@@ -234,20 +246,35 @@
     std::size_t waiting() const
     {
         std::size_t count = 0;
-        for (const auto &[service, queue] : queues_)
-            count += queue.order.size();
+        for (const auto &[service, queues] : queues_) {
+            for (const auto &[regions, queue] : queues.ofRegions)
+                count += queue.order.size();
+        }
         return count;
     }
 
 private:
-    /** The queued requests of one service. */
-    struct ServiceQueue
+    /** The queued requests of one service with the same allowed regions. */
+    struct RegionQueue
     {
-        explicit ServiceQueue(const WaitQueueOptions &options)
+        explicit RegionQueue(const WaitQueueOptions &options)
             : order(options)
         { }
         WaitQueue order;
         std::map<WaitTicket, DispatchRequest> requests;
+        double pass = 0;        ///< Virtual time; the queue with the lowest pass is served next.
+        bool isBlocked = false; ///< All upstreams of its regions are busy, in dispatchQueues().
+    };
+
+    /**
+     * The queues of one service, one for each set of allowed regions, so that requests whose
+     * regions are busy do not block others. Stride scheduling among the queues keeps the priorities
+     * where their regions overlap.
+     */
+    struct ServiceQueues
+    {
+        std::map<RegionSet, RegionQueue> ofRegions;
+        double servedPass = 0; ///< Pass of the last queue served; lower bound for others.
     };
 
     /** @return Whether another attempt is expected to finish before the deadline. */
@@ -258,10 +285,14 @@
             <= request.deadline;
     }
 
-    std::size_t queueLength(const core::ServiceId &service) const
+    /** @return Number of queued requests of a request's service and regions. */
+    std::size_t queueLength(const DispatchRequest &request) const
     {
-        const auto queue = queues_.find(service);
-        return queue == queues_.end() ? 0 : queue->second.order.size();
+        const auto queues = queues_.find(request.service);
+        if (queues == queues_.end())
+            return 0;
+        const auto queue = queues->second.ofRegions.find(request.allowedRegions);
+        return queue == queues->second.ofRegions.end() ? 0 : queue->second.order.size();
     }
 
     PlacementRequest placementRequest(core::MonoTime now, const DispatchRequest &request) const
@@ -273,7 +304,8 @@
                 .targetLatency = route.targetLatency,
                 .elapsed = now - request.arrivedAt,
                 .timeLeft = request.deadline - now,
-                .tried = request.tried};
+                .tried = request.tried,
+                .allowedRegions = request.allowedRegions};
     }
 
     WaitRequest waitRequest(WaitTicket ticket, const DispatchRequest &request) const
@@ -288,8 +320,37 @@
                 .deadline = request.deadline};
     }
 
-    void dispatchQueue(core::MonoTime now, ServiceQueue &queue,
-                       std::vector<DispatchDecision> &decided)
+    /** Dispatches from the queues of a service, one request at a time, until all are blocked. */
+    void dispatchQueues(core::MonoTime now, ServiceQueues &queues,
+                        std::vector<DispatchDecision> &decided)
+    {
+        for (auto &[regions, queue] : queues.ofRegions)
+            queue.isBlocked = false;
+        while (RegionQueue *next = nextQueue(queues)) {
+            const double pass = next->pass;
+            next->isBlocked = !dispatchNext(now, *next, decided);
+            if (next->pass > pass)
+                queues.servedPass = pass;
+        }
+    }
+
+    /** @return The queue with the lowest pass that is neither empty nor blocked, or nullptr. */
+    static RegionQueue *nextQueue(ServiceQueues &queues)
+    {
+        RegionQueue *best = nullptr;
+        for (auto &[regions, queue] : queues.ofRegions) {
+            if (queue.isBlocked || queue.order.size() == 0)
+                continue;
+            if (best == nullptr || queue.pass < best->pass)
+                best = &queue;
+        }
+        return best;
+    }
+
+    /** Dispatches the next request of a queue for which an upstream has room, and refuses those
+     * that cannot be served. @return Whether a request was dispatched. */
+    bool dispatchNext(core::MonoTime now, RegionQueue &queue,
+                      std::vector<DispatchDecision> &decided)
     {
         while (queue.order.size() > 0) {
             const QueueHead head = queue.order.removeLateAndPeek(now);
@@ -300,17 +361,30 @@
                      .result = {.placement = std::nullopt, .reason = PlacementFailure::TooLate}});
             }
             if (!head.next)
-                return;
+                return false;
             const auto next = queue.requests.find(*head.next);
             PlacementResult result = upstreams_.choose(now, placementRequest(now, next->second));
             if (!result.placement && result.reason == PlacementFailure::AllBusy)
-                return;
-            if (result.placement)
+                return false;
+            const bool isPlaced = result.placement.has_value();
+            if (isPlaced) {
                 upstreams_.attemptStarted(now, *result.placement);
-            queue.order.remove(*head.next, result.placement.has_value());
+                queue.pass += strideOf(next->second);
+            }
+            queue.order.remove(*head.next, isPlaced);
             queue.requests.erase(next);
             decided.push_back({.ticket = *head.next, .result = std::move(result)});
+            if (isPlaced)
+                return true;
         }
+        return false;
+    }
+
+    /** @return What a request adds to the pass of its queue; the inverse of its weight. */
+    double strideOf(const DispatchRequest &request) const
+    {
+        return std::pow(options_.queue.accountWeightRatio, request.accountPriority)
+            * std::pow(options_.queue.routeWeightRatio, request.route->priority);
     }
 
     RetryBudgetShare &budgetOf(const core::ServiceId &service)
@@ -321,7 +395,7 @@
     Chooser &upstreams_;
     DispatcherOptions options_;
     std::map<core::ServiceId, RetryBudgetShare> budgets_;
-    std::map<core::ServiceId, ServiceQueue> queues_;
+    std::map<core::ServiceId, ServiceQueues> queues_;
     std::uint64_t lastTicket_ = 0;
     double fleetShare_ = 0;
 };
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -3,6 +3,7 @@
 
 #include "core/clock_type.h"
 #include "core/id_type.h"
+#include "placement/region_set_base.h"
 
 #include <compare>
 #include <cstdint>
@@ -35,6 +36,7 @@
     int maxAttempts = 1;            ///< Maximum number of upstreams that one request is sent to.
     bool isPublic = false;          ///< Requests need no API key.
     std::vector<Destination> destinations;
+    RegionSet allowedRegions; ///< Home regions, where its requests may be served and stored.
 };
 
 /** A client account with its API keys and its rate limit. */
@@ -45,6 +47,7 @@
     int priority = 0;         ///< 0 is the highest; outweighs the priority of the route.
     double ratePerSecond = 0; ///< Summed over all VMs; 0 for no limit.
     double burst = 0;         ///< Requests allowed on top of the rate.
+    RegionSet allowedRegions; ///< As of a route; if both have a list, both apply.
 };
 
 /** Limits on the size and the timing of callers' requests. */
--- a/src/placement/route_table.cpp
+++ b/src/placement/route_table.cpp
@@ -18,6 +18,12 @@
     return lower;
 }
 
+/** @return The name in a Host header, in lower case and without the port. */
+std::string hostName(std::string_view host)
+{
+    return lowerCase(host.substr(0, host.find(':')));
+}
+
 } // namespace
 
 RouteTable::RouteTable(Configuration configuration)
@@ -29,6 +35,11 @@
         std::stable_sort(routes.begin(), routes.end(), [](const Route *a, const Route *b) {
             return a->pathPrefix.size() > b->pathPrefix.size();
         });
+        RegionSet common;
+        for (const Route *route : routes)
+            common = common.intersect(route->allowedRegions);
+        if (!common.isAny() && !common.isNone())
+            regionsByHost_.emplace(host, std::move(common));
     }
     for (const Account &account : configuration_.accounts) {
         for (const std::string &key : account.keys)
@@ -38,7 +49,7 @@
 
 const Route *RouteTable::findRoute(std::string_view host, std::string_view target) const
 {
-    const auto found = routesByHost_.find(lowerCase(host.substr(0, host.find(':'))));
+    const auto found = routesByHost_.find(hostName(host));
     if (found == routesByHost_.end())
         return nullptr;
     const std::string_view path = target.substr(0, target.find_first_of("?#"));
@@ -49,6 +60,12 @@
     return nullptr;
 }
 
+RegionSet RouteTable::commonRegionsOf(std::string_view host) const
+{
+    const auto found = regionsByHost_.find(hostName(host));
+    return found == regionsByHost_.end() ? RegionSet() : found->second;
+}
+
 const Account *RouteTable::findAccount(std::string_view key) const
 {
     const auto found = accountsByKey_.find(key);
--- a/src/placement/route_table_base.h
+++ b/src/placement/route_table_base.h
@@ -25,6 +25,9 @@
      * @return The route, or nullptr if none matches.
      */
     const Route *findRoute(std::string_view host, std::string_view target) const;
+    /** @return The home regions that all routes of a host have in common; any region if there are
+     * none, or if the host has no routes. @param host As in findRoute(). */
+    RegionSet commonRegionsOf(std::string_view host) const;
     /** @return The account with an API key, or nullptr if no account has it. */
     const Account *findAccount(std::string_view key) const;
     /** @return The indexed configuration. */
@@ -34,6 +37,7 @@
     Configuration configuration_;
     std::map<std::string, std::vector<const Route *>, std::less<>>
         routesByHost_; ///< By lower-case host; longest prefix first.
+    std::map<std::string, RegionSet, std::less<>> regionsByHost_; ///< See commonRegionsOf().
     std::map<std::string, const Account *, std::less<>> accountsByKey_;
 };
 
--- a/src/placement/upstream_table.cpp
+++ b/src/placement/upstream_table.cpp
@@ -7,6 +7,8 @@
 
 UpstreamTable::UpstreamTable(UpstreamTableOptions options, std::uint64_t seed)
     : options_(std::move(options))
+    , regionIndex_(options_.regionOfZone)
+    , evacuations_(options_.evacuations)
     , random_(seed)
     , limiter_(options_.limits, seed)
     , coverage_(options_.coverage)
@@ -25,6 +27,8 @@
     }
     upstream.entry = entry;
     upstream.distance = distanceLoss(entry.availabilityZone);
+    upstream.region = regionIndex_.ofZone(entry.availabilityZone);
+    upstream.evacuated = evacuations_.isEvacuated(entry.availabilityZone);
     addToService(upstream);
 }
 
@@ -47,6 +51,28 @@
     all.insert(firstFarther, &upstream);
 }
 
+bool UpstreamTable::beginEvacuation(const core::AvailabilityZoneId &zone)
+{
+    const bool isNew = evacuations_.begin(zone);
+    setEvacuated(zone, true);
+    return isNew;
+}
+
+bool UpstreamTable::endEvacuation(core::MonoTime now, const core::AvailabilityZoneId &zone)
+{
+    const bool wasEvacuated = evacuations_.end(now, zone);
+    setEvacuated(zone, false);
+    return wasEvacuated;
+}
+
+void UpstreamTable::setEvacuated(const core::AvailabilityZoneId &zone, bool evacuated)
+{
+    for (auto &[id, upstream] : upstreams_) {
+        if (upstream.entry.availabilityZone == zone)
+            upstream.evacuated = evacuated;
+    }
+}
+
 void UpstreamTable::removeFromService(const Upstream &upstream)
 {
     const auto found = byService_.find(upstream.entry.service);
@@ -56,12 +82,15 @@
 
 PlacementResult UpstreamTable::choose(core::MonoTime now, const PlacementRequest &request)
 {
+    PlacementFailure reason = request.allowedRegions.isAny() ? PlacementFailure::NoUpstream
+                                                             : PlacementFailure::NoAllowedRegion;
     const auto service = byService_.find(request.service);
     if (service == byService_.end())
-        return {};
+        return {.placement = std::nullopt, .reason = reason};
     if (coverage_.isCountDue(now, request.service))
         coverage_.counted(now, request.service, countsOf(now, request.service));
-    PlacementFailure reason = PlacementFailure::NoUpstream;
+    const RegionFilter regions = regionIndex_.filterOf(request.allowedRegions);
+    const bool isRampingUp = evacuations_.isRampingUp(now);
     bool healthyIsBusy = false;
     const Upstream *best = nullptr;
     Estimate bestEstimate;
@@ -70,7 +99,11 @@
         // as the whole expected loss of the best candidate.
         if (best != nullptr && bestEstimate.isAcceptable && upstream->distance >= bestEstimate.loss)
             break;
-        if (!isEligible(*upstream, request))
+        if (!regions.allows(upstream->region) || !isAccepting(*upstream))
+            continue;
+        if (reason == PlacementFailure::NoAllowedRegion)
+            reason = PlacementFailure::NoUpstream;
+        if (wasTried(*upstream, request))
             continue;
         if (notices_.isHoldingOff(now, upstream->entry)
             || !limiter_.mayStart(now, upstream->entry.id, limitShareOf(*upstream))) {
@@ -80,8 +113,7 @@
         }
         if (reason == PlacementFailure::NoUpstream || reason == PlacementFailure::LimitReached)
             reason = PlacementFailure::AllBusy;
-        const double slots = std::max(1, upstream->entry.slots);
-        if (occupancyOf(now, *upstream) + 1 > slots * options_.maxOccupancy) {
+        if (!hasRoom(now, *upstream, isRampingUp)) {
             healthyIsBusy =
                 healthyIsBusy || failureProbability(now, *upstream) < options_.suspectThreshold;
             continue;
--- a/src/placement/upstream_table_base.h
+++ b/src/placement/upstream_table_base.h
@@ -5,6 +5,7 @@
 #include "placement/upstream_coverage_base.h"
 #include "placement/upstream_notices_base.h"
 #include "placement/upstream_rate_limiter_base.h"
+#include "placement/zone_evacuations_base.h"
 
 #include <map>
 #include <optional>
@@ -22,6 +23,7 @@
     std::map<core::AvailabilityZoneId, core::RegionId> regionOfZone;
     UpstreamRateLimiterOptions limits;
     UpstreamCoverageOptions coverage;
+    ZoneEvacuationOptions evacuations;
     /** Loss from the traffic cost of sending a request to another zone of the region. */
     double crossZoneLoss = 0.06;
     /** Loss from sending a request to another region: the traffic cost, 40 ms of network latency,
@@ -74,6 +76,7 @@
     core::Micros elapsed {0};            ///< Time since the request arrived.
     core::Micros timeLeft {0};           ///< Time until the deadline.
     std::vector<core::UpstreamId> tried; ///< Upstreams to exclude.
+    RegionSet allowedRegions;            ///< Upstreams of other regions are excluded.
 };
 
 /** The upstream selected for a request. */
@@ -94,6 +97,8 @@
     LimitReached, ///< Only upstreams that want no more requests at present could be used.
     AllBusy,      ///< The eligible upstreams have no room; waiting may help.
     TooLate,      ///< No available upstream is expected to answer before the deadline.
+    /** No upstream in the allowed regions accepts new requests; other regions may have some. */
+    NoAllowedRegion,
 };
 
 /** Result of a selection. */
@@ -159,8 +164,22 @@
     core::Micros expectedProcessingTime(const core::RouteId &route,
                                         core::Micros targetLatency) const;
     /** @return Total slots of the service's upstreams that are not draining. A limit that leaves an
-     * upstream fewer requests of this processing time at once counts instead of its slots. */
-    double slotsOf(const core::ServiceId &service, core::Micros processingTime) const;
+     * upstream fewer requests of this processing time at once counts instead of its slots.
+     * @param regions Upstreams of other regions do not count. */
+    double slotsOf(const core::ServiceId &service, core::Micros processingTime,
+                   const RegionSet &regions = {}) const;
+    /** Stops to select the upstreams of a zone, until endEvacuation().
+     * @return Whether the zone was not evacuated before. */
+    bool beginEvacuation(const core::AvailabilityZoneId &zone);
+    /** Selects the upstreams of a zone again, after a ramp-up. @return Whether the zone was
+     * evacuated. */
+    bool endEvacuation(core::MonoTime now, const core::AvailabilityZoneId &zone);
+    /** @return The evacuated zones. */
+    const ZoneEvacuations &evacuations() const { return evacuations_; }
+    /** @return Number of upstreams of a zone. */
+    std::size_t countInZone(const core::AvailabilityZoneId &zone) const;
+    /** @return Whether a zone of the settings is in a region. */
+    bool hasRegion(const core::RegionId &region) const { return regionIndex_.contains(region); }
     /** Sets this VM's share of the limits that the upstreams of each zone name.
      * @param unknownZone Share for zones that are not listed. */
     void setLimitShares(std::map<core::AvailabilityZoneId, UpstreamLimitShare> shares,
@@ -199,6 +218,8 @@
     {
         UpstreamEntry entry;
         double distance = 0;      ///< Loss from its zone or region; see UpstreamTableOptions.
+        RegionNumber region;      ///< Of its zone.
+        bool evacuated = false;   ///< Whether its zone is evacuated.
         core::MonoTime warmAt {}; ///< End of its warm-up.
         double othersLoad = 0;    ///< Requests from other VMs, as last known.
         core::MonoTime loadAt {}; ///< Time of the last load report or refusal.
@@ -224,7 +245,10 @@
 
     /** @return Whether an upstream takes new requests. */
     bool isAccepting(const Upstream &upstream) const;
-    bool isEligible(const Upstream &upstream, const PlacementRequest &request) const;
+    static bool wasTried(const Upstream &upstream, const PlacementRequest &request);
+    /** @return Whether an upstream has room for another request. */
+    bool hasRoom(core::MonoTime now, const Upstream &upstream, bool isRampingUp) const;
+    void setEvacuated(const core::AvailabilityZoneId &zone, bool evacuated);
     /** @return The estimate for an upstream; its loss includes a random tie-breaker. */
     Estimate evaluate(core::MonoTime now, const Upstream &upstream,
                       const PlacementRequest &request);
@@ -261,6 +285,8 @@
     const UpstreamLimitShare &limitShareOf(const Upstream &upstream) const;
 
     UpstreamTableOptions options_;
+    RegionIndex regionIndex_;
+    ZoneEvacuations evacuations_;
     std::mt19937_64 random_;
     std::map<core::UpstreamId, Upstream> upstreams_;
     /** The upstreams of each service, ordered by distance. */
--- a/src/placement/upstream_table_query.cpp
+++ b/src/placement/upstream_table_query.cpp
@@ -22,15 +22,32 @@
 
 bool UpstreamTable::isAccepting(const Upstream &upstream) const
 {
-    return !upstream.entry.draining && !notices_.isLeaving(upstream.entry);
+    return !upstream.entry.draining && !upstream.evacuated && !notices_.isLeaving(upstream.entry);
 }
 
-bool UpstreamTable::isEligible(const Upstream &upstream, const PlacementRequest &request) const
+bool UpstreamTable::wasTried(const Upstream &upstream, const PlacementRequest &request)
 {
-    if (!isAccepting(upstream))
-        return false;
     return std::find(request.tried.begin(), request.tried.end(), upstream.entry.id)
-        == request.tried.end();
+        != request.tried.end();
+}
+
+bool UpstreamTable::hasRoom(core::MonoTime now, const Upstream &upstream, bool isRampingUp) const
+{
+    const double room = std::max(1, upstream.entry.slots) * options_.maxOccupancy;
+    const double occupancy = occupancyOf(now, upstream) + 1;
+    if (occupancy > room)
+        return false;
+    if (!isRampingUp || upstream.inFlight.empty())
+        return true;
+    return occupancy <= room * evacuations_.occupancyFactor(now, upstream.entry.availabilityZone);
+}
+
+std::size_t UpstreamTable::countInZone(const core::AvailabilityZoneId &zone) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(upstreams_.begin(), upstreams_.end(), [&](const auto &entry) {
+            return entry.second.entry.availabilityZone == zone;
+        }));
 }
 
 core::Micros UpstreamTable::expectedProcessingTime(const core::RouteId &route,
@@ -41,14 +58,16 @@
                                              : micros(found->second);
 }
 
-double UpstreamTable::slotsOf(const core::ServiceId &service, core::Micros processingTime) const
+double UpstreamTable::slotsOf(const core::ServiceId &service, core::Micros processingTime,
+                              const RegionSet &regions) const
 {
+    const RegionFilter filter = regionIndex_.filterOf(regions);
     const auto found = byService_.find(service);
     if (found == byService_.end())
         return 0;
     double slots = 0;
     for (const Upstream *upstream : found->second) {
-        if (!isAccepting(*upstream))
+        if (!filter.allows(upstream->region) || !isAccepting(*upstream))
             continue;
         const double ofEntry = upstream->entry.slots;
         const std::optional<RequestRate> limit = limiter_.limitOf(upstream->entry.id);
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -57,8 +57,8 @@
                                   const std::vector<std::string> &addresses)
 {
     {
-        codec.callerLocation(request)
-        } -> std::same_as<std::optional<core::Location>>;
+        codec.parseLookup(request)
+        } -> std::same_as<std::optional<EntryLookup>>;
     {
         codec.addressResponse(addresses)
         } -> std::same_as<HttpResponse>;
@@ -216,11 +216,14 @@
 
     HttpResponse directoryResponse(const HttpRequest &request) const
     {
-        const std::optional<core::Location> location = directory_.callerLocation(request);
-        if (!location)
+        const std::optional<EntryLookup> lookup = directory_.parseLookup(request);
+        if (!lookup)
             return makeResponse(beasthttp::status::not_found);
+        const RegionSet homeRegions =
+            flow_.table() ? flow_.table()->commonRegionsOf(lookup->host) : RegionSet();
         std::vector<std::string> addresses = entries_.addressesFor(
-            *location, [this](const core::VmId &id) { return isSilentOrLeaving(id); });
+            lookup->caller, [this](const core::VmId &id) { return isSilentOrLeaving(id); },
+            homeRegions);
         // While no member of the fleet is known, a ready VM returns its own address.
         if (addresses.empty() && state_.ready())
             addresses.push_back(options_.self.callerAddress);
@@ -439,6 +442,8 @@
                                static_cast<double>(options_.flow.bodies->taken()));
         registry_.setGauge("teaselreach_limit_part", {}, shares_.effectiveShare());
         registry_.setGauge("teaselreach_members", {}, static_cast<double>(entries_.size()));
+        registry_.setGauge("teaselreach_evacuated_zones", {},
+                           static_cast<double>(upstreams_.evacuations().zones().size()));
         registry_.setGauge("teaselreach_limited_upstreams", {},
                            static_cast<double>(upstreams_.limitedCount()));
         registry_.setGauge("teaselreach_store_read_age_seconds", {},
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -12,6 +12,9 @@
 /** Retry-After of a request that no upstream ran: a few typical execution times, after which an
  * upstream probably has room. */
 constexpr core::Millis busyRetryAfter {400};
+/** Retry-After of a request that no upstream in its home regions can serve: an upstream that starts
+ * or an evacuation that ends takes seconds. */
+constexpr core::Seconds noRegionRetryAfter {1};
 /** Retry-After while this VM has no configuration or is shutting down: other VMs can serve the
  * request at once. */
 constexpr core::Millis elsewhereRetryAfter {100};
@@ -40,6 +43,8 @@
         return "all_upstreams_busy";
     case PlacementFailure::TooLate:
         return "deadline_too_close";
+    case PlacementFailure::NoAllowedRegion:
+        return "no_allowed_region";
     }
     return "no_upstream";
 }
@@ -123,7 +128,7 @@
  * admitted; it is refused if not. */
 asio::awaitable<bool> RequestFlow::admit(Job &job)
 {
-    if (!findRoute(job) || !findAccount(job) || !checkLimit(job))
+    if (!findRoute(job) || !findAccount(job) || !findRegions(job) || !checkLimit(job))
         co_return false;
     const CallerExchange &exchange = *job.exchange;
     const core::MonoTime now = exchange.receivedAt;
@@ -202,6 +207,23 @@
     return true;
 }
 
+/** Finds the regions in which the request may be served. @return Whether there are any; it is
+ * refused if route and account have no region in common. */
+bool RequestFlow::findRegions(Job &job)
+{
+    job.request.allowedRegions = job.request.route->allowedRegions;
+    if (job.account != nullptr)
+        job.request.allowedRegions =
+            job.request.allowedRegions.intersect(job.account->allowedRegions);
+    if (!job.request.allowedRegions.isNone())
+        return true;
+    refuse(job,
+           {.status = beasthttp::status::service_unavailable,
+            .code = placementFailureName(PlacementFailure::NoAllowedRegion),
+            .retryAfter = noRegionRetryAfter});
+    return false;
+}
+
 asio::awaitable<std::optional<Placement>> RequestFlow::place(Job &job)
 {
     limitDeadline(job);
@@ -384,10 +406,11 @@
     }
     if (job.account != nullptr && job.request.sent == 0)
         parts_.shares.refund(*job.account);
+    const bool lacksRegion = reason == PlacementFailure::NoAllowedRegion;
     refuse(job,
            {.status = beasthttp::status::service_unavailable,
             .code = placementFailureName(reason),
-            .retryAfter = busyRetryAfter});
+            .retryAfter = lacksRegion ? core::Micros(noRegionRetryAfter) : busyRetryAfter});
 }
 
 void RequestFlow::refuseAfterFailure(Job &job, AttemptEnd end)
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -107,6 +107,7 @@
 
     bool findRoute(Job &job);
     bool findAccount(Job &job);
+    bool findRegions(Job &job);
     bool checkLimit(Job &job);
     asio::awaitable<PlacementResult> choosePlacement(Job &job);
     asio::awaitable<PlacementResult> waitForPlacement(Job &job, WaitTicket ticket,
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -114,6 +114,32 @@
     CHECK(upstream.requests() == 1);
 }
 
+TEST_CASE("a request without an upstream in its home regions is sent to another region")
+{
+    RawServer server("127.0.0.1", [](const RawRequest &request) {
+        return RawReply {sealedReply(request, "x")};
+    });
+    const auto regions = [](const char *name) { return RegionSet::of({core::RegionId(name)}); };
+    Configuration configuration = testConfiguration();
+    configuration.routes[0].allowedRegions = regions("west");
+    configuration.routes[1].allowedRegions = regions("east");
+    FlowFixture fixture(configuration);
+    fixture.addUpstream("i-1", server);
+    const auto statusOf = [&](const char *path) {
+        return fixture.sendRequest(callerRequest("GET", path, "a1"));
+    };
+    CHECK(statusOf("/read/1").starts_with("HTTP/1.1 200"));
+    const std::string refused = statusOf("/book/1");
+    CHECK(refused.starts_with("HTTP/1.1 503"));
+    CHECK(headerOf(refused, "Retry-After") == "1.000");
+    // Route and account have no region in common.
+    configuration.accounts[0].allowedRegions = regions("east");
+    fixture.onLoop(
+        [&] { fixture.flow().configure(std::make_shared<const RouteTable>(configuration)); });
+    CHECK(statusOf("/read/1").starts_with("HTTP/1.1 503"));
+    CHECK(server.requests() == 1);
+}
+
 TEST_CASE("a TRACE or CONNECT request gets no response")
 {
     RawServer upstream("127.0.0.1", [](const RawRequest &request) {
--- a/tests/proxy/loop_daemon_test.cpp
+++ b/tests/proxy/loop_daemon_test.cpp
@@ -18,9 +18,10 @@
 /** A directory codec that writes one address per line. */
 struct PlainDirectory
 {
-    std::optional<core::Location> callerLocation(const HttpRequest &) const
+    std::optional<EntryLookup> parseLookup(const HttpRequest &) const
     {
-        return core::Location {core::AvailabilityZoneId("here"), core::RegionId("west")};
+        return EntryLookup {.caller = {core::AvailabilityZoneId("here"), core::RegionId("west")},
+                            .host = "shop.example"};
     }
     HttpResponse addressResponse(const std::vector<std::string> &addresses) const
     {
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -155,6 +155,24 @@
     }
 }
 
+// Failure guarded against: requests leave their home regions because of a list that is not read.
+TEST_CASE("home regions of routes and accounts are decoded, and malformed lists are rejected")
+{
+    const auto decode = [](const std::string &list) {
+        std::string text = configText;
+        for (const char *at : {"\"name\": \"r1\"", "\"name\": \"t1\""})
+            text.insert(text.find(at), "\"allowedRegions\": " + list + ", ");
+        return platform::decodeConfiguration(text);
+    };
+    const proxy::Configuration configuration = decode(R"(["west", "east", "west"])");
+    CHECK(configuration.routes[0].allowedRegions.text() == "east,west");
+    CHECK(configuration.routes[1].allowedRegions.isAny());
+    CHECK(configuration.accounts[0].allowedRegions.text() == "east,west");
+    CHECK(decode("[]").routes[0].allowedRegions.isAny());
+    for (const char *list : {"\"west\"", "[1]", "{\"west\": 1}", "null", "[[\"west\"]]"})
+        CHECK_THROWS_AS(decode(list), StoreValueMalformed);
+}
+
 TEST_CASE("malformed durations and base64 texts are rejected")
 {
     CHECK(parseDuration("1.5s") == core::Millis(1500));
@@ -184,12 +202,13 @@
     const DirectoryCodec codec;
     proxy::HttpRequest request(proxy::beasthttp::verb::get,
                                "/resolve?name=a.example&region=r1&zone=z1", 11);
-    const auto location = codec.callerLocation(request);
-    REQUIRE(location);
-    CHECK(location->availabilityZone == core::AvailabilityZoneId("z1"));
-    CHECK(location->region == core::RegionId("r1"));
+    const auto lookup = codec.parseLookup(request);
+    REQUIRE(lookup);
+    CHECK(lookup->caller.availabilityZone == core::AvailabilityZoneId("z1"));
+    CHECK(lookup->caller.region == core::RegionId("r1"));
+    CHECK(lookup->host == "a.example");
     request.target("/other");
-    CHECK(!codec.callerLocation(request));
+    CHECK(!codec.parseLookup(request));
     CHECK(codec.addressResponse({"10.0.0.1:80"}).body().find("10.0.0.1:80") != std::string::npos);
     CHECK(codec.addressResponse({}).result_int() == 503);
 }
@@ -273,9 +292,10 @@
     RawServer store("127.0.0.1", [&](const RawRequest &) {
         ++step;
         if (step == 1)
-            return RawReply {
-                okReply(R"({"events":[{"key":"servers/a","revision":5,"removed":true},{"key":7},)"
-                        R"({"key":"op/config","value":"e30=","revision":6}],"currentRev":6})")};
+            return RawReply {okReply(
+                R"({"events":[{"key":"servers/a","revision":5,"removed":true},{"key":7},)"
+                R"({"key":"op/config","value":"e30=","revision":6},)"
+                R"({"key":"op/evacuate/z1","value":"e30=","revision":6}],"currentRev":6})")};
         if (step == 2)
             return RawReply {okReply("", "", "410 Gone")};
         if (step == 3)
@@ -289,7 +309,9 @@
                        [&] { return client.watch(proxy::StoreRevision(4), core::Seconds(1)); });
     };
     const proxy::FleetUpdate changes = watch();
-    REQUIRE(changes.items.size() == 2);
+    REQUIRE(changes.items.size() == 3);
+    CHECK(changes.items[2].kind == proxy::FleetItemKind::Evacuation);
+    CHECK(changes.items[2].id == "z1");
     CHECK(!changes.items[0].value);
     CHECK(changes.items[1].kind == proxy::FleetItemKind::Configuration);
     CHECK(changes.items[1].value == "{}");
--- a/tests/proxy/sync_test.cpp
+++ b/tests/proxy/sync_test.cpp
@@ -298,6 +298,50 @@
 
 } // namespace
 
+TEST_CASE(
+    "a VM that starts, follows a relay or reconnects misses the start or end of an evacuation")
+{
+    const auto evacuation = [](const std::string &zone) {
+        return FleetItem {.kind = FleetItemKind::Evacuation, .id = zone, .value = "{}"};
+    };
+    SyncFixture vm;
+    const auto isEvacuated = [&](const std::string &zone) {
+        return vm.upstreams.evacuations().isEvacuated(core::AvailabilityZoneId(zone));
+    };
+    // The first read makes the VM ready and contains the evacuation; an odd id has no effect.
+    vm.store.items = {config("1"), evacuation("z1"), evacuation(""), upstream("a")};
+    vm.sync.start();
+    REQUIRE(vm.runUntil([&] { return vm.state.ready(); }));
+    CHECK(isEvacuated("z1"));
+    CHECK(vm.upstreams.evacuations().zones().size() == 1);
+    CHECK(decodeUpdate(encodeUpdate(vm.sync.changeLog().snapshot())).items.size() == 4);
+    // A change is applied and relayed, also if the zone has no upstream or the key is repeated.
+    const StoreRevision before = vm.sync.changeLog().revision();
+    FleetItem next = evacuation("z2");
+    next.revision = StoreRevision(vm.store.revision + 1);
+    vm.store.events = {next, next};
+    REQUIRE(vm.runUntil([&] { return isEvacuated("z2"); }));
+    const std::optional<FleetUpdate> relayed = vm.sync.changeLog().changesSince(before);
+    REQUIRE(relayed);
+    const FleetUpdate decoded = decodeUpdate(encodeUpdate(*relayed));
+    REQUIRE(!decoded.items.empty());
+    CHECK(decoded.items.front().kind == FleetItemKind::Evacuation);
+    CHECK(decoded.items.front().id == "z2");
+    // Without the store, the VM keeps what it knows.
+    vm.store.unavailable = true;
+    vm.run(core::Millis(60));
+    CHECK(isEvacuated("z1"));
+    vm.store.unavailable = false;
+    next.value.reset();
+    vm.store.events = {next};
+    REQUIRE(vm.runUntil([&] { return !isEvacuated("z2"); }));
+    CHECK(isEvacuated("z1"));
+    // A full read without the key ends it.
+    vm.store.items = {config("1"), upstream("a")};
+    vm.store.historyLost = true;
+    CHECK(vm.runUntil([&] { return !isEvacuated("z1"); }));
+}
+
 TEST_CASE("renewed upstream entries are relayed only if they changed")
 {
     // Each renewed entry was sent to every follower and ended its long poll.
--- a/tests/standins/plain_choosers.h
+++ b/tests/standins/plain_choosers.h
@@ -122,7 +122,7 @@
         return targetLatency / 3;
     }
 
-    double slotsOf(const core::ServiceId &service, core::Micros) const
+    double slotsOf(const core::ServiceId &service, core::Micros, const proxy::RegionSet &) const
     {
         double slots = 0;
         for (const auto &[id, upstream] : upstreams_)
