--- a/src/placement/upstream_coverage_base.h
+++ b/src/placement/upstream_coverage_base.h
@@ -40,6 +40,7 @@
     int slow = 0;       ///< Avoided because of their speed only.
     int holdingOff = 0; ///< Asked for no requests until a time.
     int limited = 0;    ///< Have no room under the limit that they name.
+    int evacuated = 0;  ///< In an evacuated zone; not part of accepting.
     /** How strongly each of the failing and slow ones is avoided. */
     std::vector<double> avoidance;
 };
--- a/src/placement/upstream_table_query.cpp
+++ b/src/placement/upstream_table_query.cpp
@@ -175,6 +175,7 @@
     if (found == byService_.end())
         return counts;
     for (const Upstream *upstream : found->second) {
+        counts.evacuated += upstream->evacuated ? 1 : 0;
         if (!isAccepting(*upstream))
             continue;
         ++counts.accepting;
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -256,6 +256,7 @@
             set("slow", counts.slow);
             set("holding_off", counts.holdingOff);
             set("limited", counts.limited);
+            set("evacuated", counts.evacuated);
         }
         return makeResponse(beasthttp::status::ok,
                             registry_.prometheusText(core::MonoClock::now()));
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -453,6 +453,15 @@
                     {"duration_ms", toMillis(record.endedAt - record.startedAt)}});
 }
 
+/** @return The zone of the last upstream of a request; empty if there is none or it is gone. */
+std::string RequestFlow::zoneOfLastUpstream(const Job &job) const
+{
+    if (job.request.tried.empty())
+        return "";
+    const UpstreamEntry *entry = parts_.upstreams.find(job.request.tried.back());
+    return entry == nullptr ? "" : entry->availabilityZone.str();
+}
+
 void RequestFlow::finishRequest(const Job &job)
 {
     const core::MonoTime now = core::MonoClock::now();
@@ -471,6 +480,8 @@
         {"account", account},
         {"service", job.request.service.str()},
         {"upstream", job.request.tried.empty() ? std::string() : job.request.tried.back().str()},
+        {"upstream_zone", zoneOfLastUpstream(job)},
+        {"allowed_regions", job.request.allowedRegions.text()},
         {"sent", job.request.sent},
         {"connect_failures", job.request.connectFailures},
         {"status", static_cast<std::int64_t>(job.exchange->response.result_int())},
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -104,6 +104,7 @@
     bool promisesNotExecuted(const Job &job) const;
     void refuseAsUnknown(Job &job);
     void finishRequest(const Job &job);
+    std::string zoneOfLastUpstream(const Job &job) const;
 
     bool findRoute(Job &job);
     bool findAccount(Job &job);
