Feature: [Placement] Limit the requests at cold upstreams over all VMs

Change: `services` in op/config has `coldPerS`, and a response may state `Teaselreach-Warmup-Ms`. While an upstream is cold, UpstreamRateLimiter applies a second token bucket next to that of the advertised limit; both must have room. The VMs of the upstream's zone divide the limit, at most five of them, and save up five requests together, which bounds the sum also while one VM runs twice. Requests of the last second, sent before a VM learnt of the cold start, and those that others report count as well. An entry's warmupLeft may rise without a restart; entries lower only what entries stated. A relay passes on renewed entries of cold upstreams even if they are identical, since the time starts anew. VMs tell their pool of a cold start that a response stated. Without coldPerS nothing changes.

--- a/src/fleet/entry_vm_selector.cpp
+++ b/src/fleet/entry_vm_selector.cpp
@@ -35,8 +35,10 @@
     const auto found = members_.find(id);
     if (found == members_.end())
         return;
-    departed_[id] = {
-        .zone = found->second.location.availabilityZone, .at = now, .wasActive = isActive(id)};
+    departed_[id] = {.zone = found->second.location.availabilityZone,
+                     .region = found->second.location.region,
+                     .at = now,
+                     .wasActive = isActive(id)};
     members_.erase(found);
 }
 
@@ -233,6 +235,55 @@
     return divisions;
 }
 
+std::vector<core::VmId> EntryVmSelector::activeWhere(
+    const std::function<bool(const core::AvailabilityZoneId &zone, const core::RegionId &region)>
+        &matches) const
+{
+    std::map<core::AvailabilityZoneId, core::RegionId> zones;
+    for (const auto &[id, member] : members_)
+        zones.emplace(member.location.availabilityZone, member.location.region);
+    std::vector<core::VmId> active;
+    for (const auto &[zone, region] : zones) {
+        if (!matches(zone, region))
+            continue;
+        for (const EntryMember *member : activeMembers(zone))
+            active.push_back(member->id);
+    }
+    for (const auto &[id, departed] : departed_) {
+        if (departed.wasActive && matches(departed.zone, departed.region))
+            active.push_back(id);
+    }
+    return active;
+}
+
+double EntryVmSelector::coldShareOf(const core::VmId &id,
+                                    const std::optional<core::Location> &place) const
+{
+    std::vector<core::VmId> holders;
+    if (place) {
+        holders = activeWhere([&](const core::AvailabilityZoneId &zone, const core::RegionId &) {
+            return zone == place->availabilityZone;
+        });
+    }
+    if (place && holders.empty()) {
+        holders = activeWhere([&](const core::AvailabilityZoneId &, const core::RegionId &region) {
+            return region == place->region;
+        });
+    }
+    if (holders.empty())
+        holders = activeWhere(
+            [](const core::AvailabilityZoneId &, const core::RegionId &) { return true; });
+    const std::string key = place ? place->availabilityZone.str() : std::string();
+    std::sort(holders.begin(), holders.end(), [&](const core::VmId &a, const core::VmId &b) {
+        return core::rendezvousWeight(key, a.str()) > core::rendezvousWeight(key, b.str());
+    });
+    if (holders.size() > coldBurst)
+        holders.resize(coldBurst);
+    if (std::find(holders.begin(), holders.end(), id) == holders.end())
+        return 0;
+    return std::min(options_.maxColdShare, 1 / static_cast<double>(holders.size()));
+}
+
 std::map<core::AvailabilityZoneId, UpstreamLimitShare> EntryVmSelector::upstreamLimitShares(
     const std::map<core::AvailabilityZoneId, core::RegionId> &regionOfZone, const EntryMember &self,
     const std::vector<EntryMember> &peers) const
@@ -243,6 +294,7 @@
         const core::Location place {.availabilityZone = zone, .region = regionOfZone.at(zone)};
         UpstreamLimitShare &share = shares[zone];
         share.own = share.pool = isSelfActive ? shareOfMember(division, place, self) : 0;
+        share.cold = isSelfActive ? coldShareOf(self.id, place) : 0;
         // A pool shares the limits of its own region; of others its VMs hold too little.
         if (place.region != self.location.region)
             continue;
--- a/src/fleet/entry_vm_selector_base.h
+++ b/src/fleet/entry_vm_selector_base.h
@@ -35,6 +35,9 @@
     /** Share of an upstream's limit of an active VM in another zone of its region, relative to one
      * in its own zone. */
     double otherZoneLimitWeight = 0.25;
+    /** Largest share of one VM in a cold-start limit. Leaves room while one VM of two knows of the
+     * other and the other does not, and each would take the whole limit. */
+    double maxColdShare = 0.6;
 };
 
 /** Shares of one VM in the limits that the upstreams of one zone name, by the VM's place. The
@@ -87,6 +90,14 @@
      * @param regionOfZone The zones. */
     std::map<core::AvailabilityZoneId, UpstreamLimitDivision> divideUpstreamLimits(
         const std::map<core::AvailabilityZoneId, core::RegionId> &regionOfZone) const;
+    /**
+     * Only the VMs nearest to an upstream share its cold-start limit, and at most coldBurst of
+     * them, so that each can save up one request: the active VMs of its zone, else those of its
+     * region, else all. VMs that have departed lately count as active.
+     * @param place Of the upstream; nothing if it is not known.
+     * @return A VM's share of the cold-start limits of the upstreams at a place.
+     */
+    double coldShareOf(const core::VmId &id, const std::optional<core::Location> &place) const;
     /** @return Whether a VM is active. */
     bool isActive(const core::VmId &id) const;
     /** @return The VM of the same availability zone that reads the store on behalf of the others;
@@ -106,12 +117,17 @@
     struct Departed
     {
         core::AvailabilityZoneId zone;
+        core::RegionId region;
         core::MonoTime at {}; ///< End of the registration.
         bool wasActive = false;
     };
 
     /** @return The active VMs of a zone, largest capacity first. */
     std::vector<const EntryMember *> activeMembers(const core::AvailabilityZoneId &zone) const;
+    /** @return The active VMs and those that have departed lately, at places that match. */
+    std::vector<core::VmId>
+    activeWhere(const std::function<bool(const core::AvailabilityZoneId &zone,
+                                         const core::RegionId &region)> &matches) const;
     /** @return Caller addresses of the active VMs that are not silent, or of all if all are. */
     std::vector<std::string>
     addressesIn(const std::set<core::AvailabilityZoneId> &zones,
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -12,7 +12,7 @@
     , self_(std::move(self))
 { }
 
-void FleetState::applyConfiguration(Configuration configuration)
+void FleetState::applyConfiguration(core::MonoTime now, Configuration configuration)
 {
     const auto &currentTable = parts_.flow.table();
     const ConfigVersion currentVersion =
@@ -42,9 +42,35 @@
                         {"rate_per_s", std::llround(account.ratePerSecond)},
                         {"burst", std::llround(account.burst)}});
     }
+    applyServices(now, configuration.services);
     parts_.flow.configure(std::make_shared<const RouteTable>(std::move(configuration)));
 }
 
+/** Logs the changes of cold-start limits and applies them. */
+void FleetState::applyServices(core::MonoTime now, const std::vector<ServiceSettings> &services)
+{
+    for (const ServiceSettings &service : services) {
+        double before = 0;
+        if (const auto &table = parts_.flow.table()) {
+            const auto &current = table->configuration().services;
+            const auto found =
+                std::find_if(current.begin(), current.end(),
+                             [&](const ServiceSettings &other) { return other.id == service.id; });
+            before = found == current.end() ? 0 : found->coldPerSecond;
+        }
+        if (before == service.coldPerSecond)
+            continue;
+        constexpr double milli = 1000;
+        core::logEvent(
+            core::LogLevel::Info, "cold_limit_changed",
+            {{"service", service.id.str()},
+             {"milli_per_s", std::llround(milli * service.coldPerSecond)},
+             {"milli_per_s_before", std::llround(milli * before)},
+             {"warmup_ms", std::chrono::duration_cast<core::Millis>(service.warmup).count()}});
+    }
+    parts_.upstreams.setServices(now, services);
+}
+
 void FleetState::applyUpstream(core::MonoTime now, const UpstreamEntry &entry)
 {
     upstreamRemovals_.cancel(entry.id);
--- a/src/fleet/fleet_state_base.h
+++ b/src/fleet/fleet_state_base.h
@@ -30,7 +30,7 @@
     FleetState(Parts parts, core::VmId self);
 
     /** Applies a configuration if its version is higher than the current one. */
-    void applyConfiguration(Configuration configuration);
+    void applyConfiguration(core::MonoTime now, Configuration configuration);
     /** Adds or updates an upstream and cancels a removal of it that is held back. */
     void applyUpstream(core::MonoTime now, const UpstreamEntry &entry);
     /** Removes an upstream, or holds its removal back after an outage of the store. */
@@ -53,6 +53,7 @@
     bool ready() const;
 
 private:
+    void applyServices(core::MonoTime now, const std::vector<ServiceSettings> &services);
     void dropUpstream(const core::UpstreamId &id, std::string_view cause);
     void dropMember(core::MonoTime now, const core::VmId &id);
 
--- a/src/fleet/fleet_sync_base.h
+++ b/src/fleet/fleet_sync_base.h
@@ -342,7 +342,7 @@
         switch (item.kind) {
         case FleetItemKind::Configuration:
             if (item.value)
-                state.applyConfiguration(parts_.store.decodeConfiguration(*item.value));
+                state.applyConfiguration(now, parts_.store.decodeConfiguration(*item.value));
             break;
         case FleetItemKind::Upstream:
             if (item.value) {
@@ -365,11 +365,12 @@
         return true;
     }
 
-    /** Stores an entry as sent to followers. @return Whether it differs from the previous one. */
+    /** Stores an entry as sent to followers. @return Whether followers need it: it differs from the
+     * previous one, or renews the time until the upstream is warm. */
     bool updateRelayedEntry(const std::string &id, const UpstreamEntry &entry)
     {
         const auto [previous, isInserted] = relayedEntries_.try_emplace(id, entry);
-        if (!isInserted && previous->second == entry)
+        if (!isInserted && previous->second == entry && entry.warmupLeft == core::Micros(0))
             return false;
         previous->second = entry;
         return true;
--- a/src/fleet/peer_messenger.cpp
+++ b/src/fleet/peer_messenger.cpp
@@ -17,6 +17,15 @@
 /** Maximum entries of each list in a datagram, so that it fits into one packet. */
 constexpr std::size_t maxEntries = 40;
 
+/** @return The time until an upstream is warm; 0 if it is implausible.
+ * @throws nlohmann::json::exception if it is not a whole number */
+core::Micros decodeColdLeft(const nlohmann::json &millis)
+{
+    constexpr core::Millis longest {core::Seconds(3600)};
+    const auto left = millis.get<std::int64_t>();
+    return core::Millis(left < 0 || left > longest.count() ? 0 : left);
+}
+
 /** @throws nlohmann::json::exception if an entry is malformed */
 std::vector<UpstreamLimitReport> decodeLimits(const nlohmann::json &entries)
 {
@@ -30,6 +39,9 @@
                                     .requests = std::max(0, entry.at(3).get<int>())};
         if (!entry.at(1).is_null())
             report.limit = RequestRate {.perSecond = std::max(0.0, entry.at(1).get<double>())};
+        // Earlier versions do not report cold starts.
+        if (entry.size() > 4)
+            report.coldLeft = decodeColdLeft(entry.at(4));
         reports.push_back(std::move(report));
     }
     return reports;
@@ -59,6 +71,8 @@
         limits.push_back({report.upstream.str(), std::move(rate),
                           std::chrono::duration_cast<core::Millis>(report.age).count(),
                           report.requests});
+        if (report.coldLeft > core::Micros(0))
+            limits.back().push_back(std::chrono::ceil<core::Millis>(report.coldLeft).count());
     }
     const std::vector<std::uint8_t> bytes =
         nlohmann::json::to_msgpack({message.sender.str(), std::move(outcomes), std::move(usage),
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -47,6 +47,14 @@
     double burst = 0;         ///< Requests allowed on top of the rate.
 };
 
+/** What the operators state of the upstreams of a service. */
+struct ServiceSettings
+{
+    core::ServiceId id;
+    core::Micros warmup {0};  ///< Usual time that an upstream takes to warm up.
+    double coldPerSecond = 0; ///< Requests at a cold upstream from all VMs; 0 for no limit.
+};
+
 /** Limits on the size and the timing of callers' requests. */
 struct CallerLimits
 {
@@ -62,6 +70,7 @@
     ConfigVersion version;
     std::vector<Route> routes;
     std::vector<Account> accounts;
+    std::vector<ServiceSettings> services;
     CallerLimits limits;
 };
 
@@ -143,6 +152,7 @@
     bool leaving = false; ///< It is shutting down and takes no new requests.
     /** Time for which it takes no requests from this VM. */
     std::optional<core::Micros> retryAfter;
+    std::optional<core::Micros> warmupLeft; ///< Time left until it is warm.
 };
 
 } // namespace teaselreach::proxy
--- a/src/placement/upstream_coverage_base.h
+++ b/src/placement/upstream_coverage_base.h
@@ -39,7 +39,8 @@
     int failing = 0;    ///< Avoided because of their failures.
     int slow = 0;       ///< Avoided because of their speed only.
     int holdingOff = 0; ///< Asked for no requests until a time.
-    int limited = 0;    ///< Have no room under the limit that they name.
+    int limited = 0;    ///< Have no room under the limit that they name or their cold-start limit.
+    int cold = 0;       ///< Have a cold-start limit; they may count as one of the above as well.
     /** How strongly each of the failing and slow ones is avoided. */
     std::vector<double> avoidance;
 };
--- a/src/placement/upstream_table.cpp
+++ b/src/placement/upstream_table.cpp
@@ -19,13 +19,15 @@
     const bool restarted = upstream.entry.startedAt != entry.startedAt;
     const bool moved = upstream.entry.address != entry.address || upstream.entry.port != entry.port;
     if (upstream.entry.id.empty() || restarted || moved) {
-        limiter_.remove(entry.id);
+        limiter_.restarted(entry.id);
         auto inFlight = std::move(upstream.inFlight);
         upstream = {.warmAt = now + entry.warmupLeft, .inFlight = std::move(inFlight)};
     }
     upstream.entry = entry;
     upstream.distance = distanceLoss(entry.availabilityZone);
+    upstream.entryColdUntil = now + entry.warmupLeft;
     addToService(upstream);
+    updateColdLimit(now, upstream, ColdSource::Entry);
 }
 
 void UpstreamTable::remove(const core::UpstreamId &id)
@@ -112,8 +114,13 @@
     const core::Micros duration = expectedDuration(now, upstream, request);
     const double failure = failureProbability(now, upstream);
     const bool isTrial = isTrialDue(now, upstream, request);
+    // The cold-start limit keeps the load of a cold upstream low. If the usual slowness of cold
+    // upstreams counted as well, those of another zone would get the requests that it may take.
+    const core::Micros countedDuration = limiter_.isCold(now, upstream.entry.id)
+        ? micros(seconds(duration) / options_.coldFactor)
+        : duration;
     const double loss =
-        isTrial ? upstream.distance : expectedLoss(upstream, request, duration, failure);
+        isTrial ? upstream.distance : expectedLoss(upstream, request, countedDuration, failure);
     return {.duration = duration,
             .loss = loss + tieBreak(random_),
             .failure = failure,
@@ -242,14 +249,43 @@
     upstream.loadAt = record.endedAt;
 }
 
-void UpstreamTable::updateLimit(const AttemptRecord &record, const Upstream &upstream)
+void UpstreamTable::updateLimit(const AttemptRecord &record, Upstream &upstream)
 {
+    if (record.status.warmupLeft) {
+        upstream.responseColdUntil = record.endedAt + *record.status.warmupLeft;
+        updateColdLimit(record.endedAt, upstream, ColdSource::Response);
+    }
     const bool ran = record.end == AttemptEnd::Answered || record.end == AttemptEnd::ServerError
         || record.end == AttemptEnd::UnprovenRefusal;
     limiter_.responded(record.endedAt, record.upstream, record.status.limit, ran,
                        limitShareOf(upstream));
 }
 
+/** Applies the later of the ends that the entry and the responses state. Either may be older than
+ * the other, and too short a time would overload the upstream. */
+void UpstreamTable::updateColdLimit(core::MonoTime now, const Upstream &upstream, ColdSource source)
+{
+    const auto perSecond = coldPerSecond_.find(upstream.entry.service);
+    limiter_.setCold(now, upstream.entry.id,
+                     {.perSecond = perSecond == coldPerSecond_.end() ? 0 : perSecond->second,
+                      .until = std::max(upstream.entryColdUntil, upstream.responseColdUntil)},
+                     source, limitShareOf(upstream));
+}
+
+void UpstreamTable::setServices(core::MonoTime now, const std::vector<ServiceSettings> &services)
+{
+    coldPerSecond_.clear();
+    for (const ServiceSettings &service : services) {
+        if (service.coldPerSecond <= 0)
+            continue;
+        // The lowest limit holds if a service is listed twice.
+        const auto limit = coldPerSecond_.try_emplace(service.id, service.coldPerSecond).first;
+        limit->second = std::min(limit->second, service.coldPerSecond);
+    }
+    for (const auto &[id, upstream] : upstreams_)
+        updateColdLimit(now, upstream, ColdSource::Configuration);
+}
+
 void UpstreamTable::setLimitShares(std::map<core::AvailabilityZoneId, UpstreamLimitShare> shares,
                                    UpstreamLimitShare unknownZone)
 {
@@ -260,8 +296,14 @@
 void UpstreamTable::limitReported(core::MonoTime now, const UpstreamLimitReport &report)
 {
     const auto found = upstreams_.find(report.upstream);
-    if (found != upstreams_.end())
-        limiter_.reported(now, report, limitShareOf(found->second));
+    if (found == upstreams_.end())
+        return;
+    Upstream &upstream = found->second;
+    if (now + report.coldLeft > upstream.responseColdUntil && report.coldLeft > core::Micros(0)) {
+        upstream.responseColdUntil = now + report.coldLeft;
+        updateColdLimit(now, upstream, ColdSource::Peer);
+    }
+    limiter_.reported(now, report, limitShareOf(upstream));
 }
 
 } // namespace teaselreach::proxy
--- a/src/placement/upstream_table_base.h
+++ b/src/placement/upstream_table_base.h
@@ -165,9 +165,12 @@
      * @param unknownZone Share for zones that are not listed. */
     void setLimitShares(std::map<core::AvailabilityZoneId, UpstreamLimitShare> shares,
                         UpstreamLimitShare unknownZone);
+    /** Sets the cold-start limits of the services, those of the configuration in force. */
+    void setServices(core::MonoTime now, const std::vector<ServiceSettings> &services);
     /** Records the report of another VM on a limited upstream. */
     void limitReported(core::MonoTime now, const UpstreamLimitReport &report);
-    /** @return Up to a number of reports on limited upstreams for other VMs. */
+    /** Ends cold starts whose time has passed. Call it several times a second. @return Up to a
+     * number of reports on limited upstreams for other VMs. */
     std::vector<UpstreamLimitReport> takeLimitReports(core::MonoTime now, std::size_t maxReports)
     {
         return limiter_.takeReports(now, maxReports);
@@ -199,7 +202,10 @@
     {
         UpstreamEntry entry;
         double distance = 0;      ///< Loss from its zone or region; see UpstreamTableOptions.
-        core::MonoTime warmAt {}; ///< End of its warm-up.
+        core::MonoTime warmAt {}; ///< End of its warm-up after its start.
+        /** End of its warm-up as its entry states it, and its responses to any VM. */
+        core::MonoTime entryColdUntil {};
+        core::MonoTime responseColdUntil {};
         double othersLoad = 0;    ///< Requests from other VMs, as last known.
         core::MonoTime loadAt {}; ///< Time of the last load report or refusal.
         bool lastFailed = false;  ///< Whether the last known outcome was a failure.
@@ -257,7 +263,8 @@
                       double healthyFailureRate);
     void updateProcessingTime(const AttemptRecord &record, Upstream &upstream);
     void updateLoad(const AttemptRecord &record, Upstream &upstream) const;
-    void updateLimit(const AttemptRecord &record, const Upstream &upstream);
+    void updateLimit(const AttemptRecord &record, Upstream &upstream);
+    void updateColdLimit(core::MonoTime now, const Upstream &upstream, ColdSource source);
     const UpstreamLimitShare &limitShareOf(const Upstream &upstream) const;
 
     UpstreamTableOptions options_;
@@ -272,6 +279,8 @@
     UpstreamCoverage coverage_;
     std::map<core::AvailabilityZoneId, UpstreamLimitShare> limitShares_;
     UpstreamLimitShare unknownZoneShare_; ///< For zones that limitShares_ does not list.
+    /** Requests per second at a cold upstream of each service that has a limit. */
+    std::unordered_map<core::ServiceId, double, core::StrongHash> coldPerSecond_;
     core::VmId self_;
     std::vector<core::VmId> trialPeers_; ///< Other VMs of the zone that take callers.
     std::vector<OutcomeReport> reports_;
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -253,6 +253,7 @@
             set("slow", counts.slow);
             set("holding_off", counts.holdingOff);
             set("limited", counts.limited);
+            set("cold", counts.cold);
         }
         return makeResponse(beasthttp::status::ok,
                             registry_.prometheusText(core::MonoClock::now()));
@@ -409,7 +410,9 @@
         const double evenShare = 1 / static_cast<double>(std::max<std::size_t>(1, entries_.size()));
         upstreams_.setLimitShares(
             entries_.upstreamLimitShares(options_.regionOfZone, options_.self, peers),
-            {.own = evenShare, .pool = evenShare});
+            {.own = evenShare,
+             .pool = evenShare,
+             .cold = entries_.coldShareOf(options_.self.id, std::nullopt)});
     }
 
     static double toSeconds(core::Micros time)
--- a/tests/proxy/memory_store.h
+++ b/tests/proxy/memory_store.h
@@ -99,6 +99,8 @@
 
     /** Port of all decoded upstreams. */
     std::uint16_t upstreamPort = 0;
+    /** Time until all decoded upstreams are warm. */
+    core::Micros warmupLeft {0};
     /** Result of decodeConfiguration(), except for the version. */
     Configuration configuration;
 
@@ -119,7 +121,8 @@
                 .service = core::ServiceId("slot"),
                 .address = value,
                 .port = upstreamPort,
-                .slots = 4};
+                .slots = 4,
+                .warmupLeft = warmupLeft};
     }
     /** Peer address of all decoded members. */
     std::string peerAddress = "127.0.0.1:1";
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -155,6 +155,30 @@
     }
 }
 
+TEST_CASE("a cold-start limit that is no rate is applied as some rate, or is missed")
+{
+    const auto decode = [](const std::string &services) {
+        std::string text = configText;
+        text.insert(1, "\"services\": " + services + ", ");
+        return platform::decodeConfiguration(text).services;
+    };
+    CHECK(platform::decodeConfiguration(configText).services.empty());
+    const auto services =
+        decode(R"([{"name": "s1", "warmup": "3s", "coldPerS": 4.5}, {"name": "s2"}])");
+    REQUIRE(services.size() == 2);
+    CHECK(services[0].id == core::ServiceId("s1"));
+    CHECK(services[0].warmup == core::Seconds(3));
+    CHECK(services[0].coldPerSecond == 4.5);
+    CHECK(services[1].coldPerSecond == 0);
+    for (const char *odd : {"-1", "\"4\"", "null", "true", "[4]", "1e30"})
+        CHECK_THROWS_AS_MESSAGE(decode(std::string(R"([{"name": "s1", "coldPerS": )") + odd + "}]"),
+                                StoreValueMalformed, odd);
+    CHECK_THROWS_AS(decode(R"([{"coldPerS": 4}])"), StoreValueMalformed);
+    CHECK_THROWS_AS(decode(R"([{"name": "s1", "warmup": 3}])"), StoreValueMalformed);
+    for (const char *odd : {"7", "null", R"({"s1": {"name": "s1", "coldPerS": 4}})"})
+        CHECK_THROWS_AS_MESSAGE(decode(odd), StoreValueMalformed, odd);
+}
+
 TEST_CASE("malformed durations and base64 texts are rejected")
 {
     CHECK(parseDuration("1.5s") == core::Millis(1500));
@@ -323,6 +347,10 @@
     for (const char *odd : {"-1", "1e9", "inf", "Sat, 05 Dec 2026 03:00:00 GMT", "2s", ""})
         CHECK_MESSAGE(!readRefusal(odd), odd);
     CHECK(!read("Retry-After", "2").retryAfter); // Not with a refusal.
+    CHECK(read("Teaselreach-Warmup-Ms", "1500").warmupLeft == core::Millis(1500));
+    CHECK(read("Teaselreach-Warmup-Ms", "0").warmupLeft == core::Micros(0));
+    for (const char *odd : {"", "-1", "3600001", "1e99", "nan", "3s", "soon"})
+        CHECK_MESSAGE(!read("Teaselreach-Warmup-Ms", odd).warmupLeft, odd);
     CHECK(read("Server-Leaving", "1").leaving);
     for (const char *odd : {"0", "", "2", "true", "1,1"})
         CHECK_MESSAGE(!read("Server-Leaving", odd).leaving, odd);
@@ -356,6 +384,8 @@
         entry("warmupLeft", "\"1e300s\""),
         entry("warmupLeft", "\"infs\""),
         entry("warmupLeft", "\"-1s\""),
+        entry("warmupLeft", "\"3601s\""),
+        entry("warmupLeft", "300"),
         entry("address", "\"10.1.2.3:65536\""),
         entry("address", "\"10.1.2.3:0\""),
         entry("address", "\"10.1.2.3:-1\""),
--- a/tests/proxy/sync_test.cpp
+++ b/tests/proxy/sync_test.cpp
@@ -325,6 +325,30 @@
     CHECK(storeAndCheckRelayed(upstream("b")));
     CHECK(storeAndCheckRelayed(config("7")));
     CHECK(vm.sync.changeLog().snapshot().items.size() == 3);
+    // An upstream that stays cold states the same time again; followers would take it for warm.
+    vm.store.warmupLeft = core::Seconds(3);
+    CHECK(storeAndCheckRelayed(upstream("b")));
+    CHECK(storeAndCheckRelayed(upstream("b")));
+}
+
+TEST_CASE(
+    "a new cold-start limit is not applied to upstreams that are listed already, or never ends")
+{
+    SyncFixture vm;
+    const auto coldCount = [&] {
+        return vm.upstreams.countsOf(core::MonoClock::now(), core::ServiceId("slot")).cold;
+    };
+    vm.store.warmupLeft = core::Seconds(60);
+    vm.store.items = {upstream("a"), config("1")};
+    vm.sync.start();
+    REQUIRE(vm.runUntil([&] { return vm.hasUpstream("a") && vm.version() == 1; }));
+    CHECK(coldCount() == 0);
+    vm.store.configuration.services = {{.id = core::ServiceId("slot"), .coldPerSecond = 4}};
+    vm.store.events = {config("2")};
+    CHECK(vm.runUntil([&] { return coldCount() == 1; }));
+    vm.store.configuration.services = {{.id = core::ServiceId("slot")}};
+    vm.store.events = {config("3")};
+    CHECK(vm.runUntil([&] { return coldCount() == 0; }));
 }
 
 TEST_CASE("a relay request waits for a change while the store's revision grows without one")
