--- a/src/fleet/entry_vm_selector_base.h
+++ b/src/fleet/entry_vm_selector_base.h
@@ -42,6 +42,9 @@
     /** Share of an upstream's limit of an active VM in another zone of its region, relative to one
      * in its own zone. */
     double otherZoneLimitWeight = 0.25;
+    /** Largest share of one VM in a cold-start limit. Leaves room while one VM of two knows of the
+     * other and the other does not, and each would take the whole limit. */
+    double maxColdShare = 0.6;
 };
 
 /** Shares of one VM in the limits that the upstreams of one zone name, by the VM's place. The
@@ -72,10 +75,10 @@
      * @param caller Availability zone and region of the caller.
      * @param isSilent Returns whether a VM is shutting down or its messages have stopped. Such a VM
      * is only returned if all active VMs of the selected zone or region are silent.
-     * @param homeRegions Regions in which the caller's requests may be served. VMs of other regions
-     * are only returned if these have none, so that no VM outside gets the requests' bodies.
+     * @param homeRegions Regions in which the caller's requests may be served.
      * @return Addresses of active VMs: of the caller's zone, else of its region, else of the home
-     * regions, else of all regions.
+     * regions, else of all regions. VMs near the caller come first, since its other requests may be
+     * served there; they send those with home regions straight to an upstream of these.
      */
     std::vector<std::string> addressesFor(const core::Location &caller,
                                           const std::function<bool(const core::VmId &)> &isSilent,
@@ -96,6 +99,14 @@
      * @param regionOfZone The zones. */
     std::map<core::AvailabilityZoneId, UpstreamLimitDivision> divideUpstreamLimits(
         const std::map<core::AvailabilityZoneId, core::RegionId> &regionOfZone) const;
+    /**
+     * Only the VMs nearest to an upstream share its cold-start limit, and at most coldBurst of
+     * them, so that each can save up one request: the active VMs of its zone, else those of its
+     * region, else all. VMs that have departed lately count as active.
+     * @param place Of the upstream; nothing if it is not known.
+     * @return A VM's share of the cold-start limits of the upstreams at a place.
+     */
+    double coldShareOf(const core::VmId &id, const std::optional<core::Location> &place) const;
     /** @return Whether a VM is active. */
     bool isActive(const core::VmId &id) const;
     /** @return The VM of the same availability zone that reads the store on behalf of the others;
@@ -115,16 +126,17 @@
     struct Departed
     {
         core::AvailabilityZoneId zone;
+        core::RegionId region;
         core::MonoTime at {}; ///< End of the registration.
         bool wasActive = false;
     };
 
     /** @return The active VMs of a zone, largest capacity first. */
     std::vector<const EntryMember *> activeMembers(const core::AvailabilityZoneId &zone) const;
-    /** As addressesFor(), with VMs of the allowed regions only. */
-    std::vector<std::string>
-    addressesWithin(const RegionSet &allowed, const core::Location &caller,
-                    const std::function<bool(const core::VmId &)> &isSilent) const;
+    /** @return The active VMs and those that have departed lately, at places that match. */
+    std::vector<core::VmId>
+    activeWhere(const std::function<bool(const core::AvailabilityZoneId &zone,
+                                         const core::RegionId &region)> &matches) const;
     /** @return Caller addresses of the active VMs that are not silent, or of all if all are. */
     std::vector<std::string>
     addressesIn(const std::set<core::AvailabilityZoneId> &zones,
