Add: [Fleet] Apply a relayed evacuation in the test of synchronization

Cause: the test decoded the relay's update but no follower applied it. Change: a second VM applies the items of the update.

--- a/tests/proxy/sync_test.cpp
+++ b/tests/proxy/sync_test.cpp
@@ -327,6 +327,11 @@
     REQUIRE(!decoded.items.empty());
     CHECK(decoded.items.front().kind == FleetItemKind::Evacuation);
     CHECK(decoded.items.front().id == "z2");
+    SyncFixture follower;
+    follower.store.items = {config("1")};
+    follower.store.events.assign(decoded.items.begin(), decoded.items.end());
+    follower.sync.start();
+    CHECK(follower.runUntil([&] { return follower.upstreams.evacuations().zones().size() == 1; }));
     // Without the store, the VM keeps what it knows.
     vm.store.unavailable = true;
     vm.run(core::Millis(60));
