--- a/src/placement/upstream_table.cpp
+++ b/src/placement/upstream_table.cpp
@@ -116,9 +116,8 @@
     const bool isTrial = isTrialDue(now, upstream, request);
     // The cold-start limit keeps the load of a cold upstream low. If the usual slowness of cold
     // upstreams counted as well, those of another zone would get the requests that it may take.
-    const core::Micros countedDuration = limiter_.isCold(now, upstream.entry.id)
-        ? micros(seconds(duration) / options_.coldFactor)
-        : duration;
+    const core::Micros countedDuration =
+        hasColdLimit(now, upstream) ? micros(seconds(duration) / options_.coldFactor) : duration;
     const double loss =
         isTrial ? upstream.distance : expectedLoss(upstream, request, countedDuration, failure);
     return {.duration = duration,
--- a/src/placement/upstream_table_base.h
+++ b/src/placement/upstream_table_base.h
@@ -265,6 +265,12 @@
     void updateLoad(const AttemptRecord &record, Upstream &upstream) const;
     void updateLimit(const AttemptRecord &record, Upstream &upstream);
     void updateColdLimit(core::MonoTime now, const Upstream &upstream, ColdSource source);
+    /** @return Whether an upstream is cold and its service has a cold-start limit. */
+    bool hasColdLimit(core::MonoTime now, const Upstream &upstream) const
+    {
+        return (now < upstream.entryColdUntil || now < upstream.responseColdUntil)
+            && limiter_.isCold(now, upstream.entry.id);
+    }
     const UpstreamLimitShare &limitShareOf(const Upstream &upstream) const;
 
     UpstreamTableOptions options_;
--- a/src/placement/upstream_table_query.cpp
+++ b/src/placement/upstream_table_query.cpp
@@ -159,7 +159,7 @@
         if (!isAccepting(*upstream))
             continue;
         ++counts.accepting;
-        counts.cold += limiter_.isCold(now, upstream->entry.id) ? 1 : 0;
+        counts.cold += hasColdLimit(now, *upstream) ? 1 : 0;
         const bool failing = isFailing(now, *upstream);
         if (notices_.isHoldingOff(now, upstream->entry)) {
             ++counts.holdingOff;
@@ -209,7 +209,7 @@
                                              const PlacementRequest &request) const
 {
     const double slots = std::max(1, upstream.entry.slots);
-    const bool isCold = now < upstream.warmAt || limiter_.isCold(now, upstream.entry.id);
+    const bool isCold = now < upstream.warmAt || hasColdLimit(now, upstream);
     const double work = seconds(expectedProcessingTime(request.route, request.targetLatency))
         * slownessOf(now, upstream) * (isCold ? options_.coldFactor : 1.0);
     const double ahead = std::max(0.0, occupancyOf(now, upstream) + 1 - slots);
--- a/tests/proxy/cold_upstream_test.cpp
+++ b/tests/proxy/cold_upstream_test.cpp
@@ -18,8 +18,9 @@
 
 const core::ServiceId desk("slot-desk");
 constexpr int zones = 6;
-constexpr int perZone = 2;
-constexpr core::Millis processingTime {100};
+/** At each VM; more than the other zones have slots for. */
+constexpr double requestsPerSecond = 110;
+constexpr core::Millis responseTime {180};
 /** The zone returns cold then, and becomes cold again later without a restart. */
 constexpr core::Seconds returnAt {8};
 constexpr core::Seconds riseAt {20};
@@ -34,27 +35,41 @@
 {
     std::uint64_t seed = 1;
     double coldPerSecond = 4;
-    bool isConfigured = true;       ///< Whether the VMs know the limit.
-    double requestsPerSecond = 110; ///< At each VM; more than the other zones have slots for.
-    bool isolatesVm = false;        ///< Whether one VM of the zone exchanges no messages.
-    bool losesMessages = false;     ///< Whether no VM receives messages.
-    core::Micros restartAt {0};     ///< Both VMs of the zone lose their state; never if zero.
-    core::Micros duplicateFrom {
-        core::Seconds(1000)};    ///< One VM of the zone runs twice for three seconds.
-    bool saysInResponses = true; ///< Whether responses state the warm-up.
+    bool isConfigured = true;           ///< Whether the VMs know the limit.
+    bool isolatesVm = false;            ///< Whether one VM of the zone exchanges no messages.
+    bool losesMessages = false;         ///< Whether no VM receives messages.
+    bool saysInResponses = true;        ///< Whether responses state the warm-up.
+    core::Micros restartAt {0};         ///< Both VMs of the zone lose their state; never if zero.
+    core::Seconds duplicateFrom {1000}; ///< One VM of the zone runs twice for three seconds.
 };
 
-core::AvailabilityZoneId zoneId(int zone)
+/** Three regions of two zones, with VMs in each zone. */
+struct Site
 {
-    return core::AvailabilityZoneId("z" + std::to_string(zone));
-}
-
-core::RegionId regionId(int zone)
-{
-    return core::RegionId("r" + std::to_string(zone / 2));
-}
+    explicit Site(int vmsPerZone)
+    {
+        for (int zone = 0; zone < zones; ++zone) {
+            const core::Location place {core::AvailabilityZoneId(std::to_string(zone)),
+                                        core::RegionId("r" + std::to_string(zone / 2))};
+            regionOfZone[place.availabilityZone] = place.region;
+            for (int i = 0; i < vmsPerZone; ++i) {
+                const core::VmId id(std::to_string(zone) + "-" + std::to_string(i));
+                members.push_back({.id = id, .location = place, .capacity = 0.01});
+                entries.memberJoined(members.back());
+            }
+        }
+    }
+    /** @return The shares of a VM in the limits of the upstreams of the first zone. */
+    UpstreamLimitShare shareOf(const EntryMember &member) const
+    {
+        return entries.upstreamLimitShares(regionOfZone, member, {}).begin()->second;
+    }
+    std::map<core::AvailabilityZoneId, core::RegionId> regionOfZone;
+    std::vector<EntryMember> members;
+    EntryVmSelector entries {{}};
+};
 
-/** Twelve VMs in three regions of two zones, and three upstreams in each zone. */
+/** Twelve VMs, and three upstreams in each zone. Those of the first zone return cold. */
 class ColdFleet
 {
 public:
@@ -62,24 +77,16 @@
         : load_(load)
         , random_(load.seed)
     {
-        for (int zone = 0; zone < zones; ++zone) {
-            regionOfZone_[zoneId(zone)] = regionId(zone);
-            for (int i = 0; i < perZone; ++i) {
-                const core::VmId id("vm-" + std::to_string(zone) + "-" + std::to_string(i));
-                vms_.push_back({.member = {.id = id, .location = {zoneId(zone), regionId(zone)}}});
-                entries_.memberJoined(vms_.back().member);
-            }
-            for (int i = 0; i < 3; ++i)
-                upstreams_.push_back(
-                    {.entry = {.id = core::UpstreamId("i-" + std::to_string(3 * zone + i)),
-                               .service = desk,
-                               .address = "10.0.0.1",
-                               .port = static_cast<std::uint16_t>(3 * zone + i + 1),
-                               .availabilityZone = zoneId(zone),
-                               .slots = 4},
-                     .returns = zone == 0});
-        }
-        vms_.push_back(vms_.front()); // The duplicate.
+        for (int i = 0; i < 3 * zones; ++i)
+            upstreams_.push_back(
+                {.entry = {.id = core::UpstreamId("i-" + std::to_string(i)),
+                           .service = desk,
+                           .address = "10.0.0.1",
+                           .port = static_cast<std::uint16_t>(i + 1),
+                           .availabilityZone = core::AvailabilityZoneId(std::to_string(i / 3)),
+                           .slots = 4}});
+        site_.members.push_back(site_.members.front()); // The duplicate.
+        vms_.resize(site_.members.size());
         for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
             start(vm);
             scheduleRequest(vm);
@@ -90,10 +97,7 @@
         events_.after(returnAt, [this] { setListed(true); });
         events_.after(riseAt, [this] { becomeCold(); });
         if (load_.restartAt > core::Micros(0))
-            events_.after(load_.restartAt, [this] {
-                start(0);
-                start(1);
-            });
+            events_.after(load_.restartAt, [this] { start(0), start(1); });
     }
 
     void run() { events_.runUntil(begin_ + core::Seconds(28)); }
@@ -102,21 +106,18 @@
     /** @return Arrivals at the cold upstreams while they returned, as a part of the limit. */
     double usedPart() const
     {
-        return arrivals_
-            / (3 * load_.coldPerSecond * std::chrono::duration<double>(warmup).count());
+        return arrivals_ / (3 * load_.coldPerSecond * static_cast<double>(warmup.count()));
     }
 
 private:
     struct Vm
     {
-        EntryMember member;
         std::shared_ptr<UpstreamTable> table;
         core::MonoTime readsAt {}; ///< Last delivery of an entry.
     };
     struct Upstream
     {
         UpstreamEntry entry;
-        bool returns = false;
         bool isListed = true;
         core::MonoTime warmAt {};
         std::deque<core::MonoTime> arrivals;
@@ -124,17 +125,10 @@
 
     core::Micros elapsed() const { return events_.now() - begin_; }
     bool isDuplicate(std::size_t vm) const { return vm + 1 == vms_.size(); }
-    bool isUp(std::size_t vm) const
-    {
-        return !isDuplicate(vm)
-            || (elapsed() >= load_.duplicateFrom
-                && elapsed() < load_.duplicateFrom + core::Seconds(3));
-    }
     bool isIsolated(std::size_t vm) const
     {
         return load_.losesMessages || isDuplicate(vm) || (load_.isolatesVm && vm == 0);
     }
-
     core::Micros delay(int fromMillis, int toMillis)
     {
         return core::Millis(std::uniform_int_distribution<int>(fromMillis, toMillis)(random_));
@@ -151,30 +145,28 @@
     /** Starts a VM, or starts it again without what it knew. */
     void start(std::size_t index)
     {
-        Vm &vm = vms_[index];
-        vm.table = std::make_shared<UpstreamTable>(
-            UpstreamTableOptions {.self = vm.member.location, .regionOfZone = regionOfZone_},
-            load_.seed * 100 + index);
-        vm.table->setLimitShares(entries_.upstreamLimitShares(regionOfZone_, vm.member, {}),
-                                 {.own = 0, .pool = 0, .cold = 0});
+        const EntryMember &member = site_.members[index];
+        UpstreamTable &table = *(
+            vms_[index].table = std::make_shared<UpstreamTable>(
+                UpstreamTableOptions {.self = member.location, .regionOfZone = site_.regionOfZone},
+                load_.seed * 100 + index));
+        table.setLimitShares(site_.entries.upstreamLimitShares(site_.regionOfZone, member, {}), {});
         for (const Upstream &upstream : upstreams_) {
             if (upstream.isListed)
-                vm.table->update(events_.now(), entryOf(upstream));
+                table.update(events_.now(), entryOf(upstream));
         }
         if (load_.isConfigured)
-            vm.table->setServices(events_.now(),
-                                  {{.id = desk, .coldPerSecond = load_.coldPerSecond}});
+            table.setServices(events_.now(), {{.id = desk, .coldPerSecond = load_.coldPerSecond}});
     }
 
-    /** Delivers an entry to all VMs, which read the store at different times. */
+    /** Delivers an entry to all VMs. They read the store at different times, in its order. */
     void publish(const Upstream &upstream)
     {
         for (Vm &vm : vms_) {
-            // The store's changes keep their order.
             vm.readsAt = std::max(vm.readsAt, events_.now() + delay(100, 1200));
             events_.at(vm.readsAt,
-                       [this, &vm, entry = entryOf(upstream), listed = upstream.isListed] {
-                           if (listed)
+                       [this, &vm, entry = entryOf(upstream), isListed = upstream.isListed] {
+                           if (isListed)
                                vm.table->update(events_.now(), entry);
                            else
                                vm.table->remove(entry.id);
@@ -184,23 +176,19 @@
 
     void setListed(bool isListed)
     {
-        for (Upstream &upstream : upstreams_) {
-            if (!upstream.returns)
-                continue;
-            upstream.isListed = isListed;
-            upstream.entry.startedAt = elapsed().count();
-            if (isListed)
-                upstream.warmAt = events_.now() + warmup;
-            publish(upstream);
+        if (isListed)
+            becomeCold();
+        for (std::size_t i = 0; i < 3; ++i) {
+            upstreams_[i].isListed = isListed;
+            upstreams_[i].entry.startedAt = elapsed().count();
+            publish(upstreams_[i]);
         }
     }
 
     void becomeCold()
     {
-        for (Upstream &upstream : upstreams_) {
-            if (upstream.returns)
-                upstream.warmAt = events_.now() + warmup;
-        }
+        for (std::size_t i = 0; i < 3; ++i)
+            upstreams_[i].warmAt = events_.now() + warmup;
     }
 
     void renewEntries()
@@ -214,47 +202,45 @@
 
     void scheduleRequest(std::size_t index)
     {
-        std::exponential_distribution<double> gap(load_.requestsPerSecond);
-        events_.after(
-            std::chrono::duration_cast<core::Micros>(std::chrono::duration<double>(gap(random_))),
-            [this, index] {
-                if (isUp(index))
-                    send(index);
-                scheduleRequest(index);
-            });
+        const double gap = std::exponential_distribution<double>(requestsPerSecond)(random_);
+        events_.after(std::chrono::duration_cast<core::Micros>(std::chrono::duration<double>(gap)),
+                      [this, index] {
+                          const core::Micros twiceFor = elapsed() - load_.duplicateFrom;
+                          if (!isDuplicate(index)
+                              || (twiceFor >= core::Micros(0) && twiceFor < core::Seconds(3)))
+                              send(vms_[index].table);
+                          scheduleRequest(index);
+                      });
     }
 
-    void send(std::size_t index)
+    void send(const std::shared_ptr<UpstreamTable> &table)
     {
-        const std::shared_ptr<UpstreamTable> table = vms_[index].table;
-        PlacementResult result = table->choose(events_.now(),
-                                               {.service = desk,
-                                                .route = core::RouteId("booking"),
-                                                .targetLatency = core::Millis(500),
-                                                .timeLeft = core::Millis(1500)});
+        PlacementResult result = table->choose(
+            events_.now(),
+            {.service = desk, .targetLatency = core::Millis(500), .timeLeft = core::Millis(1500)});
         if (!result.placement)
             return;
         table->attemptStarted(events_.now(), *result.placement);
-        Upstream &upstream =
-            *std::find_if(upstreams_.begin(), upstreams_.end(), [&](const Upstream &other) {
-                return other.entry.id == result.placement->upstream;
-            });
+        Upstream &upstream = upstreams_[result.placement->port - 1U];
+        AttemptRecord record {.upstream = result.placement->upstream,
+                              .attempt = result.placement->attempt,
+                              .startedAt = events_.now(),
+                              .endedAt = events_.now() + responseTime};
         events_.after(delay(1, 80), [this, &upstream] { arrive(upstream); });
-        events_.after(
-            processingTime + core::Millis(80),
-            [this, table, &upstream, placement = *result.placement, startedAt = events_.now()] {
-                finish(*table, upstream, placement, startedAt);
-            });
+        events_.at(record.endedAt, [this, table, &upstream, record]() mutable {
+            if (load_.saysInResponses)
+                record.status.warmupLeft = entryOf(upstream).warmupLeft;
+            table->attemptFinished(record);
+        });
     }
 
     /** Checks the rule with one more request at an upstream. */
     void arrive(Upstream &upstream)
     {
         const core::MonoTime now = events_.now();
-        if (!upstream.returns || now >= upstream.warmAt || !upstream.isListed)
-            return;
         const auto learnTime = load_.saysInResponses ? learnTimeByResponses : learnTimeByEntries;
-        if (elapsed() > riseAt && elapsed() < riseAt + learnTime)
+        if (now >= upstream.warmAt || !upstream.isListed
+            || (elapsed() > riseAt && elapsed() < riseAt + learnTime))
             return;
         arrivals_ += elapsed() < riseAt ? 1 : 0;
         upstream.arrivals.push_back(now);
@@ -265,33 +251,18 @@
                               / (1.5 * load_.coldPerSecond + 8));
     }
 
-    void finish(UpstreamTable &table, const Upstream &upstream, const Placement &placement,
-                core::MonoTime startedAt)
-    {
-        AttemptRecord record {.upstream = placement.upstream,
-                              .route = core::RouteId("booking"),
-                              .attempt = placement.attempt,
-                              .startedAt = startedAt,
-                              .endedAt = events_.now()};
-        if (load_.saysInResponses)
-            record.status.warmupLeft = entryOf(upstream).warmupLeft;
-        table.attemptFinished(record);
-    }
-
     /** Exchanges reports within the regions every 50 ms, as the daemons do. */
     void exchangeMessages()
     {
         for (std::size_t from = 0; from < vms_.size(); ++from) {
-            const PeerMessage message {
-                .sender = vms_[from].member.id,
-                .limits = vms_[from].table->takeLimitReports(events_.now(), maxLimitReports)};
+            const auto message = decodeMessage(encodeMessage(
+                {.limits = vms_[from].table->takeLimitReports(events_.now(), maxLimitReports)}));
+            REQUIRE(message);
             for (std::size_t to = 0; to < vms_.size(); ++to) {
-                if (from == to || isIsolated(from) || isIsolated(to) || message.limits.empty()
-                    || vms_[from].member.location.region != vms_[to].member.location.region)
+                if (from == to || isIsolated(from) || isIsolated(to)
+                    || site_.members[from].location.region != site_.members[to].location.region)
                     continue;
-                const std::optional<PeerMessage> decoded = decodeMessage(encodeMessage(message));
-                REQUIRE(decoded);
-                for (const UpstreamLimitReport &report : decoded->limits)
+                for (const UpstreamLimitReport &report : message->limits)
                     vms_[to].table->limitReported(events_.now(), report);
             }
         }
@@ -302,10 +273,9 @@
     std::mt19937_64 random_;
     EventQueue events_;
     core::MonoTime begin_ = events_.now();
-    std::map<core::AvailabilityZoneId, core::RegionId> regionOfZone_;
-    EntryVmSelector entries_ {{}};
+    Site site_ {2};
     std::deque<Vm> vms_;
-    std::deque<Upstream> upstreams_;
+    std::vector<Upstream> upstreams_;
     double worst_ = 0;
     double arrivals_ = 0;
 };
@@ -361,30 +331,6 @@
 
 namespace {
 
-/** Three regions of two zones. */
-struct Fleet
-{
-    explicit Fleet(int vmsPerZone)
-    {
-        for (int zone = 0; zone < zones; ++zone) {
-            regionOfZone[zoneId(zone)] = regionId(zone);
-            for (int i = 0; i < vmsPerZone; ++i) {
-                members.push_back({.id = core::VmId(std::to_string(zone) + "-" + std::to_string(i)),
-                                   .location = {zoneId(zone), regionId(zone)},
-                                   .capacity = 0.01});
-                entries.memberJoined(members.back());
-            }
-        }
-    }
-    UpstreamLimitShare shareOf(const EntryMember &member) const
-    {
-        return entries.upstreamLimitShares(regionOfZone, member, {}).at(zoneId(0));
-    }
-    std::map<core::AvailabilityZoneId, core::RegionId> regionOfZone;
-    std::vector<EntryMember> members;
-    EntryVmSelector entries {{}};
-};
-
 const core::UpstreamId coldOne("i-1");
 
 /** @return Requests that a VM may start at once after a long time without any. */
@@ -407,7 +353,7 @@
 TEST_CASE("VMs that have each saved up requests use them in the same second")
 {
     for (const int vmsPerZone : {1, 2, 3, 5, 9}) {
-        const Fleet fleet(vmsPerZone);
+        const Site fleet(vmsPerZone);
         for (const double perSecond : {0.5, 4.0, 40.0}) {
             double sum = 0;
             double largest = 0;
@@ -426,7 +372,7 @@
 TEST_CASE(
     "a zone without VMs leaves its cold upstreams idle, or departed VMs' shares pass on early")
 {
-    Fleet fleet(2);
+    Site fleet(2);
     const auto sumOf = [&](int fromZone, int toZone) {
         double sum = 0;
         for (int i = 2 * fromZone; i < 2 * toZone; ++i)
