Change: [Fleet] A zone has a second relay, and spare VMs register less often in an outage

Cause: while the store turned away the relay of a zone, all its VMs read the store themselves, and each VM without callers tried to register every 0.8 s. The store charges for refused calls. Change: a VM asks a second relay if the first says that it is not connected; a relay that does not respond at all still sends the VM to the store at once. Spare VMs pause twice as long after repeated failures, still shorter than the hold of removals.

--- a/src/fleet/entry_vm_selector.cpp
+++ b/src/fleet/entry_vm_selector.cpp
@@ -135,13 +135,24 @@
 
 std::optional<EntryMember> EntryVmSelector::relayOf(const core::VmId &id) const
 {
+    const std::vector<EntryMember> relays = relaysOf(id);
+    return relays.empty() ? std::nullopt : std::optional(relays.front());
+}
+
+std::vector<EntryMember> EntryVmSelector::relaysOf(const core::VmId &id) const
+{
+    constexpr std::size_t maxRelays = 2;
+    std::vector<EntryMember> relays;
     const auto self = members_.find(id);
     if (self == members_.end())
-        return std::nullopt;
-    const auto active = activeMembers(self->second.location.availabilityZone);
-    if (active.empty() || active.front()->id == id)
-        return std::nullopt;
-    return *active.front();
+        return relays;
+    // A VM asks only those before it, so that no two VMs ask each other.
+    for (const EntryMember *member : activeMembers(self->second.location.availabilityZone)) {
+        if (member->id == id || relays.size() == maxRelays)
+            break;
+        relays.push_back(*member);
+    }
+    return relays;
 }
 
 std::vector<EntryMember> EntryVmSelector::activeInOtherRegions(const core::VmId &id) const
--- a/src/fleet/entry_vm_selector_base.h
+++ b/src/fleet/entry_vm_selector_base.h
@@ -92,6 +92,10 @@
     /** @return The VM of the same availability zone that reads the store on behalf of the others;
      * nothing if that is the VM itself or there is none. */
     std::optional<EntryMember> relayOf(const core::VmId &id) const;
+    /** @return The VMs of the same availability zone that may read the store on behalf of a VM, in
+     * the order in which they are asked: at most two. The second one serves while the store turns
+     * away the first. */
+    std::vector<EntryMember> relaysOf(const core::VmId &id) const;
     /** @return The active VMs of all other regions. */
     std::vector<EntryMember> activeInOtherRegions(const core::VmId &id) const;
     /** @return The other VMs of a VM's availability zone, active or not. */
--- a/src/fleet/fleet_sync_base.h
+++ b/src/fleet/fleet_sync_base.h
@@ -123,6 +123,13 @@
     }
 
 private:
+    /** What the last request to a relay showed. */
+    struct RelayState
+    {
+        bool unresponsive = false;      ///< It got no response.
+        core::MonoTime backoffUntil {}; ///< No further request before.
+    };
+
     static std::int64_t toMillis(core::Micros time)
     {
         return std::chrono::duration_cast<core::Millis>(time).count();
@@ -248,34 +255,46 @@
         contact_.readApplied(now);
     }
 
-    /** Fetches changes from the relay of the availability zone and applies them. @return Whether
-     * there is a relay and it responded. */
+    /** Fetches changes from a relay of the availability zone and applies them. If the first relay
+     * says that it is not connected to the store, the second one reads the store for all others.
+     * @return Whether a relay had the changes. */
     asio::awaitable<bool> fetchFromRelay()
     {
         usingRelay_ = false;
-        const std::optional<EntryMember> relay = parts_.entries.relayOf(options_.self.id);
-        if (!relay || core::MonoClock::now() < relayBackoffUntil_)
-            co_return false;
+        for (const EntryMember &relay : parts_.entries.relaysOf(options_.self.id)) {
+            RelayState &state = relayStates_[relay.id];
+            if (core::MonoClock::now() >= state.backoffUntil && co_await fetchFrom(relay, state))
+                co_return true;
+            // A second frozen relay would delay the calls to the store even more.
+            if (state.unresponsive)
+                break;
+        }
+        co_return false;
+    }
+
+    /** Fetches changes from one relay and applies them. @return Whether it had them. */
+    asio::awaitable<bool> fetchFrom(EntryMember relay, RelayState &state)
+    {
         try {
             usingRelay_ = true;
             FleetUpdate changes =
-                co_await relays_.fetch(relay->peerAddress, revision_,
-                                       relayUnresponsive_ ? RelayWait::None : RelayWait::Change);
-            relayUnresponsive_ = false;
+                co_await relays_.fetch(relay.peerAddress, revision_,
+                                       state.unresponsive ? RelayWait::None : RelayWait::Change);
+            state.unresponsive = false;
             const core::MonoTime now = core::MonoClock::now();
             holdRemovalsAfter(now, contact_.endOutage(now), changes.connectedFor);
             applyChanges(std::move(changes));
             co_return true;
         } catch (const RelayUnresponsive &error) {
             // A frozen relay must not delay the calls to the store, which may be silent as well.
-            relayUnresponsive_ = true;
-            logRelayFailure(*relay, error);
+            state.unresponsive = true;
+            logRelayFailure(relay, error);
         } catch (const core::Error &error) {
-            relayUnresponsive_ = false;
-            logRelayFailure(*relay, error);
+            state.unresponsive = false;
+            logRelayFailure(relay, error);
         }
         usingRelay_ = false;
-        relayBackoffUntil_ = core::MonoClock::now() + options_.relayBackoff;
+        state.backoffUntil = core::MonoClock::now() + options_.relayBackoff;
         // The relay may have lost the store: the changes that it missed are requested at once.
         catchUpNeeded_ = true;
         co_return false;
@@ -422,7 +441,18 @@
     {
         contact_.callFailed(core::MonoClock::now(), sentAt, error);
         logRegistrationFailure(error);
-        return currentMaxBackoff();
+        return registrationBackoff();
+    }
+
+    /** @return The pause after a failed registration. A VM without callers whose zone has others
+     * that take them pauses for longer: its reads show the end of an outage, and it is registered
+     * again before a removal that is held back is applied (RemovalHold::holdTime). */
+    core::Micros registrationBackoff() const
+    {
+        const core::Micros backoff = currentMaxBackoff();
+        const bool isSpare = !parts_.entries.isActive(options_.self.id)
+            && !parts_.entries.relaysOf(options_.self.id).empty();
+        return isSpare && registrationFailures_ > 1 ? 2 * backoff : backoff;
     }
 
     /** Removes the registration from the store. */
@@ -444,9 +474,8 @@
     std::map<std::string, UpstreamEntry> relayedEntries_; ///< Upstreams as last sent to followers.
     std::mt19937_64 random_;
     StoreRevision revision_;
-    bool usingRelay_ = false;        ///< Changes are read from a relay, not from the store.
-    bool relayUnresponsive_ = false; ///< The last request to a relay got no response.
-    core::MonoTime relayBackoffUntil_ {};
+    bool usingRelay_ = false; ///< Changes are read from a relay, not from the store.
+    std::map<core::VmId, RelayState> relayStates_; ///< Of the relays that were asked.
     StoreContact contact_ {core::MonoClock::now()};
     bool catchUpNeeded_ = false;   ///< A read failed, so changes may have been missed.
     int registrationFailures_ = 0; ///< Since the last successful renewal or registration.
--- a/tests/proxy/decisions_test.cpp
+++ b/tests/proxy/decisions_test.cpp
@@ -448,6 +448,20 @@
     CHECK(withoutRelay == 1);
     CHECK(relays.size() == 1);
     CHECK(!entries.relayOf(core::VmId("unknown")));
+    // While the store turned away the first relay, all VMs of its zone read the store themselves.
+    const core::VmId first = *relays.begin();
+    for (int i = 0; i < 6; ++i) {
+        const core::VmId id("vm-" + std::to_string(i));
+        const std::vector<EntryMember> asked = entries.relaysOf(id);
+        CHECK(asked.empty() == (id == first));
+        for (const EntryMember &relay : asked) {
+            const std::vector<EntryMember> back = entries.relaysOf(relay.id);
+            CHECK(std::none_of(back.begin(), back.end(),
+                               [&](const EntryMember &other) { return other.id == id; }));
+        }
+        if (!entries.isActive(id))
+            CHECK(asked.size() == 2);
+    }
 }
 
 TEST_CASE("limit shares never add up to more than one while VMs join and leave")
