Feature: [Placement] Pace accounts near their limit, by priority and across restarts

Cause: an account at many times its rate (497/s) was admitted at 835, 876, 678, 85, 251 requests in successive seconds, its route of the highest priority was refused most, and after 60% of the VMs were killed it got 0 to 65 requests per second for 4 s. A VM that is down also left its admissions counted against the share of the VMs that remain.

Change: PacedRateLimiter, used if PacingOptions::enabled is set. The requests of the last s seconds stay below a line that ends at the window's limit, so a burst leaves 0.7 of the rate for the seconds after it, and then the rate follows. Lower priorities leave room for the demand of higher ones and keep a tenth of the rate. VMs pool their shares while they hear the same VMs (PoolMembership); those of other VMs count only beyond their own shares. A report also states the sender's count in the window, which replaces lost reports. A restarted VM asks its pool for a bounded history of accounts above half of their limit. The fields are appended to the datagram.

--- a/src/fleet/peer_messenger.cpp
+++ b/src/fleet/peer_messenger.cpp
@@ -16,6 +16,8 @@
 
 /** Maximum entries of each list in a datagram, so that it fits into one packet. */
 constexpr std::size_t maxEntries = 40;
+/** Maximum borrowers in one account's history. */
+constexpr std::size_t maxBorrowers = 4;
 
 /** @throws nlohmann::json::exception if an entry is malformed */
 std::vector<UpstreamLimitReport> decodeLimits(const nlohmann::json &entries)
@@ -35,6 +37,65 @@
     return reports;
 }
 
+/** @throws nlohmann::json::exception if the list is malformed or has another length */
+WindowParts decodeParts(const nlohmann::json &entries)
+{
+    WindowParts parts {};
+    for (std::size_t i = 0; i < parts.size(); ++i)
+        parts[i] = entries.at(i).get<int>();
+    return parts;
+}
+
+nlohmann::json encodeHistory(const UsageHistory &history)
+{
+    nlohmann::json accounts = nlohmann::json::array();
+    for (const AccountHistory &entry : history.accounts) {
+        nlohmann::json borrowers = nlohmann::json::array();
+        for (const VmUsage &usage : entry.borrowers) {
+            if (borrowers.size() < maxBorrowers)
+                borrowers.push_back({usage.vm.str(), usage.requests});
+        }
+        if (accounts.size() < maxEntries)
+            accounts.push_back(
+                {entry.account.str(), entry.sender, entry.receiver, std::move(borrowers)});
+    }
+    return {history.isComplete, std::move(accounts)};
+}
+
+/** @throws nlohmann::json::exception if the history is malformed */
+UsageHistory decodeHistory(const nlohmann::json &body)
+{
+    UsageHistory history {.isComplete = body.at(0).get<bool>()};
+    for (const nlohmann::json &entry : body.at(1)) {
+        AccountHistory account {.account = core::ClientAccountId(entry.at(0).get<std::string>()),
+                                .sender = decodeParts(entry.at(1)),
+                                .receiver = decodeParts(entry.at(2))};
+        for (const nlohmann::json &usage : entry.at(3))
+            account.borrowers.push_back({.vm = core::VmId(usage.at(0).get<std::string>()),
+                                         .requests = usage.at(1).get<int>()});
+        history.accounts.push_back(std::move(account));
+    }
+    return history;
+}
+
+/** @return One entry of the list of usage; earlier versions read its first two elements. */
+nlohmann::json encodeUsage(const AccountUsage &usage)
+{
+    nlohmann::json entry {usage.account.str(), usage.requests};
+    if (usage.inWindow != 0)
+        entry.push_back(usage.inWindow);
+    return entry;
+}
+
+/** Appends what only VMs that pace accounts send; earlier versions ignore it. */
+void appendPoolState(const PeerMessage &message, nlohmann::json &body)
+{
+    if (message.view)
+        body.push_back({message.view->digest, message.view->asksHistory});
+    if (message.view && message.history)
+        body.push_back(encodeHistory(*message.history));
+}
+
 } // namespace
 
 std::string encodeMessage(const PeerMessage &message)
@@ -47,7 +108,7 @@
     nlohmann::json usage = nlohmann::json::array();
     for (const AccountUsage &entry : message.usage) {
         if (usage.size() < maxEntries)
-            usage.push_back({entry.account.str(), entry.requests});
+            usage.push_back(encodeUsage(entry));
     }
     nlohmann::json limits = nlohmann::json::array();
     for (const UpstreamLimitReport &report : message.limits) {
@@ -60,9 +121,10 @@
                           std::chrono::duration_cast<core::Millis>(report.age).count(),
                           report.requests});
     }
-    const std::vector<std::uint8_t> bytes =
-        nlohmann::json::to_msgpack({message.sender.str(), std::move(outcomes), std::move(usage),
-                                    message.leaving, std::move(limits)});
+    nlohmann::json body {message.sender.str(), std::move(outcomes), std::move(usage),
+                         message.leaving, std::move(limits)};
+    appendPoolState(message, body);
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
 
@@ -80,11 +142,17 @@
         for (const nlohmann::json &entry : body.at(2)) {
             message.usage.push_back(
                 {.account = core::ClientAccountId(entry.at(0).get<std::string>()),
-                 .requests = entry.at(1).get<int>()});
+                 .requests = entry.at(1).get<int>(),
+                 .inWindow = entry.size() > 2 ? entry.at(2).get<int>() : 0});
         }
         // Earlier versions send no limits.
         if (body.size() > 4)
             message.limits = decodeLimits(body.at(4));
+        if (body.size() > 5)
+            message.view = PoolView {.digest = body.at(5).at(0).get<std::uint64_t>(),
+                                     .asksHistory = body.at(5).at(1).get<bool>()};
+        if (body.size() > 6)
+            message.history = decodeHistory(body.at(6));
         return message;
     } catch (const nlohmann::json::exception &error) {
         core::logEvent(core::LogLevel::Warn, "peer_message_malformed", {{"detail", error.what()}});
--- a/src/fleet/peer_messenger_base.h
+++ b/src/fleet/peer_messenger_base.h
@@ -1,6 +1,7 @@
 /** @file peer_messenger_base.h UDP messages between the VMs of a pool. */
 #pragma once
 
+#include "fleet/pool_membership_base.h"
 #include "placement/account_rate_limiter_base.h"
 #include "placement/upstream_table_base.h"
 #include "proxy/asio_type.h"
@@ -23,6 +24,8 @@
     std::vector<OutcomeReport> outcomes;
     std::vector<AccountUsage> usage;
     std::vector<UpstreamLimitReport> limits;
+    std::optional<PoolView> view;        ///< Only of VMs that pace accounts.
+    std::optional<UsageHistory> history; ///< For a receiver that has asked for it.
 };
 
 /** Maximum entries of PeerMessage::limits. */
--- a/src/placement/account_rate_limiter.cpp
+++ b/src/placement/account_rate_limiter.cpp
@@ -8,7 +8,24 @@
 
 AccountRateLimiter::AccountRateLimiter(AccountRateLimiterOptions options)
     : options_(options)
-{ }
+{
+    if (options_.pacing.enabled)
+        paced_.emplace(options_);
+}
+
+void AccountRateLimiter::processRestarted(core::MonoTime now)
+{
+    restartedAt_ = now;
+    if (paced_)
+        paced_->processRestarted(now);
+}
+
+double AccountRateLimiter::effectiveShare() const
+{
+    if (paced_)
+        return paced_->effectiveShare();
+    return isPooled() ? poolShare_ : ownShare_;
+}
 
 void AccountRateLimiter::setShares(double own, double pool)
 {
@@ -71,7 +88,14 @@
         > options_.overloadFactor * expected + options_.overloadRequests;
 }
 
-bool AccountRateLimiter::admit(core::MonoTime now, const Account &account)
+AdmissionReason AccountRateLimiter::decide(core::MonoTime now, const Account &account, int priority)
+{
+    if (paced_)
+        return paced_->admit(now, account, priority);
+    return admitInWindow(now, account) ? AdmissionReason::Admitted : AdmissionReason::LimitReached;
+}
+
+bool AccountRateLimiter::admitInWindow(core::MonoTime now, const Account &account)
 {
     if (account.ratePerSecond <= 0)
         return true;
@@ -94,6 +118,8 @@
 
 core::Micros AccountRateLimiter::timeUntilAdmission(core::MonoTime now, const Account &account)
 {
+    if (paced_)
+        return paced_->timeUntilAdmission(now, account);
     const Window &window = prunedWindow(now, account.id);
     const std::size_t limit = maxRequests(now, account, effectiveShare());
     const std::size_t count = countedRequests(window);
@@ -111,6 +137,10 @@
 
 void AccountRateLimiter::refund(const Account &account)
 {
+    if (paced_) {
+        paced_->refund(account.id);
+        return;
+    }
     const auto found = windows_.find(account.id);
     if (found == windows_.end() || found->second.own.empty())
         return;
--- a/src/placement/account_rate_limiter_base.h
+++ b/src/placement/account_rate_limiter_base.h
@@ -1,7 +1,8 @@
 /** @file account_rate_limiter_base.h Rate limiting of accounts by this VM's share of each limit. */
 #pragma once
 
-#include "placement/placement_type.h"
+#include "placement/account_limit_type.h"
+#include "placement/paced_rate_limiter_base.h"
 
 #include <deque>
 #include <optional>
@@ -10,43 +11,6 @@
 
 namespace teaselreach::proxy {
 
-/** Settings of the account rate limits. */
-struct AccountRateLimiterOptions
-{
-    /** Length of the sliding window in which requests are counted. */
-    core::Micros window {core::Seconds(5)};
-    /** Overrun that the operators tolerate beyond rate and burst in one window, over all VMs: a
-     * fraction of the limit plus a number of requests. */
-    double overrunRatio = 0;
-    double overrunRequests = 0;
-    /** Part of the tolerated overrun that is held in reserve, in seconds of the account's rate. It
-     * covers what the VMs of a pool admit for an account at many times its rate before they
-     * receive each other's usage reports. */
-    double reserveSeconds = 0.9;
-    /** Distance to the limit, in seconds of the account's rate, below which each VM admits only up
-     * to its own share. Requests of an account at many times its rate are admitted faster than the
-     * VMs exchange usage reports. */
-    double ownShareOnlySeconds = 0.7;
-    /** Fraction of the limit that is available right after a restart; it grows to the whole limit
-     * over one window, because the requests that the previous process admitted are unknown. An
-     * account that is overloading has probably used its whole limit already, so in that window it
-     * gets only the tolerated overrun. */
-    double shareAfterRestart = 0.35;
-    /** An account counts as overloading if its requests since the restart exceed this multiple of
-     * the VM's share of its rate, plus a number of requests that allows for random variation. The
-     * first VM of a zone to restart briefly receives all callers of the zone, about three times its
-     * share. */
-    double overloadFactor = 2.2;
-    double overloadRequests = 3;
-};
-
-/** Number of requests of an account that a VM admitted; exchanged between VMs. */
-struct AccountUsage
-{
-    core::ClientAccountId account;
-    int requests = 0;
-};
-
 /**
  * Sliding-window rate limiter for client accounts.
  *
@@ -61,7 +25,7 @@
     explicit AccountRateLimiter(AccountRateLimiterOptions options);
 
     /** Records that this process replaces an earlier one whose admissions are unknown. */
-    void processRestarted(core::MonoTime now) { restartedAt_ = now; }
+    void processRestarted(core::MonoTime now);
     /**
      * Sets the shares of every limit.
      * @param own Share of this VM, 0 to 1.
@@ -70,8 +34,14 @@
      */
     void setShares(double own, double pool);
     /** Admits a request, and counts it, if the account is within its limit.
-     * @return Whether the request was admitted. */
-    bool admit(core::MonoTime now, const Account &account);
+     * @param priority Priority of the request's route, 0 is the highest; only used with pacing.
+     * @return Whether the request was admitted, or why not. */
+    AdmissionReason decide(core::MonoTime now, const Account &account, int priority);
+    /** @return Whether a request of the highest priority was admitted; see decide(). */
+    bool admit(core::MonoTime now, const Account &account)
+    {
+        return decide(now, account, 0) == AdmissionReason::Admitted;
+    }
     /** @return Time until admit() may succeed for the account, provided that no other requests are
      * admitted. */
     core::Micros timeUntilAdmission(core::MonoTime now, const Account &account);
@@ -83,7 +53,10 @@
     /** @return Requests that this VM has admitted since the last call. Resets the counts. */
     std::vector<AccountUsage> takeUsage();
     /** @return The share of each limit in use: the pool's if usage is pooled, else this VM's. */
-    double effectiveShare() const { return isPooled() ? poolShare_ : ownShare_; }
+    double effectiveShare() const;
+    /** @return The limiter that paces accounts near their limit, which then takes all decisions;
+     * nullptr if PacingOptions::enabled is not set. It has the shares and reports of its own. */
+    PacedRateLimiter *paced() { return paced_ ? &*paced_ : nullptr; }
 
 private:
     /** Admission times of the counted requests of one account. */
@@ -104,7 +77,10 @@
     std::size_t countedRequests(const Window &window) const;
     bool isPooled() const { return poolShare_ > ownShare_; }
 
+    bool admitInWindow(core::MonoTime now, const Account &account);
+
     AccountRateLimiterOptions options_;
+    std::optional<PacedRateLimiter> paced_;
     double ownShare_ = 0;
     double poolShare_ = 0;
     std::optional<core::MonoTime> restartedAt_;
