--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -4,6 +4,7 @@
 #include "fleet/fleet_sync_base.h"
 #include "fleet/peer_liveness_base.h"
 #include "fleet/peer_messenger_base.h"
+#include "fleet/pool_reports_base.h"
 #include "fleet/pool_usage_coverage_base.h"
 #include "metrics/registry_base.h"
 
@@ -117,6 +118,8 @@
     {
         if (!options_.firstStart)
             shares_.processRestarted(core::MonoClock::now());
+        if (shares_.paced() != nullptr)
+            poolReports_.emplace(options_.self.id, *shares_.paced(), usageCoverage_);
         returnFreedBodiesToSystem();
     }
 
@@ -300,7 +303,10 @@
             message.usage.clear(); // An inactive VM counts against its own share only.
             message.limits.clear();
         }
-        const bool due = now - messageSentAt_ > messageInterval;
+        if (poolReports_)
+            fillPoolReports(now, message);
+        const bool due = now - messageSentAt_
+            > (poolReports_ && isActive ? PoolReports::messageInterval : messageInterval);
         const bool hasOutcomes = !message.outcomes.empty();
         if (due)
             messageSentAt_ = now;
@@ -311,7 +317,10 @@
                 notified.insert(peer.id);
             }
         }
+        if (poolReports_ && isActive)
+            sendHistories(now);
         message.usage.clear();
+        message.view.reset();
         // Inactive VMs need to know the limits, not how much of them is used.
         std::erase_if(message.limits,
                       [](const UpstreamLimitReport &report) { return !report.announcesLimit; });
@@ -332,6 +341,41 @@
             peers_.send(peer.peerAddress, message);
     }
 
+    /** Adds usage to a message to the pool, by the accounts and members that are known now. */
+    void fillPoolReports(core::MonoTime now, PeerMessage &message)
+    {
+        if (flow_.table() && flow_.table() != limitedTable_) {
+            limitedTable_ = flow_.table();
+            shares_.paced()->configure(limitedTable_->configuration().accounts);
+        }
+        updatePoolReports(now);
+        message.usage.clear();
+        if (entries_.isActive(options_.self.id))
+            poolReports_->fill(now, message);
+    }
+
+    /** Sets the shares of the pool's VMs; a VM that is inactive or leaves has no pool. */
+    void updatePoolReports(core::MonoTime now)
+    {
+        std::vector<PoolMember> members;
+        if (!shutdownStartedAt_ && entries_.isActive(options_.self.id)) {
+            for (const EntryMember &peer : entries_.poolPeersOf(options_.self.id))
+                members.push_back({.id = peer.id, .share = entries_.limitShareOf(now, peer.id)});
+        }
+        poolReports_->updateShares(now, ownShare_, std::move(members));
+    }
+
+    /** Answers VMs of the pool that lack a record of the current window. */
+    void sendHistories(core::MonoTime now)
+    {
+        for (const PoolReports::Answer &answer : poolReports_->takeAnswers(now)) {
+            for (const EntryMember &peer : entries_.poolPeersOf(options_.self.id)) {
+                if (peer.id == answer.receiver)
+                    peers_.send(peer.peerAddress, answer.message);
+            }
+        }
+    }
+
     void handleMessage(const PeerMessage &message)
     {
         const core::MonoTime now = core::MonoClock::now();
@@ -344,6 +388,10 @@
             usageCoverage_.membershipObserved(now, false);
             return;
         }
+        if (poolReports_) {
+            poolReports_->receive(now, message);
+            return;
+        }
         for (const AccountUsage &usage : message.usage)
             shares_.usageReported(now, usage);
     }
@@ -365,6 +413,8 @@
         // since the others no longer send it usage reports.
         if (shutdownStartedAt_) {
             shares_.setShares(ownShare_, ownShare_);
+            if (poolReports_)
+                updatePoolReports(now);
             updateUpstreamLimitShares(now, false);
             return;
         }
@@ -380,6 +430,8 @@
             }
         }
         shares_.setShares(ownShare_, pool);
+        if (poolReports_)
+            updatePoolReports(now);
         updateUpstreamLimitShares(now, isActive);
         updateTrialVms(now);
     }
@@ -438,6 +490,14 @@
             registry_.setGauge("teaselreach_body_bytes", {},
                                static_cast<double>(options_.flow.bodies->taken()));
         registry_.setGauge("teaselreach_limit_part", {}, shares_.effectiveShare());
+        if (poolReports_) {
+            registry_.setGauge("teaselreach_paced_accounts", {},
+                               static_cast<double>(shares_.paced()->pacedAccounts()));
+            registry_.setGauge("teaselreach_pooled_vms", {},
+                               static_cast<double>(poolReports_->pooledVms()));
+            registry_.setGauge("teaselreach_usage_reports_rejected", {},
+                               static_cast<double>(poolReports_->rejected()));
+        }
         registry_.setGauge("teaselreach_members", {}, static_cast<double>(entries_.size()));
         registry_.setGauge("teaselreach_limited_upstreams", {},
                            static_cast<double>(upstreams_.limitedCount()));
@@ -483,6 +543,8 @@
     UpstreamTable upstreams_;
     AccountRateLimiter shares_;
     PoolUsageCoverage usageCoverage_;
+    std::optional<PoolReports> poolReports_;         ///< Set if accounts are paced.
+    std::shared_ptr<const RouteTable> limitedTable_; ///< Its accounts are set in the limiter.
     EntryVmSelector entries_;
     RequestFlow flow_;
     FleetState state_;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -145,8 +145,16 @@
 bool RequestFlow::checkLimit(Job &job)
 {
     const core::MonoTime now = job.exchange->receivedAt;
-    if (job.account == nullptr || parts_.shares.admit(now, *job.account))
+    if (job.account == nullptr)
         return true;
+    const AdmissionReason reason =
+        parts_.shares.decide(now, *job.account, job.request.route->priority);
+    if (reason == AdmissionReason::Admitted)
+        return true;
+    parts_.registry.addCounter(
+        "teaselreach_account_refusals_total",
+        {{"account", job.account->id.str()}, {"reason", std::string(admissionReasonName(reason))}},
+        1);
     refuse(job,
            {.status = beasthttp::status::too_many_requests,
             .code = "rate_limited",
