--- a/src/placement/paced_rate_limiter.cpp
+++ b/src/placement/paced_rate_limiter.cpp
@@ -62,6 +62,8 @@
 void PacedRateLimiter::setShares(core::MonoTime now, double own,
                                  std::span<const PoolMember> members)
 {
+    if (now - idleRemovedAt_ > options_.window)
+        removeIdle(now);
     for (auto &[id, member] : members_)
         member.isPooled = false;
     ownShare_ = std::clamp(own, 0.0, 1.0);
@@ -74,8 +76,6 @@
         poolShare_ = std::min(1.0, poolShare_ + member.share);
         ++poolSize_;
     }
-    if (now - idleRemovedAt_ > options_.window)
-        removeIdle(now);
 }
 
 PacedRateLimiter::Slot PacedRateLimiter::slotAt(core::MonoTime now) const
@@ -143,6 +143,7 @@
     return state;
 }
 
+/** Forgets accounts without requests in the window, and VMs without any at an account. */
 void PacedRateLimiter::removeIdle(core::MonoTime now)
 {
     idleRemovedAt_ = now;
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -305,13 +305,16 @@
         }
         if (poolReports_)
             fillPoolReports(now, message);
-        const bool due = now - messageSentAt_
-            > (poolReports_ && isActive ? PoolReports::messageInterval : messageInterval);
+        const bool due = now - messageSentAt_ > messageInterval;
+        const bool dueToPool =
+            due || (poolReports_ && now - poolMessageSentAt_ >= PoolReports::messageInterval);
         const bool hasOutcomes = !message.outcomes.empty();
         if (due)
             messageSentAt_ = now;
+        if (dueToPool)
+            poolMessageSentAt_ = now;
         std::set<core::VmId> notified;
-        if (hasOutcomes || due || !message.usage.empty() || !message.limits.empty()) {
+        if (hasOutcomes || dueToPool || !message.usage.empty() || !message.limits.empty()) {
             for (const EntryMember &peer : entries_.poolPeersOf(options_.self.id)) {
                 peers_.send(peer.peerAddress, message);
                 notified.insert(peer.id);
@@ -557,6 +560,7 @@
     CallerServer internalServer_;
     std::optional<core::MonoTime> shutdownStartedAt_;
     core::MonoTime messageSentAt_ {};
+    core::MonoTime poolMessageSentAt_ {};
     PeerLiveness liveness_;
     double ownShare_ = 0;
 };
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -67,6 +67,7 @@
     DispatchRequest request; ///< The route is nullptr until it is found.
     core::Micros waited {0};
     std::string outcome = "answered";
+    AdmissionReason limitReason = AdmissionReason::Admitted; ///< Decision on the account's limit.
 };
 
 /** A request that waits for an upstream. */
@@ -147,14 +148,13 @@
     const core::MonoTime now = job.exchange->receivedAt;
     if (job.account == nullptr)
         return true;
-    const AdmissionReason reason =
-        parts_.shares.decide(now, *job.account, job.request.route->priority);
-    if (reason == AdmissionReason::Admitted)
+    job.limitReason = parts_.shares.decide(now, *job.account, job.request.route->priority);
+    if (job.limitReason == AdmissionReason::Admitted)
         return true;
-    parts_.registry.addCounter(
-        "teaselreach_account_refusals_total",
-        {{"account", job.account->id.str()}, {"reason", std::string(admissionReasonName(reason))}},
-        1);
+    parts_.registry.addCounter("teaselreach_account_refusals_total",
+                               {{"account", job.account->id.str()},
+                                {"reason", std::string(admissionReasonName(job.limitReason))}},
+                               1);
     refuse(job,
            {.status = beasthttp::status::too_many_requests,
             .code = "rate_limited",
@@ -471,6 +471,8 @@
         fields.emplace_back("proof_reused", std::int64_t {refusal.reused});
         fields.emplace_back("proof_named", std::int64_t {refusal.namesRequest});
     }
+    if (job.limitReason != AdmissionReason::Admitted)
+        fields.emplace_back("limit_reason", admissionReasonName(job.limitReason));
     core::logEvent(core::LogLevel::Info, "request_done", fields);
 }
 
--- a/tests/proxy/account_pacing_test.cpp
+++ b/tests/proxy/account_pacing_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <numeric>
 
 using namespace teaselreach;
@@ -183,6 +184,53 @@
     CHECK(fleet.worstOverrun <= 0);
 }
 
+TEST_CASE("a pool that is cut in two, or a link in one direction, does not lend a share twice")
+{
+    std::map<bool, double> cut;
+    std::map<bool, double> oneWay;
+    for (const bool isPaced : {true, false}) {
+        PacedFleet fleet = overloadedFleet(497, 5, isPaced);
+        fleet.run(core::Seconds(7));
+        fleet.isLost = [](std::size_t from, std::size_t to) {
+            return (from % 4 < 2) != (to % 4 < 2);
+        };
+        fleet.run(core::Seconds(7));
+        fleet.isLost = [](std::size_t, std::size_t) { return false; };
+        fleet.run(core::Seconds(4));
+        cut[isPaced] = fleet.worstOverrun;
+        // The second VM of each pool does not hear the first, which had all traffic before.
+        PacedFleet skewed = overloadedFleet(497, 5, isPaced);
+        skewed.isLost = [](std::size_t from, std::size_t to) {
+            return from % 4 == 0 && to % 4 == 1;
+        };
+        skewed.ingress = firstOfRegion;
+        skewed.run(core::Seconds(8));
+        skewed.ingress = [](std::mt19937_64 &random) { return firstOfRegion(random) + 1; };
+        skewed.run(core::Seconds(6));
+        oneWay[isPaced] = skewed.worstOverrun;
+    }
+    MESSAGE("requests beyond the allowed: cut ", cut[true], ", current limiter ", cut[false],
+            "; one-way ", oneWay[true], ", current limiter ", oneWay[false]);
+    CHECK(cut[true] <= 0);
+    CHECK(oneWay[true] <= 0);
+    CHECK(cut[false] > 0);
+    CHECK(oneWay[false] > 0);
+}
+
+TEST_CASE("a refused request is admitted after the time that the refusal states")
+{
+    core::MonoTime now {core::Seconds(100)};
+    const Account account = accountOf(40);
+    PacedRateLimiter limiter({.pacing = {.enabled = true}});
+    limiter.setShares(now, 1, {});
+    while (limiter.admit(now, account, 0) == AdmissionReason::Admitted)
+        now += core::Millis(1);
+    const core::Micros wait = limiter.timeUntilAdmission(now, account);
+    CHECK(wait > core::Micros(0));
+    CHECK(wait <= core::Seconds(1));
+    CHECK(limiter.admit(now + wait + core::Millis(50), account, 0) == AdmissionReason::Admitted);
+}
+
 TEST_CASE("no window exceeds the limit with faults, restarts and changing ingress at random")
 {
     for (std::uint64_t seed = 1; seed <= 100; ++seed) {
--- a/tests/proxy/loop_daemon_test.cpp
+++ b/tests/proxy/loop_daemon_test.cpp
@@ -37,8 +37,8 @@
 class DaemonFixture
 {
 public:
-    explicit DaemonFixture(ShutdownOptions shutdown = {})
-        : daemon_(context_, store, directory_, options(shutdown))
+    explicit DaemonFixture(ShutdownOptions shutdown = {}, PacingOptions pacing = {})
+        : daemon_(context_, store, directory_, options(shutdown, pacing))
     {
         store.configuration = testConfiguration();
         store.configuration.accounts.front().ratePerSecond = 10;
@@ -125,7 +125,7 @@
     const std::uint16_t internalPort = standins::freePort("127.0.0.1");
 
 private:
-    LoopDaemonOptions options(ShutdownOptions shutdown) const
+    LoopDaemonOptions options(ShutdownOptions shutdown, PacingOptions pacing) const
     {
         LoopDaemonOptions options;
         options.shutdown = shutdown;
@@ -138,6 +138,7 @@
         options.peers = {.address = "127.0.0.1", .port = internalPort};
         options.flow.names = testHeaderNames();
         options.shares.window = limitWindow;
+        options.shares.pacing = pacing;
         options.seed = 1;
         return options;
     }
@@ -221,6 +222,31 @@
     CHECK(core::MonoClock::now() - returned >= limitWindow);
 }
 
+TEST_CASE("paced accounts: a VM pools its share with one that hears the same VMs")
+{
+    // Guards against a daemon that does not pass reports and members to the limiter.
+    DaemonFixture fixture({}, {.enabled = true});
+    for (const char *id : {"me", "b"})
+        fixture.store.items.push_back(
+            {.kind = FleetItemKind::Member, .id = id, .value = "registered"});
+    fixture.start();
+    PoolMembership other(core::VmId("b"));
+    other.heard(core::MonoTime {}, core::VmId("me"), {});
+    const core::VmId self("me");
+    const auto report = [&](std::uint64_t digest) {
+        fixture.sendPeerMessage(
+            {.sender = core::VmId("b"),
+             .usage = {{.account = core::ClientAccountId("unknown"), .requests = 1}},
+             .view = PoolView {.digest = digest}});
+        return fixture.metric("teaselreach_pooled_vms");
+    };
+    REQUIRE(eventually([&] {
+        return report(other.view(core::MonoTime {}, {&self, 1}, true).digest) == 1;
+    }));
+    CHECK(fixture.metric("teaselreach_usage_reports_rejected") > 0);
+    REQUIRE(eventually([&] { return report(7) == 0; })); // It hears other VMs.
+}
+
 TEST_CASE("a VM refuses requests until it has a configuration, then is ready and lists itself")
 {
     DaemonFixture fixture;
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -91,6 +91,21 @@
     CHECK(settings.store.port == 8408);
 }
 
+// Failure guarded against: a deployment that does not ask for paced accounts gets them.
+TEST_CASE("accounts are paced only if the contracts contain pressure")
+{
+    const auto isPaced = [](const std::string &contracts) {
+        std::string text = settingsText;
+        text.insert(1, contracts);
+        return parsePlatformSettings(text).daemon.shares.pacing.enabled;
+    };
+    CHECK(!isPaced(""));
+    CHECK(!isPaced(R"("contracts": ["regions", "pressured"], )"));
+    CHECK(isPaced(R"("contracts": ["regions", "pressure"], )"));
+    CHECK_THROWS_AS(isPaced(R"("contracts": [1], )"), PlatformSettingsInvalid);
+    CHECK_THROWS_AS(isPaced(R"("contracts": "pressure", )"), PlatformSettingsInvalid);
+}
+
 TEST_CASE("unreadable, incomplete and missing settings are rejected")
 {
     const auto without = [](const std::string &part) {
