Feature: [Soak] Play cold upstreams and check the bound on their requests

Cause: the cold-start limit was tested in virtual time only, not between real daemons that are killed, frozen and cut off.

Change: upstreams of the soak are cold for 6 s after a restart, and may become cold without one; their entries (renewed every 1.5 s) and their responses say so. The configuration limits them to 1 request a second. The ledger breaks the rule "cold" when more than 9 requests arrive in a second, except for 1.5 s after the start, after a frozen daemon resumes and after a path to the upstream has healed.

The ledger test has the nearest allowed history and one violation.

--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -52,6 +52,19 @@
         broken("limit", account + " ran " + std::to_string(window.size()) + " requests in 5 s");
 }
 
+void Ledger::arrivedCold(core::MonoTime now, const std::string &upstream)
+{
+    std::deque<core::MonoTime> &window = coldArrivals_[upstream];
+    window.push_back(now);
+    while (now - window.front() >= coldWindow)
+        window.pop_front();
+    if (static_cast<double>(window.size()) <= coldAllowed)
+        return;
+    broken("cold",
+           upstream + " got " + std::to_string(window.size()) + " requests in 1 s while cold");
+    window.clear(); // Each excess is one violation, not each request of it.
+}
+
 void Ledger::answered(const std::string &id, int status, const std::string &body, bool sealed)
 {
     Entry &entry = requests_[id];
--- a/soak/ledger_base.h
+++ b/soak/ledger_base.h
@@ -35,6 +35,12 @@
 inline constexpr double overrunRequests = 20;
 inline constexpr core::Seconds limitWindow {5};
 
+/** The cold-start limit of the service, in requests per second, and the requests at a cold upstream
+ * that the users allow in coldWindow. */
+inline constexpr double coldPerSecond = 1;
+inline constexpr double coldAllowed = 1.5 * coldPerSecond + 8;
+inline constexpr core::Seconds coldWindow {1};
+
 /** Records events and checks each one when it is recorded. Not thread-safe. */
 class Ledger
 {
@@ -44,6 +50,8 @@
     /** An upstream starts to run a request. @param keyWasPassedOn Whether it got an API key. */
     void ran(core::MonoTime now, const std::string &id, const std::string &account,
              bool keyWasPassedOn);
+    /** A request that is not refused as misdirected arrived at a cold upstream. */
+    void arrivedCold(core::MonoTime now, const std::string &upstream);
     /** A caller received a response. @param sealed Whether it carries an upstream's seal. */
     void answered(const std::string &id, int status, const std::string &body, bool sealed);
     /** A daemon closed the connection after SIGTERM; a violation if the request ran. */
@@ -75,6 +83,7 @@
     std::map<std::string, Entry> requests_;
     std::map<std::string, SoakAccount> accounts_;
     std::map<std::string, std::deque<core::MonoTime>> recentRuns_;
+    std::map<std::string, std::deque<core::MonoTime>> coldArrivals_; ///< By upstream.
     std::map<std::string, int> outcomes_;
     std::vector<Violation> violations_;
 };
--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -26,6 +26,8 @@
 constexpr core::Millis storeSettleTime {3000 + 500};
 /** Time within which a daemon must apply a version: 2500 ms and a margin for slow processes. */
 constexpr core::Millis configurationBound {2500 + 500};
+/** Interval at which an upstream renews its entry while it is cold. */
+constexpr core::Millis entryInterval {1500};
 /** Longest time after which an impatient caller disconnects, in milliseconds. */
 constexpr std::uint64_t longestPatienceMs = 400;
 /** Longest body of a request in bytes; daemons accept 100,000. */
@@ -139,28 +141,32 @@
                            {"apiKeys", {account.key, versionKey(account.name, version_)}},
                            {"ratePerS", account.ratePerSecond},
                            {"burst", account.burst}});
-    store_.put("op/config",
-               json {{"version", version_},
-                     {"routes", routes},
-                     {"limits",
-                      {{"maxHeaderBytes", 16384},
-                       {"maxBodyBytes", 100000},
-                       {"headerTimeout", "3s"},
-                       {"idleTimeout", "15s"}}},
-                     {"tenants", tenants}}
-                   .dump());
+    store_.put(
+        "op/config",
+        json {{"version", version_},
+              {"routes", routes},
+              {"limits",
+               {{"maxHeaderBytes", 16384},
+                {"maxBodyBytes", 100000},
+                {"headerTimeout", "3s"},
+                {"idleTimeout", "15s"}}},
+              {"tenants", tenants},
+              {"services", {{{"name", "work"}, {"warmup", "6s"}, {"coldPerS", coldPerSecond}}}}}
+            .dump());
 }
 
 void SoakSite::writeUpstream(std::size_t index, bool draining)
 {
     const std::uint16_t port = upstreamPorts_[index];
+    const core::Micros warmupLeft = upstreams_[index]->warmupLeft(core::MonoClock::now());
     store_.put("servers/" + upstreams_[index]->id(),
                json {{"service", "work"},
                      {"address", loopback + ":" + std::to_string(port)},
                      {"zone", "z" + std::to_string(port % 3)},
                      {"slots", 4},
                      {"state", draining ? "draining" : "ready"},
-                     {"warmupLeft", "0ms"},
+                     {"warmupLeft",
+                      std::to_string(std::chrono::ceil<core::Millis>(warmupLeft).count()) + "ms"},
                      {"born", upstreams_[index]->bornAt()},
                      {"sequence", 1}}
                    .dump());
@@ -412,8 +418,11 @@
     if (kind == 3)
         vm.storePath->setCuts({.toTarget = random_() % 2 == 0, .toCaller = true});
     co_await sleepFor(kind == 2 ? core::Millis(6500) : time);
-    if (kind == 1)
+    if (kind == 1) {
         vm.process->signal(SIGCONT);
+        for (const auto &upstream : upstreams_)
+            upstream->excuseColdArrivals(core::MonoClock::now());
+    }
     if (kind == 3)
         vm.storePath->setCuts({});
     if (kind != 2)
@@ -457,6 +466,11 @@
         co_return co_await cutUpstreamPath(index);
     if (kind == 2)
         co_return co_await replaceUpstream(index);
+    if (kind == 3) {
+        recordEvent(upstream.id() + " becomes cold");
+        upstream.becomeCold(core::MonoClock::now());
+        co_return co_await renewColdEntry(index);
+    }
     const UpstreamBehaviour &fault = upstreamFaults[random_() % upstreamFaults.size()];
     recordEvent(upstream.id() + " " + std::string(fault.name));
     upstream.setFault(&fault);
@@ -475,6 +489,18 @@
     co_await sleepFor(core::Millis(100 + random_() % 3000));
     upstreamPaths_[index]->setCuts({});
     upstreams_[index]->restartDrainTimer(core::MonoClock::now());
+    upstreams_[index]->excuseColdArrivals(core::MonoClock::now());
+}
+
+/** Writes the entry of a cold upstream until it is warm. */
+proxy::asio::awaitable<void> SoakSite::renewColdEntry(std::size_t index)
+{
+    const SoakUpstream &upstream = *upstreams_[index];
+    while (upstream.warmupLeft(core::MonoClock::now()) > core::Micros(0)) {
+        writeUpstream(index, upstream.isDraining());
+        co_await sleepFor(entryInterval);
+    }
+    writeUpstream(index, upstream.isDraining());
 }
 
 /** Starts an upstream again, under the same id or a new one; an earlier id is listed for a while
@@ -484,7 +510,8 @@
     const std::string earlier = upstreams_[index]->id();
     const bool keepsId = random_() % 2 == 0;
     upstreams_[index]->restartAs(keepsId ? earlier : earlier + "x");
-    writeUpstream(index, false);
+    upstreams_[index]->becomeCold(core::MonoClock::now());
+    proxy::asio::co_spawn(context_, renewColdEntry(index), proxy::asio::detached);
     recordEvent(earlier + " starts again as " + upstreams_[index]->id());
     co_await sleepFor(core::Millis(500 + random_() % 4000));
     if (!keepsId)
--- a/soak/soak_site_base.h
+++ b/soak/soak_site_base.h
@@ -76,6 +76,7 @@
     proxy::asio::awaitable<void> injectUpstreamFault();
     proxy::asio::awaitable<void> cutUpstreamPath(std::size_t index);
     proxy::asio::awaitable<void> replaceUpstream(std::size_t index);
+    proxy::asio::awaitable<void> renewColdEntry(std::size_t index);
     void recordEvent(const std::string &line);
     void recordFaultForAll();
 
--- a/soak/soak_upstream.cpp
+++ b/soak/soak_upstream.cpp
@@ -11,6 +11,11 @@
 
 /** Time after which a draining upstream gets no requests, and a margin for slow processes. */
 constexpr core::Millis drainBound {2500 + 500};
+/** Time until a cold upstream is warm. */
+constexpr core::Seconds warmupTime {6};
+/** Time within which all VMs know of a cold start: from the next response or the entry, and a
+ * margin for slow processes. */
+constexpr core::Millis coldKnownAfter {1500};
 /** Usual duration of the work on a request. */
 constexpr core::Millis workTime {20};
 /** Longer than a route's timeout, so that the caller has its answer before the run. */
@@ -62,6 +67,24 @@
     }
 }
 
+void SoakUpstream::becomeCold(core::MonoTime now)
+{
+    // Later starts of a cold upstream are known as those before.
+    if (now >= warmAt_)
+        excuseColdArrivals(now);
+    warmAt_ = now + warmupTime;
+}
+
+core::Micros SoakUpstream::warmupLeft(core::MonoTime now) const
+{
+    return std::max(core::Micros(0), warmAt_ - now);
+}
+
+void SoakUpstream::excuseColdArrivals(core::MonoTime now)
+{
+    coldExcusedUntil_ = now + coldKnownAfter;
+}
+
 void SoakUpstream::restartDrainTimer(core::MonoTime now)
 {
     if (drainingSince_)
@@ -141,6 +164,9 @@
             writeSoon(connection, refusal);
         co_return;
     }
+    const core::MonoTime now = core::MonoClock::now();
+    if (now < warmAt_ && now >= coldExcusedUntil_)
+        ledger_.arrivedCold(now, id_);
     for (const UpstreamStep step : chooseBehaviour().steps) {
         if (connection->start != starts_)
             co_return; // The process that read the request has ended.
@@ -178,7 +204,11 @@
 std::string SoakUpstream::makeResponse(UpstreamStep step, const std::string &id)
 {
     const proxy::HeaderNames names = platform::headerNames();
-    const std::string ownId = names.attemptId + ": " + id + "\r\n";
+    const core::Micros left = warmupLeft(core::MonoClock::now());
+    std::string ownId = names.attemptId + ": " + id + "\r\n";
+    if (left > core::Micros(0))
+        ownId += std::string(platform::warmupHeader) + ": "
+            + std::to_string(std::chrono::ceil<core::Millis>(left).count()) + "\r\n";
     const std::string seal = names.seal + ": seal-" + id + "\r\n";
     const std::string notExecuted = names.notExecuted + ": 1\r\n";
     constexpr std::array<const char *, 3> statuses {"503 Busy", "429 Too Many Requests",
--- a/soak/soak_upstream_base.h
+++ b/soak/soak_upstream_base.h
@@ -34,6 +34,16 @@
      * end.
      * @param id The same id or a new one; requests for another one are refused. */
     void restartAs(std::string id);
+    /** Becomes cold, with or without a restart. Arrivals above the cold-start limit are violations
+     * once the VMs must know of it. */
+    void becomeCold(core::MonoTime now);
+    /** @return Time left until it is warm. */
+    core::Micros warmupLeft(core::MonoTime now) const;
+    /** Excuses arrivals for a while, because a fault has held requests back or may have delayed the
+     * news of a cold start. */
+    void excuseColdArrivals(core::MonoTime now);
+    /** @return Whether it drains. */
+    bool isDraining() const { return drainingSince_.has_value(); }
     /** Starts a drain. Requests that arrive later than the drain bound are violations. */
     void startDrain(core::MonoTime now) { drainingSince_ = now; }
     /** Restarts the time of a running drain, because a fault may have delayed the news of it. */
@@ -75,6 +85,8 @@
     int starts_ = 1;
     std::vector<std::weak_ptr<Connection>> connections_;
     std::optional<core::MonoTime> drainingSince_;
+    core::MonoTime warmAt_ {};
+    core::MonoTime coldExcusedUntil_ {};
     proxy::asio::ip::tcp::acceptor acceptor_;
 };
 
--- a/tests/unit/soak_ledger_test.cpp
+++ b/tests/unit/soak_ledger_test.cpp
@@ -98,6 +98,23 @@
     CHECK(runs(200, core::Millis(60)).empty());
 }
 
+TEST_CASE("more requests at a cold upstream than the users allow are not reported")
+{
+    // A limit of 1/s allows 9 requests in one second.
+    const auto arrivals = [](int count, core::Micros apart) {
+        return broken([&](Ledger &ledger) {
+            for (int i = 0; i < count; ++i) {
+                ledger.arrivedCold(start + i * apart, "i-1");
+                ledger.arrivedCold(start, "i-other-" + std::to_string(i));
+            }
+        });
+    };
+    CHECK(arrivals(9, core::Micros(1)).empty());
+    CHECK(arrivals(10, core::Micros(1)) == "cold");
+    CHECK(arrivals(10, core::Millis(111)) == "cold");
+    CHECK(arrivals(50, core::Micros(111112)).empty());
+}
+
 TEST_CASE("a request that a planned stop cut off while it ran is not reported")
 {
     CHECK(broken([](Ledger &ledger) { run(ledger, "a"), ledger.closedByShutdown("a"); })
