Feature: [Placement] Retry budget with purposes and reserves

Cause: RetryBudgetShare granted retries to all purposes and priorities alike, and checked only the window that ends at the retry. Windows that end later can contain fewer requests and exceed the fleet's budget.

Change: RetryBudget::take() knows the purpose of a retry and the route's priority. The emulator checks the budget by the rule's three windows.

--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -1,7 +1,7 @@
 /** @file dispatcher_base.h Dispatches, queues, refuses and retries the requests of one VM. */
 #pragma once
 
-#include "placement/retry_share_base.h"
+#include "placement/retry_budget_base.h"
 #include "placement/upstream_table_base.h"
 #include "placement/wait_queue_base.h"
 
@@ -206,7 +206,7 @@
         next.tried.push_back(upstream);
         if (!upstreams_.choose(now, next).placement)
             return false;
-        request.retryGranted = budgetOf(request.service).take(now, fleetShare_);
+        request.retryGranted = takeRetry(now, request, RetryPurpose::Failure);
         return request.retryGranted;
     }
 
@@ -227,7 +227,10 @@
             return request.connectFailures < options_.maxConnectFailures;
         if (request.sent >= route.maxAttempts)
             return false;
-        return request.retryGranted || budgetOf(request.service).take(now, fleetShare_);
+        return request.retryGranted
+            || takeRetry(now, request,
+                         certainlyNotExecuted(end) ? RetryPurpose::NotExecuted
+                                                   : RetryPurpose::Failure);
     }
 
     /** @return Number of requests that wait for an upstream. */
@@ -313,14 +316,19 @@
         }
     }
 
-    RetryBudgetShare &budgetOf(const core::ServiceId &service)
+    bool takeRetry(core::MonoTime now, const DispatchRequest &request, RetryPurpose purpose)
+    {
+        return budgetOf(request.service).take(now, fleetShare_, purpose, request.route->priority);
+    }
+
+    RetryBudget &budgetOf(const core::ServiceId &service)
     {
         return budgets_.try_emplace(service, options_.retries).first->second;
     }
 
     Chooser &upstreams_;
     DispatcherOptions options_;
-    std::map<core::ServiceId, RetryBudgetShare> budgets_;
+    std::map<core::ServiceId, RetryBudget> budgets_;
     std::map<core::ServiceId, ServiceQueue> queues_;
     std::uint64_t lastTicket_ = 0;
     double fleetShare_ = 0;
--- a/tests/standins/proxy_emulator.h
+++ b/tests/standins/proxy_emulator.h
@@ -6,6 +6,7 @@
 #include "standins/emulator_type.h"
 #include "standins/event_queue.h"
 
+#include <algorithm>
 #include <cmath>
 #include <deque>
 #include <functional>
@@ -531,17 +532,26 @@
         return report_.windows[index];
     }
 
+    /** Checks the retry budget by its rule: the requests of the window, of the one half a window
+     * before it or of the one before it, whichever has most. */
     void countRepeat()
     {
-        const proxy::RetryBudgetOptions budget;
+        const proxy::RetryBudgetOptions budget = options_.retries;
+        const core::MonoTime now = events_.now();
         ++report_.repeats;
-        repeatsAt_.push_back(events_.now());
-        for (std::deque<core::MonoTime> *times : {&repeatsAt_, &requestsAt_}) {
-            while (events_.now() - times->front() > budget.window)
-                times->pop_front();
-        }
-        const double allowed =
-            budget.ratio * static_cast<double>(requestsAt_.size()) + budget.slack;
+        repeatsAt_.push_back(now);
+        while (now - repeatsAt_.front() > budget.window)
+            repeatsAt_.pop_front();
+        while (now - requestsAt_.front() > 2 * budget.window)
+            requestsAt_.pop_front();
+        const auto requestsUntil = [&](core::MonoTime end) {
+            const auto first =
+                std::lower_bound(requestsAt_.begin(), requestsAt_.end(), end - budget.window);
+            return std::upper_bound(first, requestsAt_.end(), end) - first;
+        };
+        const auto most = std::max({requestsUntil(now), requestsUntil(now - budget.window / 2),
+                                    requestsUntil(now - budget.window)});
+        const double allowed = budget.ratio * static_cast<double>(most) + budget.slack;
         report_.worstRepeats =
             std::max(report_.worstRepeats, static_cast<double>(repeatsAt_.size()) / allowed);
     }
