Feature: [Placement] Trials in turns, admission by departures and eviction

Cause: each VM of each zone made trials at a failing upstream, and each trial cost a retry. Queues admitted by this VM's share of the slots, refused high priorities while lower ones waited, and all refusals named a constant Retry-After of 400 ms.

Change: while an upstream is believed to be failing, only the VMs of its zone make trials, in turns, and none while less than half of the retry budget is left. A queue admits by its measured departures during a backlog, blended with the estimate from the slots. A full queue evicts its newest request of the lowest priority for an arrival of a higher one. Newly queued requests that the queue ahead keeps past their deadline are refused within an eighth of the target latency. Retry-After is the time until the queue has drained, 100 ms to 2 s with jitter. Window weights of the budget are 0.3, 0.7 and 0 (docs/design/retries-and-queues.md). Settings without budgetWindow keep the former behaviour. New log lines retry_denied, request_evicted, upstream_trial, and metrics.

--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -1,6 +1,8 @@
 /** @file dispatcher_base.h Dispatches, queues, refuses and retries the requests of one VM. */
 #pragma once
 
+#include "core/log_func.h"
+#include "placement/departure_rate_base.h"
 #include "placement/retry_budget_base.h"
 #include "placement/upstream_table_base.h"
 #include "placement/wait_queue_base.h"
@@ -37,7 +39,12 @@
 struct DispatcherOptions
 {
     WaitQueueOptions queue;
+    /** Whether queues admit by their measured departures instead of this VM's share of slots. */
+    bool measuresDepartures = true;
+    DepartureRateOptions departures;
     RetryBudgetOptions retries;
+    /** Whether trials are made in turns, and only while the retry budget has room for them. */
+    bool trialsInTurns = true;
     /** Soft timeout: fraction of the target latency after which an idempotent request may be sent
      * to another upstream. */
     double softTimeoutTargetRatio = 0.8;
@@ -48,6 +55,16 @@
     core::Micros softTimeoutInterval {core::Millis(50)};
     /** Number of failed connections after which a request is refused instead of retried. */
     int maxConnectFailures = 3;
+
+    /** @return The options of a deployment whose settings do not name a window of the retry budget:
+     * queues admit by slots, and neither retries nor trials are restricted by their purpose. */
+    static DispatcherOptions withoutLoadControl()
+    {
+        return {.queue = {.shedsEarly = false},
+                .measuresDepartures = false,
+                .retries = RetryBudgetOptions::withoutReserves(),
+                .trialsInTurns = false};
+    }
 };
 
 /** A request and the state of its attempts. */
@@ -65,14 +82,6 @@
     bool retryGranted = false;           ///< By grantAbandon() for the current attempt.
 };
 
-/** Result of submitting a request: exactly one of the members is set. */
-struct DispatchResult
-{
-    std::optional<Placement> placement;      ///< Send the request to this upstream.
-    std::optional<WaitTicket> wait;          ///< The request is queued.
-    std::optional<PlacementFailure> refusal; ///< The request is refused for this reason.
-};
-
 /** Decision on a queued request. */
 struct DispatchDecision
 {
@@ -80,6 +89,15 @@
     PlacementResult result;
 };
 
+/** Result of submitting a request: exactly one of the first three members is set. */
+struct DispatchResult
+{
+    std::optional<Placement> placement;      ///< Send the request to this upstream.
+    std::optional<WaitTicket> wait;          ///< The request is queued.
+    std::optional<PlacementFailure> refusal; ///< The request is refused for this reason.
+    std::optional<DispatchDecision> evicted; ///< A queued request is refused to make room.
+};
+
 /**
  * Decides for one VM which requests are sent at once, queued, refused or retried, and in which
  * order queued requests are sent. Under overload (bursts, lost or slow upstreams) it queues only
@@ -110,7 +128,7 @@
      * started. */
     DispatchResult submit(core::MonoTime now, const DispatchRequest &request)
     {
-        ServiceQueue &queue = queues_.try_emplace(request.service, options_.queue).first->second;
+        ServiceQueue &queue = queueOf(request);
         if (queue.order.size() == 0) {
             PlacementResult result = upstreams_.choose(now, placementRequest(now, request));
             if (result.placement) {
@@ -123,12 +141,58 @@
         const WaitTicket ticket(++lastTicket_);
         // Other VMs use the same upstreams, so only this VM's share of the slots serves its queue.
         const WaitRequest waiting = waitRequest(ticket, request);
+        const core::Micros work = waiting.expectedProcessingTime;
         const double slotShare =
-            fleetShare_ * upstreams_.slotsOf(request.service, waiting.expectedProcessingTime);
-        if (!queue.order.enqueue(now, waiting, slotShare))
+            std::max(1.0, fleetShare_ * upstreams_.slotsOf(request.service, work));
+        queue.slotsPerSecond = slotShare / secondsOf(work);
+        const double slots = options_.measuresDepartures
+            ? queue.departures.perSecond(now, queue.slotsPerSecond) * secondsOf(work)
+            : slotShare;
+        const WaitAdmission admission = queue.order.enqueue(now, waiting, slots);
+        if (!admission)
             return {.refusal = PlacementFailure::AllBusy};
         queue.requests.emplace(ticket, request);
-        return {.wait = ticket};
+        queue.departures.setBacklogged(now, true);
+        DispatchResult result {.wait = ticket};
+        if (admission.evicted) {
+            core::logEvent(core::LogLevel::Info, "request_evicted",
+                           {{"service", request.service.str()},
+                            {"route", queue.requests.at(*admission.evicted).route->id.str()},
+                            {"for_route", request.route->id.str()},
+                            {"waiting", static_cast<std::int64_t>(queue.order.size())}});
+            queue.requests.erase(*admission.evicted);
+            result.evicted = {
+                .ticket = *admission.evicted,
+                .result = {.placement = std::nullopt, .reason = PlacementFailure::Evicted}};
+        }
+        return result;
+    }
+
+    /**
+     * @param random Uniformly distributed in 0 to 1, so that refused callers do not return at the
+     * same moment.
+     * @return Time after which a refused request may be repeated: the time in which the requests
+     * that wait now leave at the current rate, with up to a half added, 100 ms to 2 s.
+     */
+    core::Micros retryAfter(core::MonoTime now, const core::ServiceId &service, double random) const
+    {
+        constexpr core::Micros shortest {core::Millis(100)};
+        constexpr core::Micros longest {core::Seconds(2)};
+        /** A few typical execution times, after which an upstream probably has room. */
+        constexpr core::Micros unmeasured {core::Millis(400)};
+        constexpr double maxJitter = 0.5;
+        if (!options_.measuresDepartures)
+            return unmeasured;
+        const auto found = queues_.find(service);
+        if (found == queues_.end())
+            return withJitter(shortest, maxJitter * random);
+        const ServiceQueue &queue = found->second;
+        const double rate = queue.departures.perSecond(now, queue.slotsPerSecond);
+        const double drain = static_cast<double>(queue.order.size()) / std::max(0.1, rate);
+        const core::Micros wait = std::clamp(
+            std::chrono::duration_cast<core::Micros>(std::chrono::duration<double>(drain)),
+            shortest, longest);
+        return std::min(longest, withJitter(wait, maxJitter * random));
     }
 
     /** Moves later deadlines of queued requests forward to a time, at which the process ends. */
@@ -151,6 +215,23 @@
         queue->second.requests.erase(ticket);
     }
 
+    /** Calls a function with each service that had a request, its retry budget and the part of the
+     * budget that is left. */
+    void forEachBudget(core::MonoTime now, const auto &visit) const
+    {
+        for (const auto &[service, budget] : budgets_)
+            visit(service, budget, budget.left(now, fleetShare_));
+    }
+
+    /** Calls a function with each service that had a request, the number of its waiting requests
+     * and their departures per second. */
+    void forEachQueue(core::MonoTime now, const auto &visit) const
+    {
+        for (const auto &[service, queue] : queues_)
+            visit(service, queue.order.size(),
+                  queue.departures.perSecond(now, queue.slotsPerSecond));
+    }
+
     /** Dispatches the queued requests for which an upstream has room, and refuses those that can no
      * longer be answered in time.
      * @return The decisions. The attempts of their placements count as started. */
@@ -171,8 +252,10 @@
         request.tried.push_back(record.upstream);
         ++(record.end == AttemptEnd::NotSent ? request.connectFailures : request.sent);
         std::vector<DispatchDecision> decided;
-        if (const auto queue = queues_.find(request.service); queue != queues_.end())
-            dispatchQueue(record.endedAt, queue->second, decided);
+        ServiceQueue &queue = queueOf(request);
+        if (record.end != AttemptEnd::NotSent)
+            queue.departures.completed(record.endedAt);
+        dispatchQueue(record.endedAt, queue, decided);
         return decided;
     }
 
@@ -246,10 +329,13 @@
     /** The queued requests of one service. */
     struct ServiceQueue
     {
-        explicit ServiceQueue(const WaitQueueOptions &options)
-            : order(options)
+        explicit ServiceQueue(const DispatcherOptions &options)
+            : order(options.queue)
+            , departures(options.departures)
         { }
         WaitQueue order;
+        DepartureRate departures;
+        double slotsPerSecond = 0; ///< Departures that the slots suggest, as of the last arrival.
         std::map<WaitTicket, DispatchRequest> requests;
     };
 
@@ -273,6 +359,7 @@
         return {.service = request.service,
                 .route = route.id,
                 .idempotent = route.idempotent && request.sent + 1 < route.maxAttempts,
+                .trials = trialPolicy(now, request),
                 .targetLatency = route.targetLatency,
                 .elapsed = now - request.arrivedAt,
                 .timeLeft = request.deadline - now,
@@ -288,14 +375,58 @@
                 .routePriority = route.priority,
                 .expectedProcessingTime =
                     upstreams_.expectedProcessingTime(route.id, route.targetLatency),
-                .deadline = request.deadline};
+                .deadline = request.deadline,
+                .targetLatency = route.targetLatency};
+    }
+
+    /** @return Trials that a request may be. A failed trial costs a retry, so there are none while
+     * the retry budget has none for them. */
+    TrialPolicy trialPolicy(core::MonoTime now, const DispatchRequest &request) const
+    {
+        if (!options_.trialsInTurns)
+            return TrialPolicy::EachVm;
+        const auto budget = budgets_.find(request.service);
+        const bool allowed = budget == budgets_.end()
+            || budget->second.permits(now, fleetShare_, RetryPurpose::Trial,
+                                      request.route->priority);
+        return allowed ? TrialPolicy::InTurns : TrialPolicy::None;
+    }
+
+    static double secondsOf(core::Micros time)
+    {
+        return std::chrono::duration<double>(std::max(time, core::Micros(1))).count();
+    }
+
+    static core::Micros withJitter(core::Micros time, double part)
+    {
+        return time + std::chrono::duration_cast<core::Micros>(part * time);
+    }
+
+    ServiceQueue &queueOf(const DispatchRequest &request)
+    {
+        return queues_.try_emplace(request.service, options_).first->second;
     }
 
     void dispatchQueue(core::MonoTime now, ServiceQueue &queue,
                        std::vector<DispatchDecision> &decided)
+    {
+        dispatchWhileRoom(now, queue, decided);
+        queue.departures.setBacklogged(now, queue.order.size() > 0);
+    }
+
+    /** @return The rate for refusing newly queued requests early; nothing if it is not measured. */
+    std::optional<double> departureRate(core::MonoTime now, const ServiceQueue &queue) const
+    {
+        if (!options_.measuresDepartures)
+            return std::nullopt;
+        return queue.departures.perSecond(now, queue.slotsPerSecond);
+    }
+
+    void dispatchWhileRoom(core::MonoTime now, ServiceQueue &queue,
+                           std::vector<DispatchDecision> &decided)
     {
         while (queue.order.size() > 0) {
-            const QueueHead head = queue.order.removeLateAndPeek(now);
+            const QueueHead head = queue.order.removeLateAndPeek(now, departureRate(now, queue));
             for (const WaitTicket ticket : head.tooLate) {
                 queue.requests.erase(ticket);
                 decided.push_back(
@@ -308,8 +439,10 @@
             PlacementResult result = upstreams_.choose(now, placementRequest(now, next->second));
             if (!result.placement && result.reason == PlacementFailure::AllBusy)
                 return;
-            if (result.placement)
+            if (result.placement) {
                 upstreams_.attemptStarted(now, *result.placement);
+                queue.departures.departed(now);
+            }
             queue.order.remove(*head.next, result.placement.has_value());
             queue.requests.erase(next);
             decided.push_back({.ticket = *head.next, .result = std::move(result)});
@@ -318,7 +451,18 @@
 
     bool takeRetry(core::MonoTime now, const DispatchRequest &request, RetryPurpose purpose)
     {
-        return budgetOf(request.service).take(now, fleetShare_, purpose, request.route->priority);
+        RetryBudget &budget = budgetOf(request.service);
+        const int priority = request.route->priority;
+        if (budget.take(now, fleetShare_, purpose, priority))
+            return true;
+        core::logEvent(
+            core::LogLevel::Info, "retry_denied",
+            {{"service", request.service.str()},
+             {"route", request.route->id.str()},
+             {"priority", priority},
+             {"purpose", retryPurposeName(purpose)},
+             {"left_pct", static_cast<std::int64_t>(100 * budget.left(now, fleetShare_))}});
+        return false;
     }
 
     RetryBudget &budgetOf(const core::ServiceId &service)
--- a/src/placement/retry_budget.cpp
+++ b/src/placement/retry_budget.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 /** Slices in a window. A window covers one more slice of retries and one less of requests than its
- * length, so the error of a hundredth stays on the safe side. */
-constexpr std::int64_t windowSlices = 100;
+ * length, so the rounding stays on the safe side. */
+constexpr std::int64_t windowSlices = 200;
 /** Slices from the start of the oldest window that is counted to the current slice. */
 constexpr std::int64_t keptSlices = 2 * windowSlices + 1;
 /** Part of a window whose requests for retries show what a priority needs next. */
@@ -150,7 +150,8 @@
         return false;
     const double reserved = reservedAbove(now, routePriority, present.allowed);
     // A retry that fits now can exceed a window that ends later and contains fewer requests.
-    for (std::int64_t end = current; end <= current + windowSlices; ++end) {
+    const std::int64_t last = options_.checksLaterWindows ? current + windowSlices : current;
+    for (std::int64_t end = current; end <= last; ++end) {
         const WindowState state = windowAt(sums, end, share);
         if (state.taken + 1 + reserved > state.allowed)
             return false;
--- a/src/placement/retry_budget_base.h
+++ b/src/placement/retry_budget_base.h
@@ -17,14 +17,29 @@
     double ratio = 0.2; ///< Retries for each request in the window.
     double slack = 60;  ///< Extra retries in a window beyond the ratio, over all VMs.
     core::Micros window {core::Seconds(10)};
-    double safetyFactor = 0.95; ///< Usable fraction; the rest covers counting delays.
+    double safetyFactor = 0.98; ///< Usable fraction; the rest covers counting delays.
     /** Weights of the requests in the window, in the window half a window before it and in the
-     * window before it. They are the same on all VMs and add up to at most 1; see RetryBudget. */
-    std::array<double, 3> windowWeights {0.5, 0.5, 0};
+     * window before it. They are the same on all VMs and add up to at most 1; see RetryBudget.
+     * Larger weights of the earlier windows allow more retries when upstreams start to fail, and
+     * fewer after a start or after a growth of the traffic. */
+    std::array<double, 3> windowWeights {0.3, 0.7, 0};
+    /** Whether windows that end after the retry are checked too. */
+    bool checksLaterWindows = true;
     /** Part of the budget that must be left for trials and hedges. */
     double optionalReserve = 0.5;
     /** Largest part of the budget that is held back for routes with a higher priority. */
     double priorityReserve = 0.25;
+
+    /** @return The options of a deployment whose settings name no window: only the window that ends
+     * with the retry counts, and nothing is reserved. */
+    static constexpr RetryBudgetOptions withoutReserves()
+    {
+        return {.safetyFactor = 0.95,
+                .windowWeights = {1, 0, 0},
+                .checksLaterWindows = false,
+                .optionalReserve = 0,
+                .priorityReserve = 0};
+    }
 };
 
 /** What a retry is used for. */
@@ -35,8 +50,9 @@
     Trial,       ///< Attempt at an upstream that is believed to be failing.
 };
 
-/** Number of values of RetryPurpose. */
-inline constexpr std::size_t retryPurposeCount = 4;
+/** All purposes. */
+inline constexpr std::array retryPurposes {RetryPurpose::NotExecuted, RetryPurpose::Failure,
+                                           RetryPurpose::Hedge, RetryPurpose::Trial};
 
 /** @return The name of a purpose in logs and metrics. */
 std::string_view retryPurposeName(RetryPurpose purpose);
@@ -85,7 +101,7 @@
     }
 
 private:
-    /** Counts of a hundredth of the window. */
+    /** Counts of a short part of the window. */
     struct Slice
     {
         std::int64_t index = -1; ///< Time divided by the length of a slice.
@@ -119,7 +135,7 @@
     core::Micros slice_;
     std::vector<Slice> slices_;                            ///< Ring by index.
     std::map<int, std::map<std::int64_t, Demand>> demand_; ///< By priority and slice.
-    std::array<RetryPurposeCounts, retryPurposeCount> counts_ {};
+    std::array<RetryPurposeCounts, retryPurposes.size()> counts_ {};
 };
 
 } // namespace teaselreach::proxy
--- a/src/placement/upstream_table.cpp
+++ b/src/placement/upstream_table.cpp
@@ -117,7 +117,8 @@
     return {.duration = duration,
             .loss = loss + tieBreak(random_),
             .failure = failure,
-            .isAcceptable = isTrial || failure <= options_.avoidThreshold};
+            .isAcceptable = isTrial || failure <= options_.avoidThreshold,
+            .isTrial = isTrial && isFailing(now, upstream)};
 }
 
 Placement UpstreamTable::makePlacement(const Upstream &upstream, const Estimate &estimate)
@@ -127,7 +128,8 @@
             .port = upstream.entry.port,
             .expectedDuration = estimate.duration,
             .expectedLoss = estimate.loss,
-            .failureEstimate = estimate.failure};
+            .failureEstimate = estimate.failure,
+            .isTrial = estimate.isTrial};
 }
 
 void UpstreamTable::attemptStarted(core::MonoTime now, Placement &placement)
--- a/src/placement/upstream_table_base.h
+++ b/src/placement/upstream_table_base.h
@@ -56,6 +56,9 @@
      * next request that may be retried, as a trial. It bounds how long a recovery goes unnoticed
      * and how long a healthy upstream stays idle. */
     core::Micros trialInterval {core::Seconds(1)};
+    /** Time for which each VM in turn leaves the trial to the one before it. Most attempts end
+     * within it and are reported. */
+    core::Micros trialTurn {core::Millis(500)};
     /** Half-life of the load that other VMs put on an upstream, as last reported by it. */
     core::Micros loadHalfLife {core::Millis(300)};
     /** Weight of the newest duration in the moving averages of processing times. */
@@ -64,12 +67,21 @@
     double coldFactor = 2.0;
 };
 
+/** Which requests that may be retried are sent as trials to an upstream that is believed to be
+ * failing. */
+enum class TrialPolicy : std::uint8_t {
+    EachVm,  ///< Each VM of each zone makes its own trials.
+    InTurns, ///< The VMs of the upstream's zone make them, one VM at a time.
+    None,    ///< No request is a trial; the retry budget has no room for its retry.
+};
+
 /** Request for the selection of an upstream. */
 struct PlacementRequest
 {
     core::ServiceId service;
     core::RouteId route;
-    bool idempotent = false;             ///< Whether the request may be retried.
+    bool idempotent = false; ///< Whether the request may be retried.
+    TrialPolicy trials = TrialPolicy::InTurns;
     core::Micros targetLatency {0};      ///< Target latency of the route.
     core::Micros elapsed {0};            ///< Time since the request arrived.
     core::Micros timeLeft {0};           ///< Time until the deadline.
@@ -85,6 +97,7 @@
     core::Micros expectedDuration {0}; ///< Of the attempt, including queueing at the upstream.
     double expectedLoss = 0;
     double failureEstimate = 0; ///< Probability that the attempt fails.
+    bool isTrial = false;       ///< Whether the upstream is believed to be failing.
     std::uint64_t attempt = 0;  ///< Number of the attempt; set by attemptStarted().
 };
 
@@ -94,6 +107,7 @@
     LimitReached, ///< Only upstreams that want no more requests at present could be used.
     AllBusy,      ///< The eligible upstreams have no room; waiting may help.
     TooLate,      ///< No available upstream is expected to answer before the deadline.
+    Evicted,      ///< Left the queue for a request of a higher priority.
 };
 
 /** Result of a selection. */
@@ -220,6 +234,7 @@
         /** Whether a request that may not be retried is sent here rather than to wait: the upstream
          * is probably healthy, or due for a trial. */
         bool isAcceptable = false;
+        bool isTrial = false; ///< Whether the upstream is believed to be failing and due a trial.
     };
 
     /** @return Whether an upstream takes new requests. */
@@ -241,6 +256,7 @@
      * trial. */
     bool isTrialDue(core::MonoTime now, const Upstream &upstream,
                     const PlacementRequest &request) const;
+    bool isTurnDue(core::MonoTime now, const Upstream &upstream) const;
     /** @return Number of VMs whose turn to try an upstream comes before this VM's. */
     int trialRank(const Upstream &upstream) const;
     bool isFailing(core::MonoTime now, const Upstream &upstream) const;
--- a/src/placement/upstream_table_query.cpp
+++ b/src/placement/upstream_table_query.cpp
@@ -93,6 +93,12 @@
     if (!upstream.inFlight.empty())
         return false;
     const core::Micros untriedFor = now - upstream.lastTriedAt;
+    if (request.trials != TrialPolicy::EachVm && isFailing(now, upstream)) {
+        if (request.trials == TrialPolicy::None)
+            return false;
+        if (request.idempotent)
+            return isTurnDue(now, upstream);
+    }
     if (request.idempotent)
         return untriedFor > options_.trialInterval;
     const UpstreamCoverageOptions &coverage = options_.coverage;
@@ -109,6 +115,15 @@
     return untriedFor > interval + trialRank(upstream) * coverage.trialStagger;
 }
 
+/** @return Whether this VM is the one of the upstream's zone that makes the next trial. VMs of
+ * other zones learn the outcome from its report. */
+bool UpstreamTable::isTurnDue(core::MonoTime now, const Upstream &upstream) const
+{
+    return upstream.distance <= 0
+        && now - upstream.lastTriedAt
+        > options_.trialInterval + trialRank(upstream) * options_.trialTurn;
+}
+
 int UpstreamTable::trialRank(const Upstream &upstream) const
 {
     const std::string &id = upstream.entry.id.str();
--- a/src/placement/wait_queue.cpp
+++ b/src/placement/wait_queue.cpp
@@ -6,6 +6,16 @@
 
 namespace teaselreach::proxy {
 
+namespace {
+
+/** Lower bounds of the capacity in an estimate of a wait, so that the wait stays finite. */
+constexpr double minSlots = 0.01;
+constexpr double minRate = 0.1;
+/** Part of the target latency within which a hopeless request is refused: an eighth. */
+constexpr int earlyDivisor = 8;
+
+} // namespace
+
 WaitQueue::WaitQueue(WaitQueueOptions options)
     : options_(options)
 { }
@@ -20,20 +30,34 @@
     return now + request.expectedProcessingTime > request.deadline;
 }
 
-bool WaitQueue::enqueue(core::MonoTime now, const WaitRequest &request, double slots)
+/** @return Number of queued requests with the same or a higher priority. */
+std::size_t WaitQueue::queuedUpTo(const FlowKey &key) const
 {
-    if (requests_.size() >= options_.maxWaiting || isTooLate(now, request))
-        return false;
-    // Worst case: all requests of flows with the same or a higher priority are served first.
-    std::size_t ahead = 0;
-    for (const auto &[key, flow] : flows_) {
-        if (key <= keyOf(request))
-            ahead += flow.tickets.size();
+    std::size_t count = 0;
+    for (const auto &[other, flow] : flows_) {
+        if (key < other)
+            break;
+        count += flow.tickets.size();
     }
+    return count;
+}
+
+WaitAdmission WaitQueue::enqueue(core::MonoTime now, const WaitRequest &request, double slots)
+{
+    if (isTooLate(now, request))
+        return {};
+    // Worst case: all requests of flows with the same or a higher priority are served first.
+    const auto ahead = static_cast<double>(queuedUpTo(keyOf(request)));
     const auto wait = std::chrono::duration_cast<core::Micros>(
-        request.expectedProcessingTime * (static_cast<double>(ahead) / std::max(1.0, slots)));
+        request.expectedProcessingTime * (ahead / std::max(minSlots, slots)));
     if (now + wait + request.expectedProcessingTime > request.deadline)
-        return false;
+        return {};
+    WaitAdmission admission {.queued = true};
+    if (requests_.size() >= options_.maxWaiting) {
+        admission.evicted = options_.shedsEarly ? evictBelow(request) : std::nullopt;
+        if (!admission.evicted)
+            return {};
+    }
     Flow &flow = flows_[keyOf(request)];
     if (flow.tickets.empty()) {
         flow.stride = std::pow(options_.accountWeightRatio, request.accountPriority)
@@ -41,11 +65,54 @@
         flow.pass = std::max(flow.pass, globalPass_);
     }
     flow.tickets.push_back(request.ticket);
-    requests_.emplace(request.ticket, request);
-    return true;
+    requests_.emplace(request.ticket, request).first->second.queuedAt = now;
+    return admission;
+}
+
+/** Removes the newest request of the lowest priority, if that is lower than a request's priority.
+ * @return The removed request. */
+std::optional<WaitTicket> WaitQueue::evictBelow(const WaitRequest &request)
+{
+    if (flows_.empty())
+        return std::nullopt;
+    const auto &[key, flow] = *flows_.rbegin();
+    const auto &[accountPriority, routePriority, account] = key;
+    if (std::tie(accountPriority, routePriority)
+        <= std::tie(request.accountPriority, request.routePriority))
+        return std::nullopt;
+    const WaitTicket evicted = flow.tickets.back();
+    remove(evicted, false);
+    return evicted;
+}
+
+/** Removes requests that the requests ahead of them keep past their deadline. Only the first eighth
+ * of the target latency is checked: a refusal is early only then, and the estimate of a wait that
+ * has lasted longer is more often wrong than a response is late. */
+void WaitQueue::removeHopeless(core::MonoTime now, double departuresPerSecond,
+                               std::vector<WaitTicket> &removed)
+{
+    const std::size_t before = removed.size();
+    std::size_t ahead = 0;
+    for (const auto &[key, flow] : flows_) {
+        for (const WaitTicket ticket : flow.tickets) {
+            const WaitRequest &request = requests_.at(ticket);
+            const std::chrono::duration<double> wait(static_cast<double>(ahead)
+                                                     / std::max(minRate, departuresPerSecond));
+            const core::MonoTime answeredAt = now + std::chrono::duration_cast<core::Micros>(wait)
+                + request.expectedProcessingTime;
+            const bool isNew = now - request.queuedAt <= request.targetLatency / earlyDivisor;
+            if (isNew && answeredAt > request.deadline)
+                removed.push_back(ticket);
+            else
+                ++ahead;
+        }
+    }
+    for (std::size_t i = before; i < removed.size(); ++i)
+        remove(removed[i], false);
 }
 
-QueueHead WaitQueue::removeLateAndPeek(core::MonoTime now)
+QueueHead WaitQueue::removeLateAndPeek(core::MonoTime now,
+                                       std::optional<double> departuresPerSecond)
 {
     QueueHead result;
     for (const auto &[ticket, request] : requests_) {
@@ -54,6 +121,8 @@
     }
     for (const WaitTicket ticket : result.tooLate)
         remove(ticket, false);
+    if (options_.shedsEarly && departuresPerSecond)
+        removeHopeless(now, *departuresPerSecond, result.tooLate);
     const Flow *best = nullptr;
     for (const auto &[key, flow] : flows_) {
         if (best == nullptr || flow.pass < best->pass)
--- a/src/placement/wait_queue_base.h
+++ b/src/placement/wait_queue_base.h
@@ -21,6 +21,9 @@
      * route's. Every flow has a weight above zero, so none starves under any load. */
     double accountWeightRatio = 3.0;
     double routeWeightRatio = 2.2;
+    /** Whether arrivals displace queued requests of lower priority, and requests whose expected
+     * wait grows beyond their deadline are refused before it has passed. */
+    bool shedsEarly = true;
 };
 
 /** A request to be queued. Lower priority values are more important. */
@@ -32,13 +35,25 @@
     int routePriority = 0;
     core::Micros expectedProcessingTime {0};
     core::MonoTime deadline {}; ///< Latest useful time of a response.
+    core::Micros targetLatency {0};
+    core::MonoTime queuedAt {}; ///< Set by enqueue().
+};
+
+/** Result of WaitQueue::enqueue(). */
+struct WaitAdmission
+{
+    bool queued = false;
+    std::optional<WaitTicket> evicted; ///< Removed to make room.
+
+    explicit operator bool() const { return queued; }
 };
 
 /** Result of WaitQueue::removeLateAndPeek(). */
 struct QueueHead
 {
-    std::vector<WaitTicket> tooLate; ///< Removed: they can no longer be answered in time.
-    std::optional<WaitTicket> next;  ///< Next request to send; still queued.
+    /** Removed: they can no longer be answered in time, or are not expected to be. */
+    std::vector<WaitTicket> tooLate;
+    std::optional<WaitTicket> next; ///< Next request to send; still queued.
 };
 
 /**
@@ -56,14 +71,19 @@
     explicit WaitQueue(WaitQueueOptions options);
 
     /**
-     * Queues a request, unless the queue is full or the expected wait exceeds the deadline.
-     * @param slots This VM's share of the slots of the service's upstreams.
-     * @return Whether the request was queued.
+     * Queues a request, unless the queue is full or the expected wait exceeds the deadline. If the
+     * queue has no room, the newest request of the lowest priority makes room for one of a higher
+     * priority.
+     * @param slots Requests that this VM can have processed at once: its share of the slots of the
+     * service's upstreams, or what its measured departures amount to.
      */
-    bool enqueue(core::MonoTime now, const WaitRequest &request, double slots);
+    WaitAdmission enqueue(core::MonoTime now, const WaitRequest &request, double slots);
     /** Removes the requests that can no longer be answered in time and selects the next request
-     * to send without removing it. */
-    QueueHead removeLateAndPeek(core::MonoTime now);
+     * to send without removing it.
+     * @param departuresPerSecond If known, newly queued requests that the queue ahead keeps past
+     * their deadline are removed too. */
+    QueueHead removeLateAndPeek(core::MonoTime now,
+                                std::optional<double> departuresPerSecond = std::nullopt);
     /** Moves later deadlines of queued requests forward to a time. */
     void limitDeadlines(core::MonoTime latest);
     /** Removes a request.
@@ -85,6 +105,10 @@
 
     static FlowKey keyOf(const WaitRequest &request);
     bool isTooLate(core::MonoTime now, const WaitRequest &request) const;
+    std::size_t queuedUpTo(const FlowKey &key) const;
+    std::optional<WaitTicket> evictBelow(const WaitRequest &request);
+    void removeHopeless(core::MonoTime now, double departuresPerSecond,
+                        std::vector<WaitTicket> &removed);
 
     WaitQueueOptions options_;
     double globalPass_ = 0; ///< Pass of the last flow served; lower bound for new flows.
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -254,6 +254,7 @@
             set("holding_off", counts.holdingOff);
             set("limited", counts.limited);
         }
+        flow_.publishMetrics(now);
         return makeResponse(beasthttp::status::ok,
                             registry_.prometheusText(core::MonoClock::now()));
     }
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/** Retry-After of a request that no upstream ran: a few typical execution times, after which an
- * upstream probably has room. */
-constexpr core::Millis busyRetryAfter {400};
 /** Retry-After while this VM has no configuration or is shutting down: other VMs can serve the
  * request at once. */
 constexpr core::Millis elsewhereRetryAfter {100};
@@ -40,6 +37,8 @@
         return "all_upstreams_busy";
     case PlacementFailure::TooLate:
         return "deadline_too_close";
+    case PlacementFailure::Evicted:
+        return "evicted";
     }
     return "no_upstream";
 }
@@ -93,6 +92,7 @@
     , dispatcher_(parts.upstreams, options_.dispatch)
     , loop_(parts.context, *this, {.budget = options_.bodies})
     , splits_(seed)
+    , random_(seed)
 { }
 
 asio::awaitable<void> RequestFlow::serve(std::shared_ptr<CallerExchange> exchange)
@@ -216,6 +216,8 @@
 {
     const core::MonoTime now = core::MonoClock::now();
     DispatchResult result = dispatcher_.submit(now, job.request);
+    if (result.evicted)
+        wakeWaiters({*result.evicted});
     if (result.placement)
         co_return PlacementResult {.placement = std::move(result.placement)};
     if (result.refusal)
@@ -269,6 +271,35 @@
             }};
 }
 
+/** Sets the metrics of the retry budgets and queues. */
+void RequestFlow::publishMetrics(core::MonoTime now)
+{
+    dispatcher_.forEachBudget(
+        now, [this](const core::ServiceId &service, const RetryBudget &budget, double left) {
+            parts_.registry.setGauge("teaselreach_retry_budget_left", {{"service", service.str()}},
+                                     left);
+            for (const RetryPurpose purpose : retryPurposes) {
+                const RetryPurposeCounts &counts = budget.counts(purpose);
+                const auto set = [&](const char *result, std::uint64_t count) {
+                    parts_.registry.setGauge("teaselreach_retries",
+                                             {{"service", service.str()},
+                                              {"purpose", toString(retryPurposeName(purpose))},
+                                              {"result", result}},
+                                             static_cast<double>(count));
+                };
+                set("granted", counts.granted);
+                set("denied", counts.denied);
+            }
+        });
+    dispatcher_.forEachQueue(
+        now, [this](const core::ServiceId &service, std::size_t waiting, double perSecond) {
+            const metrics::Labels labels {{"service", service.str()}};
+            parts_.registry.setGauge("teaselreach_queue_length", labels,
+                                     static_cast<double>(waiting));
+            parts_.registry.setGauge("teaselreach_queue_departures_per_second", labels, perSecond);
+        });
+}
+
 AttemptPlan RequestFlow::planAttempt(Job &job, const Placement &placement, core::MonoTime now)
 {
     const bool idempotent = job.request.route->idempotent;
@@ -287,6 +318,8 @@
         return matchAttempt(response, options_.names, attemptId, reused);
     };
     job.request.retryGranted = false;
+    if (placement.isTrial)
+        logTrial(job, placement);
     return plan;
 }
 
@@ -376,6 +409,13 @@
     refuse(job, {.status = beasthttp::status::bad_gateway, .code = "upstream_failed"});
 }
 
+/** @return Retry-After of a request that no upstream ran. */
+core::Micros RequestFlow::busyRetryAfter(const Job &job)
+{
+    std::uniform_real_distribution<double> jitter(0, 1);
+    return dispatcher_.retryAfter(core::MonoClock::now(), job.request.service, jitter(random_));
+}
+
 void RequestFlow::refuseUnplaced(Job &job, PlacementFailure reason)
 {
     if (job.exchange->evidence.mayHaveExecuted()) {
@@ -387,7 +427,7 @@
     refuse(job,
            {.status = beasthttp::status::service_unavailable,
             .code = placementFailureName(reason),
-            .retryAfter = busyRetryAfter});
+            .retryAfter = busyRetryAfter(job)});
 }
 
 void RequestFlow::refuseAfterFailure(Job &job, AttemptEnd end)
@@ -396,7 +436,7 @@
         refuse(job,
                {.status = beasthttp::status::service_unavailable,
                 .code = attemptEndName(end),
-                .retryAfter = busyRetryAfter});
+                .retryAfter = busyRetryAfter(job)});
         return;
     }
     const bool late = end == AttemptEnd::TimedOut;
@@ -406,6 +446,18 @@
             .code = cutByShutdown ? "shutdown_during_attempt" : attemptEndName(end)});
 }
 
+/** Logs that a request is a trial of an upstream that is believed to be failing. */
+void RequestFlow::logTrial(const Job &job, const Placement &placement)
+{
+    parts_.registry.addCounter("teaselreach_trials_total", {{"service", job.request.service.str()}},
+                               1);
+    core::logEvent(core::LogLevel::Info, "upstream_trial",
+                   {{"request_id", fieldValue(job.exchange->request, options_.names.attemptId)},
+                    {"service", job.request.service.str()},
+                    {"upstream", placement.upstream.str()},
+                    {"failure_pct", static_cast<std::int64_t>(100 * placement.failureEstimate)}});
+}
+
 void RequestFlow::reportAttempt(const Job &job, const Placement &placement,
                                 const AttemptRecord &record, const ExchangeResult &result)
 {
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 
 namespace teaselreach::proxy {
 
@@ -80,6 +81,8 @@
     void dispatchWaiting(core::MonoTime now);
     /** Closes idle connections that can no longer be reused. */
     void closeStaleConnections(core::MonoTime now) { loop_.closeStaleConnections(now); }
+    /** Sets the metrics of the retry budgets and of the queues. */
+    void publishMetrics(core::MonoTime now);
     /** @return Number of requests that wait for an upstream. */
     std::size_t waiting() const { return dispatcher_.waiting(); }
 
@@ -117,8 +120,10 @@
     ExchangeOptions exchangeOptions(Job &job, const Placement &placement, core::MonoTime now);
     void limitDeadline(Job &job) const;
     void refuse(Job &job, const Refusal &refusal);
+    core::Micros busyRetryAfter(const Job &job);
     void refuseUnplaced(Job &job, PlacementFailure reason);
     void refuseAfterFailure(Job &job, AttemptEnd end);
+    void logTrial(const Job &job, const Placement &placement);
     void reportAttempt(const Job &job, const Placement &placement, const AttemptRecord &record,
                        const ExchangeResult &result);
 
@@ -128,6 +133,7 @@
     std::map<WaitTicket, std::shared_ptr<Waiter>> waiters_;
     RequestLoop<RequestFlow> loop_;
     SplitSelector splits_;
+    std::mt19937_64 random_; ///< For the jitter of Retry-After.
     std::shared_ptr<const RouteTable> table_;
     core::Phase phase_ = core::Phase::Serving;
     std::optional<core::MonoTime> lastResponseAt_; ///< Set while this VM shuts down.
--- a/tests/proxy/dispatcher_test.cpp
+++ b/tests/proxy/dispatcher_test.cpp
@@ -1,8 +1,11 @@
-/** @file dispatcher_test.cpp Tests of abandoning slow attempts after the soft timeout. */
+/** @file dispatcher_test.cpp Tests of soft timeouts, trials, queueing and Retry-After. */
 #include "placement/dispatcher_base.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <memory>
+
 using namespace teaselreach;
 using namespace teaselreach::proxy;
 
@@ -14,10 +17,11 @@
 /** Dispatcher of one VM with upstreams of one slot each. */
 struct DispatcherFixture
 {
-    explicit DispatcherFixture(int count)
+    explicit DispatcherFixture(int count, DispatcherOptions options = {})
         : table({.self = {core::AvailabilityZoneId("here"), core::RegionId("west")},
                  .regionOfZone = {{core::AvailabilityZoneId("here"), core::RegionId("west")}}},
                 1)
+        , dispatcher(table, options)
     {
         for (int i = 0; i < count; ++i)
             table.update(start,
@@ -51,7 +55,7 @@
                  .maxAttempts = 3,
                  .destinations = {{.service = desk}}};
     UpstreamTable table;
-    Dispatcher<UpstreamTable> dispatcher {table, {}};
+    Dispatcher<UpstreamTable> dispatcher;
 };
 
 } // namespace
@@ -104,3 +108,102 @@
     CHECK(fixture.dispatcher.grantAbandon(now, slow, upstream));
     CHECK(slow.retryGranted);
 }
+
+namespace {
+
+/** Sends requests until the dispatcher queues one. @return The sent ones. */
+std::vector<Placement> fillUpstreams(DispatcherFixture &fixture)
+{
+    std::vector<Placement> sent;
+    while (true) {
+        DispatchResult result =
+            fixture.dispatcher.submit(start, fixture.request(core::Millis(1500)));
+        if (!result.placement)
+            return sent;
+        sent.push_back(*result.placement);
+    }
+}
+
+} // namespace
+
+TEST_CASE("an arrival of high priority displaces the lowest one from a full queue")
+{
+    // Guards against refusals of high priority while lower ones wait.
+    DispatcherFixture fixture(1, {.queue = {.maxWaiting = 2}});
+    fillUpstreams(fixture); // One request waits.
+    Route low = fixture.route;
+    low.priority = 3;
+    DispatchRequest request = fixture.request(core::Seconds(60));
+    request.route = &low;
+    const DispatchResult waiting = fixture.dispatcher.submit(start, request);
+    REQUIRE(waiting.wait);
+    CHECK(fixture.dispatcher.submit(start, request).refusal == PlacementFailure::AllBusy);
+    request.route = &fixture.route;
+    const DispatchResult high = fixture.dispatcher.submit(start, request);
+    CHECK(high.wait);
+    REQUIRE(high.evicted);
+    CHECK(high.evicted->ticket == *waiting.wait);
+    CHECK(high.evicted->result.reason == PlacementFailure::Evicted);
+    CHECK(fixture.dispatcher.waiting() == 2);
+    CHECK(!fixture.dispatcher.submit(start, request).wait); // An equal priority is not displaced.
+}
+
+TEST_CASE("a queue that does not drain refuses early and names the time until it has drained")
+{
+    // Guards against admission by slots whose upstreams do not answer, and a constant Retry-After.
+    DispatcherFixture fixture(1);
+    fillUpstreams(fixture);
+    const core::MonoTime later = start + core::Millis(1200);
+    DispatchRequest request = fixture.request(core::Millis(1500));
+    request.arrivedAt = later;
+    request.deadline = later + core::Millis(700);
+    DispatcherFixture bySlots(1, DispatcherOptions::withoutLoadControl());
+    fillUpstreams(bySlots);
+    CHECK(bySlots.dispatcher.submit(later, request).wait);
+    CHECK(fixture.dispatcher.submit(later, request).refusal == PlacementFailure::AllBusy);
+    const core::Micros least = fixture.dispatcher.retryAfter(later, desk, 0);
+    CHECK(least > core::Millis(100));
+    CHECK(fixture.dispatcher.retryAfter(later, desk, 1) > least);
+    CHECK(fixture.dispatcher.retryAfter(later, desk, 1) <= core::Seconds(2));
+    CHECK(DispatcherFixture(1).dispatcher.retryAfter(start, desk, 0) == core::Millis(100));
+}
+
+TEST_CASE("a failing upstream gets trials from one VM of its zone, within the retry budget")
+{
+    // In a calm period each VM of each zone made trials, and each cost a retry.
+    const core::UpstreamId failing("i-0");
+    const auto triesFailing = [&](UpstreamTable &table, core::MonoTime now, TrialPolicy trials) {
+        for (const char *healthy : {"i-1", "i-2"}) // Not due for a trial themselves.
+            table.peerOutcomeReported(now, {.upstream = core::UpstreamId(healthy)});
+        const PlacementResult result = table.choose(now,
+                                                    {.service = desk,
+                                                     .route = core::RouteId("read"),
+                                                     .idempotent = true,
+                                                     .trials = trials,
+                                                     .targetLatency = core::Millis(500),
+                                                     .timeLeft = core::Millis(1500)});
+        return result.placement && result.placement->isTrial
+            && result.placement->upstream == failing;
+    };
+    std::vector<std::unique_ptr<DispatcherFixture>> vms;
+    for (int vm = 0; vm < 4; ++vm) {
+        vms.push_back(std::make_unique<DispatcherFixture>(3));
+        std::vector<core::VmId> peers;
+        for (int peer = 0; peer < 4; ++peer) {
+            if (peer != vm)
+                peers.emplace_back("vm-" + std::to_string(peer));
+        }
+        vms.back()->table.setTrialVms(core::VmId("vm-" + std::to_string(vm)), peers);
+        for (int i = 0; i < 3; ++i)
+            vms.back()->table.peerOutcomeReported(start, {.upstream = failing, .failed = true});
+    }
+    const auto count = [&](core::Micros after, TrialPolicy trials) {
+        return std::count_if(vms.begin(), vms.end(), [&](const auto &vm) {
+            return triesFailing(vm->table, start + after, trials);
+        });
+    };
+    CHECK(count(core::Millis(1200), TrialPolicy::EachVm) == 4);
+    CHECK(count(core::Millis(1200), TrialPolicy::InTurns) == 1);
+    CHECK(count(core::Millis(1700), TrialPolicy::InTurns) == 2); // The first one made none.
+    CHECK(count(core::Millis(1700), TrialPolicy::None) == 0);
+}
--- a/tests/proxy/load_replay_test.cpp
+++ b/tests/proxy/load_replay_test.cpp
@@ -16,14 +16,15 @@
 constexpr std::uint64_t comparedSeeds = 10;
 
 template <typename Chooser>
-EmulatedReport replay(const EmulatedLoad &load, std::uint64_t seed)
+EmulatedReport replay(const EmulatedLoad &load, std::uint64_t seed,
+                      proxy::DispatcherOptions options = {})
 {
     return ProxyEmulator<Chooser>(
                load, slotDeskKinds(),
                [](const auto &options, std::uint64_t chooserSeed) {
                    return std::make_unique<Chooser>(options, chooserSeed);
                },
-               seed)
+               seed, options)
         .run();
 }
 
@@ -103,3 +104,32 @@
         CHECK(report.failed() == 0);
     }
 }
+
+TEST_CASE("load control loses under no load against the budget, trials and queue without it")
+{
+    // Guards against changes of budget, trials or queues that lose against those before them.
+    const proxy::DispatcherOptions before = proxy::DispatcherOptions::withoutLoadControl();
+    constexpr double tolerance = 0.01;      // The mean of ten seeds varies by about half of that.
+    constexpr double leastTrialGain = 0.02; // Trials by one VM at a time, with half of them lost.
+    for (const EmulatedLoad &load : emulatedLoads()) {
+        CAPTURE(load.name);
+        double value = 0;
+        double repeats = 0;
+        double served = 0;
+        for (std::uint64_t seed = 1; seed <= comparedSeeds; ++seed) {
+            const EmulatedReport now = replay<proxy::UpstreamTable>(load, seed);
+            const EmulatedReport then = replay<proxy::UpstreamTable>(load, seed, before);
+            value += (now.value() - then.value()) / comparedSeeds;
+            repeats += now.repeats - then.repeats;
+            served += (EmulatedReport::servedShare(now.kinds.at("booking"))
+                       - EmulatedReport::servedShare(then.kinds.at("booking")))
+                / comparedSeeds;
+        }
+        MESSAGE(load.name << " value " << value << " bookings served " << served << " retries "
+                          << repeats / comparedSeeds);
+        CHECK(value >= -tolerance);
+        CHECK(served >= -tolerance);
+        if (load.name == "half_gone")
+            CHECK(value >= leastTrialGain);
+    }
+}
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -86,6 +86,11 @@
     CHECK(settings.daemon.regionOfZone.at(core::AvailabilityZoneId("z2")) == core::RegionId("r2"));
     CHECK(settings.daemon.flow.dispatch.retries.ratio == doctest::Approx(0.3));
     CHECK(settings.daemon.flow.dispatch.retries.slack == doctest::Approx(50));
+    CHECK(settings.daemon.flow.dispatch.trialsInTurns);
+    // A deployment whose settings name no window of the budget behaves as before.
+    std::string noWindow = settingsText;
+    noWindow.replace(noWindow.find("budgetWindow"), 12, "anotherBound");
+    CHECK(!parsePlatformSettings(noWindow).daemon.flow.dispatch.trialsInTurns);
     CHECK(settings.daemon.shares.overrunRequests == doctest::Approx(20));
     CHECK(settings.daemon.shutdown.endAfter < core::Seconds(6));
     CHECK(settings.store.port == 8408);
@@ -155,6 +160,16 @@
     }
 }
 
+TEST_CASE("a priority that is not a whole number makes the configuration malformed")
+{
+    // Guards against a priority that is read as 0, the highest.
+    for (const char *value : {"\"high\"", "\"0\"", "0.5", "null", "[1]"}) {
+        std::string text = configText;
+        text.replace(text.find("\"priority\": 1"), 13, "\"priority\": " + std::string(value));
+        CHECK_THROWS_AS_MESSAGE(platform::decodeConfiguration(text), StoreValueMalformed, text);
+    }
+}
+
 TEST_CASE("malformed durations and base64 texts are rejected")
 {
     CHECK(parseDuration("1.5s") == core::Millis(1500));
--- a/tests/standins/proxy_emulator.h
+++ b/tests/standins/proxy_emulator.h
@@ -174,6 +174,7 @@
         for (int zone = 0; zone < load_.zones; ++zone)
             options.regionOfZone[zoneId(zone)] = regionId(zone);
         vm.chooser = makeChooser_(options, random_());
+        setTrialVms(vm);
         for (const Upstream &upstream : upstreams_)
             vm.chooser->update(start, upstream.entry);
         vm.dispatcher = std::make_unique<proxy::Dispatcher<Chooser>>(*vm.chooser, options_);
@@ -181,6 +182,23 @@
         ++vm.generation;
     }
 
+    static core::VmId vmId(std::size_t index) { return core::VmId("vm" + std::to_string(index)); }
+
+    void setTrialVms(Vm &vm)
+    {
+        if constexpr (requires { vm.chooser->setTrialVms(core::VmId(), {}); }) {
+            const auto self = static_cast<std::size_t>(&vm - vms_.data());
+            std::vector<core::VmId> peers;
+            for (auto i = static_cast<std::size_t>(vm.zone);
+                 i < static_cast<std::size_t>(load_.zones * load_.vmsPerZone);
+                 i += static_cast<std::size_t>(load_.zones)) {
+                if (i != self)
+                    peers.push_back(vmId(i));
+            }
+            vm.chooser->setTrialVms(vmId(self), std::move(peers));
+        }
+    }
+
     // Disturbances.
 
     void schedule(const EmulatedDisturbance &disturbance)
@@ -314,6 +332,8 @@
     {
         Vm &vm = vms_[static_cast<std::size_t>(job->vm)];
         const proxy::DispatchResult result = vm.dispatcher->submit(events_.now(), job->request);
+        if (result.evicted)
+            decide(vm, {*result.evicted});
         if (result.placement)
             send(job, *result.placement);
         else if (result.wait)
@@ -532,17 +552,23 @@
         return report_.windows[index];
     }
 
-    /** Checks the retry budget by its rule: the requests of the window, of the one half a window
-     * before it or of the one before it, whichever has most. */
     void countRepeat()
     {
-        const proxy::RetryBudgetOptions budget = options_.retries;
-        const core::MonoTime now = events_.now();
         ++report_.repeats;
-        repeatsAt_.push_back(now);
-        while (now - repeatsAt_.front() > budget.window)
+        repeatsAt_.push_back(events_.now());
+        checkBudget();
+    }
+
+    /** Checks the retry budget of the window that ends now by its rule: the requests of the window,
+     * of the one half a window before it or of the one before it, whichever has most. Windows that
+     * end without a retry are checked too, since they may have fewer requests. */
+    void checkBudget()
+    {
+        const proxy::RetryBudgetOptions &budget = options_.retries;
+        const core::MonoTime now = events_.now();
+        while (!repeatsAt_.empty() && now - repeatsAt_.front() > budget.window)
             repeatsAt_.pop_front();
-        while (now - requestsAt_.front() > 2 * budget.window)
+        while (!requestsAt_.empty() && now - requestsAt_.front() > 2 * budget.window)
             requestsAt_.pop_front();
         const auto requestsUntil = [&](core::MonoTime end) {
             const auto first =
@@ -561,6 +587,7 @@
         events_.at(std::max(events_.now(), start) + tickInterval, [this] {
             for (Vm &vm : vms_)
                 decide(vm, vm.dispatcher->dispatchWaiting(events_.now()));
+            checkBudget();
             if (++ticks_ % ticksPerReport == 0)
                 exchangeReports();
             scheduleTick();
