--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -289,6 +289,11 @@
         next.tried.push_back(upstream);
         if (!upstreams_.choose(now, next).placement)
             return false;
+        // Asked every softTimeoutInterval: a denial is no new demand, and the attempt may still
+        // succeed.
+        if (!budgetOf(request.service)
+                 .permits(now, fleetShare_, RetryPurpose::Failure, request.route->priority))
+            return false;
         request.retryGranted = takeRetry(now, request, RetryPurpose::Failure);
         return request.retryGranted;
     }
