Fix: [Tests] proxy_decisions_test uses the new retry budget

Cause: the rename of RetryBudgetShare left proxy_decisions_test without its header, so it did not compile since. Change: the test calls the new interface with the same bound; the loop over the VMs of a zone counts in int.

--- a/tests/proxy/decisions_test.cpp
+++ b/tests/proxy/decisions_test.cpp
@@ -3,7 +3,7 @@
 #include "fleet/pool_usage_coverage_base.h"
 #include "fleet/removal_hold_base.h"
 #include "placement/account_rate_limiter_base.h"
-#include "placement/retry_share_base.h"
+#include "placement/retry_budget_base.h"
 #include "placement/route_table_base.h"
 
 #include <doctest/doctest.h>
@@ -345,17 +345,17 @@
 {
     const RetryBudgetOptions options {.ratio = 0.2, .slack = 60};
     for (const std::size_t vms : {1UL, 12UL, 40UL}) {
-        std::vector<RetryBudgetShare> budgets(vms, RetryBudgetShare(options));
+        std::vector<RetryBudget> budgets(vms, RetryBudget(options));
         std::deque<core::MonoTime> requests;
         std::deque<core::MonoTime> retries;
         std::mt19937_64 random(3);
         for (int i = 0; i < 6000; ++i) {
             const core::MonoTime now = start + core::Millis(10 * i);
-            RetryBudgetShare &budget = budgets[random() % vms];
+            RetryBudget &budget = budgets[random() % vms];
             budget.requestStarted(now);
             requests.push_back(now);
             // Every request fails and asks for a retry.
-            if (budget.take(now, 1.0 / static_cast<double>(vms)))
+            if (budget.take(now, 1.0 / static_cast<double>(vms), RetryPurpose::Failure, 0))
                 retries.push_back(now);
             while (now - requests.front() > options.window)
                 requests.pop_front();
--- a/tests/standins/proxy_emulator.h
+++ b/tests/standins/proxy_emulator.h
@@ -189,11 +189,10 @@
         if constexpr (requires { vm.chooser->setTrialVms(core::VmId(), {}); }) {
             const auto self = static_cast<std::size_t>(&vm - vms_.data());
             std::vector<core::VmId> peers;
-            for (auto i = static_cast<std::size_t>(vm.zone);
-                 i < static_cast<std::size_t>(load_.zones * load_.vmsPerZone);
-                 i += static_cast<std::size_t>(load_.zones)) {
-                if (i != self)
-                    peers.push_back(vmId(i));
+            for (int i = vm.zone; i < load_.zones * load_.vmsPerZone; i += load_.zones) {
+                const auto index = static_cast<std::size_t>(i);
+                if (index != self)
+                    peers.push_back(vmId(index));
             }
             vm.chooser->setTrialVms(vmId(self), std::move(peers));
         }
