--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -1,7 +1,9 @@
 /** @file dispatcher_base.h Dispatches, queues, refuses and retries the requests of one VM. */
 #pragma once
 
-#include "placement/retry_share_base.h"
+#include "core/log_func.h"
+#include "placement/departure_rate_base.h"
+#include "placement/retry_budget_base.h"
 #include "placement/upstream_table_base.h"
 #include "placement/wait_queue_base.h"
 
@@ -39,7 +41,12 @@
 struct DispatcherOptions
 {
     WaitQueueOptions queue;
+    /** Whether queues admit by their measured departures instead of this VM's share of slots. */
+    bool measuresDepartures = true;
+    DepartureRateOptions departures;
     RetryBudgetOptions retries;
+    /** Whether trials are made in turns, and only while the retry budget has room for them. */
+    bool trialsInTurns = true;
     /** Soft timeout: fraction of the target latency after which an idempotent request may be sent
      * to another upstream. */
     double softTimeoutTargetRatio = 0.8;
@@ -50,6 +57,16 @@
     core::Micros softTimeoutInterval {core::Millis(50)};
     /** Number of failed connections after which a request is refused instead of retried. */
     int maxConnectFailures = 3;
+
+    /** @return The options of a deployment whose settings do not name a window of the retry budget:
+     * queues admit by slots, and neither retries nor trials are restricted by their purpose. */
+    static DispatcherOptions withoutLoadControl()
+    {
+        return {.queue = {.shedsEarly = false},
+                .measuresDepartures = false,
+                .retries = RetryBudgetOptions::withoutReserves(),
+                .trialsInTurns = false};
+    }
 };
 
 /** A request and the state of its attempts. */
@@ -68,14 +85,6 @@
     bool retryGranted = false;           ///< By grantAbandon() for the current attempt.
 };
 
-/** Result of submitting a request: exactly one of the members is set. */
-struct DispatchResult
-{
-    std::optional<Placement> placement;      ///< Send the request to this upstream.
-    std::optional<WaitTicket> wait;          ///< The request is queued.
-    std::optional<PlacementFailure> refusal; ///< The request is refused for this reason.
-};
-
 /** Decision on a queued request. */
 struct DispatchDecision
 {
@@ -83,6 +92,15 @@
     PlacementResult result;
 };
 
+/** Result of submitting a request: exactly one of the first three members is set. */
+struct DispatchResult
+{
+    std::optional<Placement> placement;      ///< Send the request to this upstream.
+    std::optional<WaitTicket> wait;          ///< The request is queued.
+    std::optional<PlacementFailure> refusal; ///< The request is refused for this reason.
+    std::optional<DispatchDecision> evicted; ///< A queued request is refused to make room.
+};
+
 /**
  * Decides for one VM which requests are sent at once, queued, refused or retried, and in which
  * order queued requests are sent. Under overload (bursts, lost or slow upstreams) it queues only
@@ -114,8 +132,7 @@
     DispatchResult submit(core::MonoTime now, const DispatchRequest &request)
     {
         ServiceQueues &queues = queues_[request.service];
-        RegionQueue &queue =
-            queues.ofRegions.try_emplace(request.allowedRegions, options_.queue).first->second;
+        RegionQueue &queue = queueOf(request);
         if (queue.order.size() == 0) {
             PlacementResult result = upstreams_.choose(now, placementRequest(now, request));
             if (result.placement) {
@@ -128,15 +145,60 @@
         const WaitTicket ticket(++lastTicket_);
         // Other VMs use the same upstreams, so only this VM's share of the slots serves its queue.
         const WaitRequest waiting = waitRequest(ticket, request);
-        const double slotShare = fleetShare_
-            * upstreams_.slotsOf(request.service, waiting.expectedProcessingTime,
-                                 request.allowedRegions);
+        const core::Micros work = waiting.expectedProcessingTime;
+        const double slotShare = std::max(
+            1.0, fleetShare_ * upstreams_.slotsOf(request.service, work, request.allowedRegions));
+        queue.slotsPerSecond = slotShare / secondsOf(work);
+        const double slots = options_.measuresDepartures
+            ? queue.departures.perSecond(now, queue.slotsPerSecond) * secondsOf(work)
+            : slotShare;
         if (queue.order.size() == 0)
             queue.pass = std::max(queue.pass, queues.servedPass);
-        if (!queue.order.enqueue(now, waiting, slotShare))
+        const WaitAdmission admission = queue.order.enqueue(now, waiting, slots);
+        if (!admission)
             return {.refusal = PlacementFailure::AllBusy};
         queue.requests.emplace(ticket, request);
-        return {.wait = ticket};
+        queue.departures.setBacklogged(now, true);
+        DispatchResult result {.wait = ticket};
+        if (admission.evicted) {
+            core::logEvent(core::LogLevel::Info, "request_evicted",
+                           {{"service", request.service.str()},
+                            {"route", queue.requests.at(*admission.evicted).route->id.str()},
+                            {"for_route", request.route->id.str()},
+                            {"waiting", static_cast<std::int64_t>(queue.order.size())}});
+            queue.requests.erase(*admission.evicted);
+            result.evicted = {
+                .ticket = *admission.evicted,
+                .result = {.placement = std::nullopt, .reason = PlacementFailure::Evicted}};
+        }
+        return result;
+    }
+
+    /**
+     * @param random Uniformly distributed in 0 to 1, so that refused callers do not return at the
+     * same moment.
+     * @return Time after which a refused request may be repeated: the time in which the requests
+     * that wait now leave at the current rate, with up to a half added, 100 ms to 2 s.
+     */
+    core::Micros retryAfter(core::MonoTime now, const DispatchRequest &request, double random) const
+    {
+        constexpr core::Micros shortest {core::Millis(100)};
+        constexpr core::Micros longest {core::Seconds(2)};
+        /** A few typical execution times, after which an upstream probably has room. */
+        constexpr core::Micros unmeasured {core::Millis(400)};
+        constexpr double maxJitter = 0.5;
+        if (!options_.measuresDepartures)
+            return unmeasured;
+        const RegionQueue *found = findQueue(request);
+        if (found == nullptr)
+            return withJitter(shortest, maxJitter * random);
+        const RegionQueue &queue = *found;
+        const double rate = queue.departures.perSecond(now, queue.slotsPerSecond);
+        const double drain = static_cast<double>(queue.order.size()) / std::max(0.1, rate);
+        const core::Micros wait = std::clamp(
+            std::chrono::duration_cast<core::Micros>(std::chrono::duration<double>(drain)),
+            shortest, longest);
+        return std::min(longest, withJitter(wait, maxJitter * random));
     }
 
     /** Moves later deadlines of queued requests forward to a time, at which the process ends. */
@@ -163,6 +225,29 @@
         }
     }
 
+    /** Calls a function with each service that had a request, its retry budget and the part of the
+     * budget that is left. */
+    void forEachBudget(core::MonoTime now, const auto &visit) const
+    {
+        for (const auto &[service, budget] : budgets_)
+            visit(service, budget, budget.left(now, fleetShare_));
+    }
+
+    /** Calls a function with each service that had a request, the number of its waiting requests
+     * and their departures per second. */
+    void forEachQueue(core::MonoTime now, const auto &visit) const
+    {
+        for (const auto &[service, queues] : queues_) {
+            std::size_t waiting = 0;
+            double perSecond = 0;
+            for (const auto &[regions, queue] : queues.ofRegions) {
+                waiting += queue.order.size();
+                perSecond += queue.departures.perSecond(now, queue.slotsPerSecond);
+            }
+            visit(service, waiting, perSecond);
+        }
+    }
+
     /** Dispatches the queued requests for which an upstream has room, and refuses those that can no
      * longer be answered in time.
      * @return The decisions. The attempts of their placements count as started. */
@@ -183,8 +268,9 @@
         request.tried.push_back(record.upstream);
         ++(record.end == AttemptEnd::NotSent ? request.connectFailures : request.sent);
         std::vector<DispatchDecision> decided;
-        if (const auto queues = queues_.find(request.service); queues != queues_.end())
-            dispatchQueues(record.endedAt, queues->second, decided);
+        if (record.end != AttemptEnd::NotSent)
+            queueOf(request).departures.completed(record.endedAt);
+        dispatchQueues(record.endedAt, queues_[request.service], decided);
         return decided;
     }
 
@@ -218,7 +304,12 @@
         next.tried.push_back(upstream);
         if (!upstreams_.choose(now, next).placement)
             return false;
-        request.retryGranted = budgetOf(request.service).take(now, fleetShare_);
+        // Asked every softTimeoutInterval: a denial is no new demand, and the attempt may still
+        // succeed.
+        if (!budgetOf(request.service)
+                 .permits(now, fleetShare_, RetryPurpose::Failure, request.route->priority))
+            return false;
+        request.retryGranted = takeRetry(now, request, RetryPurpose::Failure);
         return request.retryGranted;
     }
 
@@ -239,7 +330,10 @@
             return request.connectFailures < options_.maxConnectFailures;
         if (request.sent >= route.maxAttempts)
             return false;
-        return request.retryGranted || budgetOf(request.service).take(now, fleetShare_);
+        return request.retryGranted
+            || takeRetry(now, request,
+                         certainlyNotExecuted(end) ? RetryPurpose::NotExecuted
+                                                   : RetryPurpose::Failure);
     }
 
     /** @return Number of requests that wait for an upstream. */
@@ -257,10 +351,13 @@
     /** The queued requests of one service with the same allowed regions. */
     struct RegionQueue
     {
-        explicit RegionQueue(const WaitQueueOptions &options)
-            : order(options)
+        explicit RegionQueue(const DispatcherOptions &options)
+            : order(options.queue)
+            , departures(options.departures)
         { }
         WaitQueue order;
+        DepartureRate departures;
+        double slotsPerSecond = 0; ///< Departures that the slots suggest, as of the last arrival.
         std::map<WaitTicket, DispatchRequest> requests;
         double pass = 0;        ///< Virtual time; the queue with the lowest pass is served next.
         bool isBlocked = false; ///< All upstreams of its regions are busy, in dispatchQueues().
@@ -287,12 +384,19 @@
 
     /** @return Number of queued requests of a request's service and regions. */
     std::size_t queueLength(const DispatchRequest &request) const
+    {
+        const RegionQueue *queue = findQueue(request);
+        return queue == nullptr ? 0 : queue->order.size();
+    }
+
+    /** @return The queue of a request's service and regions, or nullptr before its first use. */
+    const RegionQueue *findQueue(const DispatchRequest &request) const
     {
         const auto queues = queues_.find(request.service);
         if (queues == queues_.end())
-            return 0;
+            return nullptr;
         const auto queue = queues->second.ofRegions.find(request.allowedRegions);
-        return queue == queues->second.ofRegions.end() ? 0 : queue->second.order.size();
+        return queue == queues->second.ofRegions.end() ? nullptr : &queue->second;
     }
 
     PlacementRequest placementRequest(core::MonoTime now, const DispatchRequest &request) const
@@ -301,6 +405,7 @@
         return {.service = request.service,
                 .route = route.id,
                 .idempotent = route.idempotent && request.sent + 1 < route.maxAttempts,
+                .trials = trialPolicy(now, request),
                 .targetLatency = route.targetLatency,
                 .elapsed = now - request.arrivedAt,
                 .timeLeft = request.deadline - now,
@@ -317,7 +422,38 @@
                 .routePriority = route.priority,
                 .expectedProcessingTime =
                     upstreams_.expectedProcessingTime(route.id, route.targetLatency),
-                .deadline = request.deadline};
+                .deadline = request.deadline,
+                .targetLatency = route.targetLatency};
+    }
+
+    /** @return Trials that a request may be. A failed trial costs a retry, so there are none while
+     * the retry budget has none for them. */
+    TrialPolicy trialPolicy(core::MonoTime now, const DispatchRequest &request) const
+    {
+        if (!options_.trialsInTurns)
+            return TrialPolicy::EachVm;
+        const auto budget = budgets_.find(request.service);
+        const bool allowed = budget == budgets_.end()
+            || budget->second.permits(now, fleetShare_, RetryPurpose::Trial,
+                                      request.route->priority);
+        return allowed ? TrialPolicy::InTurns : TrialPolicy::None;
+    }
+
+    static double secondsOf(core::Micros time)
+    {
+        return std::chrono::duration<double>(std::max(time, core::Micros(1))).count();
+    }
+
+    static core::Micros withJitter(core::Micros time, double part)
+    {
+        return time + std::chrono::duration_cast<core::Micros>(part * time);
+    }
+
+    RegionQueue &queueOf(const DispatchRequest &request)
+    {
+        return queues_[request.service]
+            .ofRegions.try_emplace(request.allowedRegions, options_)
+            .first->second;
     }
 
     /** Dispatches from the queues of a service, one request at a time, until all are blocked. */
@@ -351,9 +487,26 @@
      * that cannot be served. @return Whether a request was dispatched. */
     bool dispatchNext(core::MonoTime now, RegionQueue &queue,
                       std::vector<DispatchDecision> &decided)
+    {
+        const bool isDispatched = dispatchHead(now, queue, decided);
+        queue.departures.setBacklogged(now, queue.order.size() > 0);
+        return isDispatched;
+    }
+
+    /** @return The rate for refusing newly queued requests early; nothing if it is not measured. */
+    std::optional<double> departureRate(core::MonoTime now, const RegionQueue &queue) const
+    {
+        if (!options_.measuresDepartures)
+            return std::nullopt;
+        return queue.departures.perSecond(now, queue.slotsPerSecond);
+    }
+
+    /** As dispatchNext(), without the state of the departure rate. */
+    bool dispatchHead(core::MonoTime now, RegionQueue &queue,
+                      std::vector<DispatchDecision> &decided)
     {
         while (queue.order.size() > 0) {
-            const QueueHead head = queue.order.removeLateAndPeek(now);
+            const QueueHead head = queue.order.removeLateAndPeek(now, departureRate(now, queue));
             for (const WaitTicket ticket : head.tooLate) {
                 queue.requests.erase(ticket);
                 decided.push_back(
@@ -369,6 +522,7 @@
             const bool isPlaced = result.placement.has_value();
             if (isPlaced) {
                 upstreams_.attemptStarted(now, *result.placement);
+                queue.departures.departed(now);
                 queue.pass += strideOf(next->second);
             }
             queue.order.remove(*head.next, isPlaced);
@@ -387,14 +541,30 @@
             * std::pow(options_.queue.routeWeightRatio, request.route->priority);
     }
 
-    RetryBudgetShare &budgetOf(const core::ServiceId &service)
+    bool takeRetry(core::MonoTime now, const DispatchRequest &request, RetryPurpose purpose)
+    {
+        RetryBudget &budget = budgetOf(request.service);
+        const int priority = request.route->priority;
+        if (budget.take(now, fleetShare_, purpose, priority))
+            return true;
+        core::logEvent(
+            core::LogLevel::Info, "retry_denied",
+            {{"service", request.service.str()},
+             {"route", request.route->id.str()},
+             {"priority", priority},
+             {"purpose", retryPurposeName(purpose)},
+             {"left_pct", static_cast<std::int64_t>(100 * budget.left(now, fleetShare_))}});
+        return false;
+    }
+
+    RetryBudget &budgetOf(const core::ServiceId &service)
     {
         return budgets_.try_emplace(service, options_.retries).first->second;
     }
 
     Chooser &upstreams_;
     DispatcherOptions options_;
-    std::map<core::ServiceId, RetryBudgetShare> budgets_;
+    std::map<core::ServiceId, RetryBudget> budgets_;
     std::map<core::ServiceId, ServiceQueues> queues_;
     std::uint64_t lastTicket_ = 0;
     double fleetShare_ = 0;
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -262,6 +262,7 @@
             set("evacuated", counts.evacuated);
             set("cold", counts.cold);
         }
+        flow_.publishMetrics(now);
         return makeResponse(beasthttp::status::ok,
                             registry_.prometheusText(core::MonoClock::now()));
     }
