Feature: [Placement] Decide when a slow request gets a hedge

Cause: a few slow responses dominate the tail latency of idempotent routes. The soft timeout abandons an attempt only after 0.8 of the target latency, which is far above the usual response times of most routes.

Change: HedgePolicy keeps the recent response times of each route (LatencyWindow: 30 s, at least 50 samples) and proposes their 95th percentile as the delay of a hedge. The hedges of a service stay within a fraction of its requests in 10 s. None is sent while requests are queued, a fifth of the attempts of the last second was refused or failed, or the median is above twice the usual one. Dispatcher::grantHedge() applies these rules, needs an upstream with a free slot and a low failure estimate, and takes a retry from the budget; a hedged request is not abandoned as well. An attempt that was cancelled for a faster one has the end "superseded": neither a failure nor a success of its upstream, but it raises the estimated slowness, or hedges would hide an upstream that hangs. With the default limit of 0 nothing is recorded.

--- a/src/daemon/attempt.cpp
+++ b/src/daemon/attempt.cpp
@@ -45,6 +45,8 @@
         return proxy::AttemptEnd::TimedOut;
     case proxy::ExchangeFailure::Cancelled:
         return proxy::AttemptEnd::CallerLeft;
+    case proxy::ExchangeFailure::Superseded:
+        return proxy::AttemptEnd::Superseded;
     }
     if (isRefusal(result.response))
         return proxy::AttemptEnd::NotExecuted;
@@ -109,6 +111,7 @@
     case proxy::AttemptEnd::UnprovenRefusal:
     case proxy::AttemptEnd::Broken:
     case proxy::AttemptEnd::CallerLeft:
+    case proxy::AttemptEnd::Superseded:
         break;
     }
     return table::Refusal::UpstreamCut;
--- a/src/daemon/http_form.cpp
+++ b/src/daemon/http_form.cpp
@@ -90,6 +90,7 @@
         break;
     case proxy::ExchangeFailure::Broken:
     case proxy::ExchangeFailure::Cancelled:
+    case proxy::ExchangeFailure::Superseded:
         converted.progress = http::Progress::SentOnly;
         converted.cause = http::Cause::Truncated;
         break;
--- a/src/daemon/upstream_service.cpp
+++ b/src/daemon/upstream_service.cpp
@@ -28,6 +28,7 @@
     case proxy::AttemptEnd::Broken:
         return upstream::Outcome::Truncated;
     case proxy::AttemptEnd::CallerLeft:
+    case proxy::AttemptEnd::Superseded:
         return upstream::Outcome::Cancelled;
     }
     return upstream::Outcome::Failed;
--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -1,6 +1,7 @@
 /** @file dispatcher_base.h Dispatches, queues, refuses and retries the requests of one VM. */
 #pragma once
 
+#include "placement/hedge_policy_base.h"
 #include "placement/retry_share_base.h"
 #include "placement/upstream_table_base.h"
 #include "placement/wait_queue_base.h"
@@ -48,6 +49,7 @@
     core::Micros softTimeoutInterval {core::Millis(50)};
     /** Number of failed connections after which a request is refused instead of retried. */
     int maxConnectFailures = 3;
+    HedgeOptions hedges;
 };
 
 /** A request and the state of its attempts. */
@@ -59,10 +61,12 @@
     int accountPriority = 0;
     core::MonoTime arrivedAt {};
     core::MonoTime deadline {};
-    std::vector<core::UpstreamId> tried; ///< Upstreams of all finished attempts.
-    int sent = 0;                        ///< Attempts that may have reached an upstream.
-    int connectFailures = 0;             ///< Attempts without a connection.
-    bool retryGranted = false;           ///< By grantAbandon() for the current attempt.
+    std::vector<core::UpstreamId> tried;   ///< Upstreams of all finished attempts.
+    int sent = 0;                          ///< Attempts that may have reached an upstream.
+    int connectFailures = 0;               ///< Attempts without a connection.
+    bool retryGranted = false;             ///< By grantAbandon() for the current attempt.
+    std::optional<core::UpstreamId> hedge; ///< Upstream of the hedge, once there was one.
+    bool wasOverdue = false;               ///< Whether the HedgePolicy counts it as slow.
 };
 
 /** Result of submitting a request: exactly one of the members is set. */
@@ -73,6 +77,13 @@
     std::optional<PlacementFailure> refusal; ///< The request is refused for this reason.
 };
 
+/** Decision on a hedge: exactly one of the members is set. */
+struct HedgeDecision
+{
+    std::optional<Placement> placement; ///< Send the hedge to this upstream.
+    std::optional<HedgeDenial> denial;
+};
+
 /** Decision on a queued request. */
 struct DispatchDecision
 {
@@ -93,6 +104,7 @@
     Dispatcher(Chooser &upstreams, DispatcherOptions options)
         : upstreams_(upstreams)
         , options_(options)
+        , hedges_(options.hedges)
     { }
 
     /** Sets this VM's share of the fleet's traffic. It applies to the slack of the retry budgets
@@ -104,6 +116,8 @@
     void requestArrived(core::MonoTime now, const core::ServiceId &service)
     {
         budgetOf(service).requestStarted(now);
+        if (hedges_.enabled())
+            hedges_.requestArrived(now, service);
     }
 
     /** Decides on a new request or on a retry. If the result has a placement, the attempt counts as
@@ -168,6 +182,8 @@
                                                   DispatchRequest &request)
     {
         upstreams_.attemptFinished(record);
+        if (hedges_.enabled())
+            observeForHedges(record, request);
         request.tried.push_back(record.upstream);
         ++(record.end == AttemptEnd::NotSent ? request.connectFailures : request.sent);
         std::vector<DispatchDecision> decided;
@@ -200,6 +216,9 @@
     bool grantAbandon(core::MonoTime now, DispatchRequest &request,
                       const core::UpstreamId &upstream)
     {
+        // A hedged request already has an attempt at another upstream.
+        if (request.hedge)
+            return false;
         if (!hasTimeForAttempt(now, request) || queueLength(request.service) > 0)
             return false;
         PlacementRequest next = placementRequest(now, request);
@@ -210,6 +229,63 @@
         return request.retryGranted;
     }
 
+    /** @return Whether hedging is enabled. */
+    bool hedgingEnabled() const { return hedges_.enabled(); }
+
+    /** @return Hedges of a service for each of its requests in the limit's window. */
+    double hedgeShare(core::MonoTime now, const core::ServiceId &service)
+    {
+        return hedges_.enabled() ? hedges_.share(now, service) : 0;
+    }
+
+    /** @return Time after the start of an attempt at which a hedge is considered; zero for never.
+     * Only the first attempt of a request is hedged. */
+    core::Micros hedgeDelay(core::MonoTime now, const DispatchRequest &request)
+    {
+        if (!hedges_.enabled() || !request.route->idempotent || request.sent > 0 || request.hedge
+            || request.route->maxAttempts <= 1)
+            return core::Micros(0);
+        const core::Micros delay = hedges_.delay(now, request.route->id);
+        return now + delay >= request.deadline ? core::Micros(0) : delay;
+    }
+
+    /**
+     * Decides, after hedgeDelay(), whether to send a hedge while the first attempt is in flight. If
+     * so, takes it from the limit and from the retry budget, and it counts as started.
+     * @param first The first attempt. @param startedAt Its start.
+     */
+    HedgeDecision grantHedge(core::MonoTime now, DispatchRequest &request, const Placement &first,
+                             core::MonoTime startedAt)
+    {
+        const Route &route = *request.route;
+        if (!route.idempotent || request.hedge)
+            return {.denial = HedgeDenial::NotAllowed};
+        request.wasOverdue =
+            hedges_.attemptOverdue(now, request.service, route.id, now - startedAt);
+        if (queueLength(request.service) > 0)
+            return {.denial = HedgeDenial::Queued};
+        if (const auto denial = hedges_.denial(now, request.service))
+            return {.denial = denial};
+        if (!hasTimeForAttempt(now, request))
+            return {.denial = HedgeDenial::TooLate};
+        PlacementRequest second = placementRequest(now, request);
+        second.tried.push_back(first.upstream);
+        second.idempotent = false; // A hedge is no trial of an upstream believed to be failing.
+        second.freeSlotOnly = true;
+        PlacementResult result = upstreams_.choose(now, second);
+        if (!result.placement)
+            return {.denial = result.reason == PlacementFailure::TooLate ? HedgeDenial::TooLate
+                                                                         : HedgeDenial::NoUpstream};
+        if (result.placement->failureEstimate > options_.hedges.maxFailureEstimate)
+            return {.denial = HedgeDenial::NoUpstream};
+        if (!budgetOf(request.service).take(now, fleetShare_))
+            return {.denial = HedgeDenial::NoBudget};
+        hedges_.hedgeSent(now, request.service);
+        upstreams_.attemptStarted(now, *result.placement);
+        request.hedge = result.placement->upstream;
+        return {.placement = std::move(result.placement)};
+    }
+
     /** Decides whether to retry a request after a finished attempt. Takes the retry from the retry
      * budget, except after a failed connection or if grantAbandon() has taken it already.
      * @param end Outcome of the attempt.
@@ -217,7 +293,8 @@
     bool grantRetry(core::MonoTime now, const DispatchRequest &request, AttemptEnd end)
     {
         const Route &route = *request.route;
-        if (end == AttemptEnd::Answered || end == AttemptEnd::CallerLeft)
+        if (end == AttemptEnd::Answered || end == AttemptEnd::CallerLeft
+            || end == AttemptEnd::Superseded)
             return false;
         if (!certainlyNotExecuted(end) && !route.idempotent)
             return false;
@@ -250,6 +327,20 @@
         std::map<WaitTicket, DispatchRequest> requests;
     };
 
+    /** Records a finished attempt in the HedgePolicy. */
+    void observeForHedges(const AttemptRecord &record, DispatchRequest &request)
+    {
+        const bool isHedge = request.hedge == record.upstream;
+        hedges_.attemptFinished({.service = request.service,
+                                 .route = record.route,
+                                 .end = record.end,
+                                 .startedAt = record.startedAt,
+                                 .endedAt = record.endedAt,
+                                 .isHedge = isHedge,
+                                 .wasOverdue = !isHedge && request.wasOverdue});
+        request.wasOverdue = isHedge && request.wasOverdue;
+    }
+
     /** @return Whether another attempt is expected to finish before the deadline. */
     bool hasTimeForAttempt(core::MonoTime now, const DispatchRequest &request) const
     {
@@ -320,6 +411,7 @@
 
     Chooser &upstreams_;
     DispatcherOptions options_;
+    HedgePolicy hedges_;
     std::map<core::ServiceId, RetryBudgetShare> budgets_;
     std::map<core::ServiceId, ServiceQueue> queues_;
     std::uint64_t lastTicket_ = 0;
--- /dev/null
+++ b/src/placement/hedge_policy.cpp
@@ -0,0 +1,184 @@
+/** @file hedge_policy.cpp Decides when a slow request gets a second attempt in parallel. */
+#include "placement/hedge_policy_base.h"
+
+#include <algorithm>
+
+namespace teaselreach::proxy {
+
+namespace {
+
+/** Drops the times of a window that have expired. */
+void expire(std::deque<core::MonoTime> &times, core::MonoTime oldest)
+{
+    while (!times.empty() && times.front() < oldest)
+        times.pop_front();
+}
+
+/** @return Whether an outcome says nothing about the upstream. */
+bool wasCancelled(AttemptEnd end)
+{
+    return end == AttemptEnd::CallerLeft || end == AttemptEnd::Superseded;
+}
+
+/** @return Whether the duration of an attempt is its response time, or a lower bound of it that
+ * exceeds the usual ones. */
+bool isResponseTime(AttemptEnd end)
+{
+    return end == AttemptEnd::Answered || end == AttemptEnd::TimedOut
+        || end == AttemptEnd::Superseded;
+}
+
+} // namespace
+
+std::string_view hedgeDenialName(HedgeDenial denial)
+{
+    switch (denial) {
+    case HedgeDenial::NotAllowed:
+        return "not_allowed";
+    case HedgeDenial::LimitReached:
+        return "limit_reached";
+    case HedgeDenial::Queued:
+        return "queued";
+    case HedgeDenial::Failing:
+        return "failing";
+    case HedgeDenial::Slow:
+        return "slow";
+    case HedgeDenial::Leaving:
+        return "shutting_down";
+    case HedgeDenial::TooLate:
+        return "deadline_too_close";
+    case HedgeDenial::NoUpstream:
+        return "no_upstream";
+    case HedgeDenial::NoBudget:
+        return "no_retry_budget";
+    case HedgeDenial::NoMemory:
+        return "no_memory";
+    }
+    return "unknown";
+}
+
+std::string_view hedgeOutcomeName(HedgeOutcome outcome)
+{
+    switch (outcome) {
+    case HedgeOutcome::Won:
+        return "won";
+    case HedgeOutcome::Lost:
+        return "lost";
+    case HedgeOutcome::Failed:
+        return "failed";
+    case HedgeOutcome::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+void HedgePolicy::Marks::add(core::MonoTime now, bool isBad)
+{
+    marks_.push_back({.at = now, .isBad = isBad});
+    bad_ += isBad ? 1 : 0;
+}
+
+void HedgePolicy::Marks::expire(core::MonoTime oldest)
+{
+    while (!marks_.empty() && marks_.front().at < oldest) {
+        bad_ -= marks_.front().isBad ? 1 : 0;
+        marks_.pop_front();
+    }
+}
+
+HedgePolicy::HedgePolicy(HedgeOptions options)
+    : options_(options)
+{
+    options_.limitRatio = std::clamp(options_.limitRatio, 0.0, maxHedgeRatio);
+}
+
+void HedgePolicy::requestArrived(core::MonoTime now, const core::ServiceId &service)
+{
+    serviceAt(now, service).requests.push_back(now);
+}
+
+void HedgePolicy::attemptFinished(const HedgeObservation &observation)
+{
+    const core::MonoTime now = observation.endedAt;
+    Service &service = serviceAt(now, observation.service);
+    if (!wasCancelled(observation.end))
+        service.outcomes.add(now, observation.end != AttemptEnd::Answered);
+    if (observation.isHedge || !isResponseTime(observation.end))
+        return;
+    const core::Micros duration = now - observation.startedAt;
+    if (!observation.wasOverdue)
+        service.speeds.add(now, isSlow(now, observation.route, duration));
+    windowOf(observation.route).add(now, duration);
+}
+
+bool HedgePolicy::attemptOverdue(core::MonoTime now, const core::ServiceId &service,
+                                 const core::RouteId &route, core::Micros elapsed)
+{
+    if (!isSlow(now, route, elapsed))
+        return false;
+    serviceAt(now, service).speeds.add(now, true);
+    return true;
+}
+
+core::Micros HedgePolicy::delay(core::MonoTime now, const core::RouteId &route)
+{
+    constexpr core::Micros shortest {1};
+    const auto quantiles = windowOf(route).quantiles(now);
+    return quantiles ? std::max(shortest, quantiles->p95) : core::Micros(0);
+}
+
+std::optional<HedgeDenial> HedgePolicy::denial(core::MonoTime now, const core::ServiceId &id)
+{
+    const Service &service = serviceAt(now, id);
+    const Marks &outcomes = service.outcomes;
+    if (outcomes.bad() > 0 && outcomes.bad() >= options_.failureRatio * outcomes.size())
+        return HedgeDenial::Failing;
+    const Marks &speeds = service.speeds;
+    if (speeds.size() >= options_.minSpeedSamples && 2 * speeds.bad() > speeds.size())
+        return HedgeDenial::Slow;
+    const double allowed = options_.limitRatio * static_cast<double>(service.requests.size());
+    if (static_cast<double>(service.hedges.size()) + 1 > allowed)
+        return HedgeDenial::LimitReached;
+    return std::nullopt;
+}
+
+void HedgePolicy::hedgeSent(core::MonoTime now, const core::ServiceId &service)
+{
+    serviceAt(now, service).hedges.push_back(now);
+}
+
+double HedgePolicy::share(core::MonoTime now, const core::ServiceId &id)
+{
+    const Service &service = serviceAt(now, id);
+    if (service.requests.empty())
+        return 0;
+    return static_cast<double>(service.hedges.size())
+        / static_cast<double>(service.requests.size());
+}
+
+/** @return The state of a service, without what has left its windows. */
+HedgePolicy::Service &HedgePolicy::serviceAt(core::MonoTime now, const core::ServiceId &id)
+{
+    Service &service = services_[id];
+    // A request at the very start of the window is left out and a hedge there is counted, so that
+    // the limit holds for windows with and without their ends.
+    expire(service.requests, now - options_.limitWindow + core::Micros(1));
+    expire(service.hedges, now - options_.limitWindow);
+    service.outcomes.expire(now - options_.suppressionWindow);
+    service.speeds.expire(now - options_.suppressionWindow);
+    return service;
+}
+
+LatencyWindow &HedgePolicy::windowOf(const core::RouteId &route)
+{
+    return routes_.try_emplace(route, options_.latency).first->second;
+}
+
+/** @return Whether a response time is above what the median may be. */
+bool HedgePolicy::isSlow(core::MonoTime now, const core::RouteId &route, core::Micros duration)
+{
+    const auto quantiles = windowOf(route).quantiles(now);
+    return quantiles && duration > options_.slowFactor * quantiles->usualMedian;
+}
+
+} // namespace teaselreach::proxy
--- a/src/placement/placement_type.cpp
+++ b/src/placement/placement_type.cpp
@@ -24,6 +24,8 @@
         return "timed_out";
     case AttemptEnd::CallerLeft:
         return "caller_left";
+    case AttemptEnd::Superseded:
+        return "superseded";
     }
     return "unknown";
 }
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -107,6 +107,7 @@
     Broken,      ///< Sent, but the response was cut off, malformed or for another request.
     TimedOut,    ///< Sent, but no complete response arrived in time.
     CallerLeft,  ///< Cancelled because the caller disconnected.
+    Superseded,  ///< Cancelled because another attempt of the request brought a good response.
 };
 
 /** @return The name of an outcome in logs and metrics; these names do not change. */
--- a/src/placement/upstream_table.cpp
+++ b/src/placement/upstream_table.cpp
@@ -81,7 +81,8 @@
         if (reason == PlacementFailure::NoUpstream || reason == PlacementFailure::LimitReached)
             reason = PlacementFailure::AllBusy;
         const double slots = std::max(1, upstream->entry.slots);
-        if (occupancyOf(now, *upstream) + 1 > slots * options_.maxOccupancy) {
+        const double maxOccupancy = request.freeSlotOnly ? 1 : options_.maxOccupancy;
+        if (occupancyOf(now, *upstream) + 1 > slots * maxOccupancy) {
             healthyIsBusy =
                 healthyIsBusy || failureProbability(now, *upstream) < options_.suspectThreshold;
             continue;
@@ -159,7 +160,9 @@
     updateLoad(record, upstream);
     updateLimit(record, upstream);
     notices_.responded(record.endedAt, upstream.entry, record.status);
-    if (record.end == AttemptEnd::CallerLeft)
+    if (record.end == AttemptEnd::Superseded)
+        raiseSlowness(record, upstream);
+    if (record.end == AttemptEnd::CallerLeft || record.end == AttemptEnd::Superseded)
         return;
     if (record.end == AttemptEnd::NotExecuted || record.end == AttemptEnd::Misdirected) {
         // A refusal without a load report still shows that the upstream is full.
@@ -232,6 +235,24 @@
             options_.durationGain * (std::min(duration, maxDurationMultiple * expected) - expected);
 }
 
+/** Raises the slowness of an upstream whose attempt was cancelled for a faster one: its response
+ * would have taken longer than the attempt. Otherwise hedges would hide an upstream that hangs. */
+void UpstreamTable::raiseSlowness(const AttemptRecord &record, Upstream &upstream) const
+{
+    const auto average = processingSeconds_.find(record.route);
+    if (average == processingSeconds_.end()
+        || static_cast<int>(upstream.inFlight.size()) >= upstream.entry.slots)
+        return;
+    const double elapsed = seconds(record.endedAt - record.startedAt);
+    const double ratio =
+        std::min(maxSlowness, elapsed / std::max(minProcessingSeconds, average->second));
+    const double slowness = slownessOf(record.endedAt, upstream);
+    if (ratio <= slowness)
+        return;
+    upstream.slowness = slowness + slownessGain * options_.durationGain * (ratio - slowness);
+    upstream.slownessAt = record.endedAt;
+}
+
 void UpstreamTable::updateLoad(const AttemptRecord &record, Upstream &upstream) const
 {
     if (!record.status.load)
--- a/src/placement/upstream_table_base.h
+++ b/src/placement/upstream_table_base.h
@@ -74,6 +74,7 @@
     core::Micros elapsed {0};            ///< Time since the request arrived.
     core::Micros timeLeft {0};           ///< Time until the deadline.
     std::vector<core::UpstreamId> tried; ///< Upstreams to exclude.
+    bool freeSlotOnly = false;           ///< Only an upstream with a free slot will do.
 };
 
 /** The upstream selected for a request. */
@@ -256,6 +257,7 @@
     void updateHealth(core::MonoTime now, Upstream &upstream, bool failed,
                       double healthyFailureRate);
     void updateProcessingTime(const AttemptRecord &record, Upstream &upstream);
+    void raiseSlowness(const AttemptRecord &record, Upstream &upstream) const;
     void updateLoad(const AttemptRecord &record, Upstream &upstream) const;
     void updateLimit(const AttemptRecord &record, const Upstream &upstream);
     const UpstreamLimitShare &limitShareOf(const Upstream &upstream) const;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -146,6 +146,8 @@
         return AttemptEnd::TimedOut;
     case ExchangeFailure::Cancelled:
         return AttemptEnd::CallerLeft;
+    case ExchangeFailure::Superseded:
+        return AttemptEnd::Superseded;
     }
     return AttemptEnd::Broken;
 }
--- a/src/proxy/http_connection_base.h
+++ b/src/proxy/http_connection_base.h
@@ -26,6 +26,7 @@
     Broken, ///< The connection ended early, or the response was malformed or not the expected one.
     TimedOut,
     Cancelled,
+    Superseded, ///< Cancelled because another attempt of the request brought a good response.
 };
 
 /** The result of an exchange. */
