Feature: [Proxy] Send a hedge while the first attempt is in flight

Cause: RequestLoop made one attempt at a time, so a slow attempt could only be abandoned.

Change: with a delay from the policy, RequestLoop runs the first attempt and, if the policy grants one, a hedge at the same time. The first good response (end "answered") wins; the other attempt gets its verdict, is cancelled and its connection is closed, without waiting for it. Any other end waits for the second attempt. Each attempt has its own AttemptMark in ExecutionEvidence, which settles it exactly once, so a refusal as not executed needs the proof for both. RequestFlow grants hedges, copies the body within the budget of bodies, logs "hedge" and "hedge_denied" and counts teaselreach_hedges_total and teaselreach_hedge_share. The hooks are the optional concept HedgingPolicy: RequestPipeline and other policies need no change. Without a delay the code path is the former one.

--- a/src/proxy/execution_evidence.cpp
+++ b/src/proxy/execution_evidence.cpp
@@ -1,6 +1,8 @@
 /** @file execution_evidence.cpp What is known about whether a request has been executed. */
 #include "proxy/execution_evidence_base.h"
 
+#include <utility>
+
 namespace teaselreach::proxy {
 
 std::string_view executionProofName(ExecutionProof proof)
@@ -16,9 +18,9 @@
     return "none";
 }
 
-void ExecutionEvidence::attemptEnded(const AttemptVerdict &verdict)
+void ExecutionEvidence::attemptEnded(AttemptMark &mark, const AttemptVerdict &verdict)
 {
-    if (!certainlyNotExecuted(verdict.end))
+    if (!std::exchange(mark.undecided_, false) || !certainlyNotExecuted(verdict.end))
         return;
     --undecided_;
     if (verdict.end == AttemptEnd::NotSent)
--- a/src/proxy/execution_evidence_base.h
+++ b/src/proxy/execution_evidence_base.h
@@ -24,6 +24,13 @@
     bool namesRequest = false; ///< Whether the response bears the id of the request.
 };
 
+/** Connects an attempt with its verdict. Attempts may run at the same time and end in any order. */
+class AttemptMark
+{
+    friend class ExecutionEvidence;
+    bool undecided_ = false;
+};
+
 /**
  * Collects, over all attempts of one request, whether it may have been executed. Responses that
  * promise the opposite rest on this alone. A request may have been executed from the moment an
@@ -32,10 +39,15 @@
 class ExecutionEvidence
 {
 public:
-    /** An attempt is about to send the request. */
-    void attemptStarted() { ++undecided_; }
-    /** The last started attempt has ended. */
-    void attemptEnded(const AttemptVerdict &verdict);
+    /** An attempt is about to send the request. @param mark A new mark, kept with the attempt. */
+    void attemptStarted(AttemptMark &mark)
+    {
+        mark.undecided_ = true;
+        ++undecided_;
+    }
+    /** An attempt has ended. Has no effect if it has not started or already has a verdict: no
+     * attempt is settled by the verdict on another. @param mark The mark of the attempt. */
+    void attemptEnded(AttemptMark &mark, const AttemptVerdict &verdict);
 
     /** @return The proof that the request has not been executed, or None. */
     ExecutionProof proof() const;
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -426,6 +426,7 @@
         readiness_.closeStale(now);
         directoryServer_.closeStale(now);
         internalServer_.closeStale(now);
+        flow_.updateHedgeShare(now);
         registry_.setGauge("teaselreach_waiting_requests", {},
                            static_cast<double>(flow_.waiting()));
         registry_.setGauge("teaselreach_log_lines_dropped", {},
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -67,6 +67,7 @@
     DispatchRequest request; ///< The route is nullptr until it is found.
     core::Micros waited {0};
     std::string outcome = "answered";
+    std::string_view hedgeOutcome; ///< Empty without a hedge.
 };
 
 /** A request that waits for an upstream. */
@@ -282,14 +283,20 @@
                       .cancelOnCallerLeft = idempotent};
     plan.request.body() = std::move(*plan.bodyOwner);
     plan.request.prepare_payload();
-    plan.filter = [this, attemptId = toString(fieldValue(plan.request, options_.names.attemptId))](
-                      const HttpResponse &response, bool reused) {
-        return matchAttempt(response, options_.names, attemptId, reused);
-    };
+    plan.filter = responseFilter(plan.request);
     job.request.retryGranted = false;
     return plan;
 }
 
+/** @return A filter that recognizes the response to a request by its attempt id. */
+ResponseFilter RequestFlow::responseFilter(const HttpRequest &request) const
+{
+    return [this, attemptId = toString(fieldValue(request, options_.names.attemptId))](
+               const HttpResponse &response, bool reused) {
+        return matchAttempt(response, options_.names, attemptId, reused);
+    };
+}
+
 bool RequestFlow::mayReuseConnection(const ExchangeResult &result) const
 {
     const AttemptEnd end = classifyExchange(result, options_.names);
@@ -322,10 +329,16 @@
     return isOwn && options_.readStatus ? options_.readStatus(result.response) : UpstreamStatus {};
 }
 
-/** Records the result of an attempt and, if it is the last one, fills the response. @return Whether
- * another attempt follows. */
 bool RequestFlow::finishAttempt(Job &job, const Placement &placement, core::MonoTime startedAt,
                                 ExchangeResult result)
+{
+    recordAttempt(job, placement, startedAt, result);
+    return settleRequest(job, std::move(result));
+}
+
+/** Records the result of an attempt in the statistics, which may let waiting requests proceed. */
+void RequestFlow::recordAttempt(Job &job, const Placement &placement, core::MonoTime startedAt,
+                                const ExchangeResult &result)
 {
     const core::MonoTime now = core::MonoClock::now();
     const AttemptEnd end = classifyExchange(result, options_.names);
@@ -338,6 +351,14 @@
                                 .status = statusOf(result, end)};
     reportAttempt(job, placement, record, result);
     wakeWaiters(dispatcher_.attemptFinished(record, job.request));
+}
+
+/** Decides on a request by the result of its last attempt, or of the hedged attempt that counts.
+ * Without another attempt, fills the response. @return Whether another attempt follows. */
+bool RequestFlow::settleRequest(Job &job, ExchangeResult result)
+{
+    const core::MonoTime now = core::MonoClock::now();
+    const AttemptEnd end = classifyExchange(result, options_.names);
     limitDeadline(job);
     if (!job.exchange->callerLeft && dispatcher_.grantRetry(now, job.request, end))
         return true;
@@ -352,6 +373,99 @@
     return false;
 }
 
+core::Micros RequestFlow::hedgeDelay(const Job &job, core::MonoTime now)
+{
+    // During shutdown, attempts in progress are completed, and no others are added.
+    return phase_ == core::Phase::Serving ? dispatcher_.hedgeDelay(now, job.request)
+                                          : core::Micros(0);
+}
+
+HedgeDecision RequestFlow::grantHedge(Job &job, const Placement &first, core::MonoTime startedAt,
+                                      core::MonoTime now)
+{
+    if (phase_ != core::Phase::Serving)
+        return {.placement = std::nullopt, .denial = HedgeDenial::Leaving};
+    return dispatcher_.grantHedge(now, job.request, first, startedAt);
+}
+
+/** Chooses the upstream of a hedge, unless a rule denies it. @param sent The request of the first
+ * attempt. */
+std::optional<Placement> RequestFlow::placeHedge(Job &job, const Placement &first,
+                                                 core::MonoTime startedAt, const HttpRequest &sent)
+{
+    const core::MonoTime now = core::MonoClock::now();
+    BodyReservation copy(options_.bodies);
+    HedgeDecision decision {.placement = std::nullopt, .denial = HedgeDenial::NoMemory};
+    if (copy.extendTo(sent.body().size()))
+        decision = grantHedge(job, first, startedAt, now);
+    if (decision.placement)
+        return std::move(decision.placement);
+    const std::string_view reason = hedgeDenialName(*decision.denial);
+    countHedge(job, "denied", reason);
+    core::logEvent(core::LogLevel::Info, "hedge_denied",
+                   {{"request_id", fieldValue(job.exchange->request, options_.names.attemptId)},
+                    {"route", job.request.route->id.str()},
+                    {"service", job.request.service.str()},
+                    {"upstream", first.upstream.str()},
+                    {"reason", reason},
+                    {"elapsed_ms", toMillis(now - startedAt)}});
+    return std::nullopt;
+}
+
+/** @return The plan of a hedge, with its own copy of the body of the first attempt's request. */
+AttemptPlan RequestFlow::planHedge(const Job &job, const Placement &placement, core::MonoTime now,
+                                   const HttpRequest &sent) const
+{
+    AttemptPlan plan {
+        .target = {.address = placement.address, .port = placement.port},
+        .request = buildForwardRequest(job, placement, now),
+        .options = {.connectTimeout = options_.connectTimeout, .deadline = job.request.deadline},
+        .filter = responseFilter(sent),
+        .cancelOnCallerLeft = true,
+        .bodyCopy = BodyReservation(options_.bodies)};
+    plan.bodyCopy.extendTo(sent.body().size()); // placeHedge() has found room for it.
+    plan.request.body() = sent.body();
+    plan.request.prepare_payload();
+    return plan;
+}
+
+void RequestFlow::hedgeEnded(Job &job, HedgeOutcome outcome, const HedgedAttempt<Placement> &first,
+                             const HedgedAttempt<Placement> &second)
+{
+    job.hedgeOutcome = hedgeOutcomeName(outcome);
+    countHedge(job, job.hedgeOutcome, "");
+    core::logEvent(core::LogLevel::Info, "hedge",
+                   {{"request_id", fieldValue(job.exchange->request, options_.names.attemptId)},
+                    {"route", job.request.route->id.str()},
+                    {"service", job.request.service.str()},
+                    {"outcome", job.hedgeOutcome},
+                    {"upstream", first.place.upstream.str()},
+                    {"end", attemptEndName(first.end)},
+                    {"duration_ms", toMillis(first.endedAt - first.startedAt)},
+                    {"hedge_upstream", second.place.upstream.str()},
+                    {"hedge_end", attemptEndName(second.end)},
+                    {"hedge_duration_ms", toMillis(second.endedAt - second.startedAt)},
+                    {"delay_ms", toMillis(second.startedAt - first.startedAt)}});
+}
+
+void RequestFlow::countHedge(const Job &job, std::string_view outcome, std::string_view reason)
+{
+    parts_.registry.addCounter("teaselreach_hedges_total",
+                               {{"service", job.request.service.str()},
+                                {"outcome", toString(outcome)},
+                                {"reason", toString(reason)}},
+                               1);
+}
+
+void RequestFlow::updateHedgeShare(core::MonoTime now)
+{
+    if (!dispatcher_.hedgingEnabled())
+        return;
+    for (const core::ServiceId &service : parts_.upstreams.services())
+        parts_.registry.setGauge("teaselreach_hedge_share", {{"service", service.str()}},
+                                 dispatcher_.hedgeShare(now, service));
+}
+
 void RequestFlow::refuse(Job &job, const Refusal &refusal)
 {
     HttpResponse response(refusal.status, httpVersion11);
@@ -412,7 +526,7 @@
     parts_.registry.addCounter(
         "teaselreach_attempts_total",
         {{"service", job.request.service.str()}, {"end", toString(attemptEndName(record.end))}}, 1);
-    if (record.end == AttemptEnd::Answered)
+    if (record.end == AttemptEnd::Answered || record.end == AttemptEnd::Superseded)
         return;
     core::logEvent(core::LogLevel::Info, "attempt_failed",
                    {{"request_id", fieldValue(job.exchange->request, options_.names.attemptId)},
@@ -463,6 +577,8 @@
         fields.emplace_back("proof_reused", std::int64_t {refusal.reused});
         fields.emplace_back("proof_named", std::int64_t {refusal.namesRequest});
     }
+    if (!job.hedgeOutcome.empty())
+        fields.emplace_back("hedge", job.hedgeOutcome);
     core::logEvent(core::LogLevel::Info, "request_done", fields);
 }
 
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -43,6 +43,7 @@
 public:
     struct Job;
     using Place = Placement;
+    static constexpr bool mayHedge = true; ///< See HedgingPolicy.
 
     /** The objects that a RequestFlow uses; all must outlive it. */
     struct Parts
@@ -82,6 +83,8 @@
     void closeStaleConnections(core::MonoTime now) { loop_.closeStaleConnections(now); }
     /** @return Number of requests that wait for an upstream. */
     std::size_t waiting() const { return dispatcher_.waiting(); }
+    /** Sets the gauge of the extra load by hedges, unless hedging is disabled. */
+    void updateHedgeShare(core::MonoTime now);
 
 private:
     friend class RequestLoop<RequestFlow>;
@@ -101,6 +104,16 @@
     UpstreamStatus statusOf(const ExchangeResult &result, AttemptEnd end) const;
     bool finishAttempt(Job &job, const Placement &placement, core::MonoTime startedAt,
                        ExchangeResult result);
+    core::Micros hedgeDelay(const Job &job, core::MonoTime now);
+    std::optional<Placement> placeHedge(Job &job, const Placement &first, core::MonoTime startedAt,
+                                        const HttpRequest &sent);
+    AttemptPlan planHedge(const Job &job, const Placement &placement, core::MonoTime now,
+                          const HttpRequest &sent) const;
+    void recordAttempt(Job &job, const Placement &placement, core::MonoTime startedAt,
+                       const ExchangeResult &result);
+    bool settleRequest(Job &job, ExchangeResult result);
+    void hedgeEnded(Job &job, HedgeOutcome outcome, const HedgedAttempt<Placement> &first,
+                    const HedgedAttempt<Placement> &second);
     bool promisesNotExecuted(const Job &job) const;
     void refuseAsUnknown(Job &job);
     void finishRequest(const Job &job);
@@ -114,7 +127,11 @@
     void wakeWaiters(std::vector<DispatchDecision> decided);
     HttpRequest buildForwardRequest(const Job &job, const Placement &placement,
                                     core::MonoTime now) const;
+    ResponseFilter responseFilter(const HttpRequest &request) const;
     ExchangeOptions exchangeOptions(Job &job, const Placement &placement, core::MonoTime now);
+    HedgeDecision grantHedge(Job &job, const Placement &first, core::MonoTime startedAt,
+                             core::MonoTime now);
+    void countHedge(const Job &job, std::string_view outcome, std::string_view reason);
     void limitDeadline(Job &job) const;
     void refuse(Job &job, const Refusal &refusal);
     void refuseUnplaced(Job &job, PlacementFailure reason);
--- a/tests/proxy/execution_evidence_test.cpp
+++ b/tests/proxy/execution_evidence_test.cpp
@@ -14,8 +14,9 @@
 {
     ExecutionEvidence evidence;
     for (const AttemptEnd end : ends) {
-        evidence.attemptStarted();
-        evidence.attemptEnded({.end = end, .status = 503});
+        AttemptMark mark;
+        evidence.attemptStarted(mark);
+        evidence.attemptEnded(mark, {.end = end, .status = 503});
     }
     return evidence;
 }
@@ -99,10 +100,40 @@
 TEST_CASE("an attempt without a verdict counts as not sent")
 {
     ExecutionEvidence evidence = evidenceOf({AttemptEnd::NotExecuted});
-    evidence.attemptStarted();
+    AttemptMark mark;
+    evidence.attemptStarted(mark);
     CHECK(evidence.proof() == ExecutionProof::None);
 }
 
+TEST_CASE("of two attempts in flight, the refusal of one counts for both")
+{
+    const AttemptVerdict refused {.end = AttemptEnd::NotExecuted, .status = 503};
+    for (const AttemptEnd other : {AttemptEnd::Superseded, AttemptEnd::TimedOut}) {
+        for (const bool refusedFirst : {false, true}) {
+            ExecutionEvidence evidence;
+            AttemptMark first;
+            AttemptMark second;
+            evidence.attemptStarted(first);
+            evidence.attemptStarted(second);
+            AttemptMark &proved = refusedFirst ? first : second;
+            AttemptMark &unproved = refusedFirst ? second : first;
+            evidence.attemptEnded(proved, refused);
+            evidence.attemptEnded(proved, refused);
+            CHECK(evidence.mayHaveExecuted());
+            evidence.attemptEnded(unproved, {.end = other});
+            CHECK(evidence.proof() == ExecutionProof::None);
+        }
+    }
+    ExecutionEvidence evidence;
+    AttemptMark first;
+    AttemptMark second;
+    evidence.attemptStarted(first);
+    evidence.attemptStarted(second);
+    evidence.attemptEnded(second, refused);
+    evidence.attemptEnded(first, refused);
+    CHECK(evidence.proof() == ExecutionProof::RefusedUpstream);
+}
+
 TEST_CASE("a refusal after an attempt that may have run leaves with a promise")
 {
     standins::RawServer closing("127.0.0.1", [](const standins::RawRequest &) {
--- a/tests/proxy/flow_fixture.h
+++ b/tests/proxy/flow_fixture.h
@@ -99,7 +99,8 @@
 public:
     explicit FlowFixture(Configuration configuration = testConfiguration(),
                          core::Micros idleTimeout = core::Seconds(5),
-                         const BodyBudgetOptions &bodies = {}, std::size_t maxBodyBytes = 10000)
+                         const BodyBudgetOptions &bodies = {}, std::size_t maxBodyBytes = 10000,
+                         double hedgeRatio = 0)
         : upstreams_({.self = {core::AvailabilityZoneId("here"), core::RegionId("west")},
                       .regionOfZone = {{core::AvailabilityZoneId("here"), core::RegionId("west")}}},
                      1)
@@ -109,7 +110,11 @@
                  .upstreams = upstreams_,
                  .shares = shares_,
                  .registry = registry_},
-                {.names = testHeaderNames(), .readStatus = readTestStatus, .bodies = bodies_}, 1)
+                {.names = testHeaderNames(),
+                 .readStatus = readTestStatus,
+                 .dispatch = {.hedges = {.limitRatio = hedgeRatio}},
+                 .bodies = bodies_},
+                1)
         , server_(context_, "127.0.0.1", 0,
                   {.serve =
                        [this](std::shared_ptr<CallerExchange> exchange) {
@@ -206,6 +211,13 @@
         return count;
     }
 
+    /** @return The value of a counter or gauge with all of its labels, or 0. */
+    double metric(const std::string &name)
+    {
+        const std::string text = registry_.prometheusText(core::MonoClock::now());
+        const std::size_t at = text.find("\n" + name + " ");
+        return at == std::string::npos ? 0 : std::stod(text.substr(at + name.size() + 2));
+    }
     RequestFlow &flow() { return flow_; }
     AccountRateLimiter &shares() { return shares_; }
 
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -886,3 +886,176 @@
     CHECK(received.size() > body.size());
     ::close(slow);
 }
+
+namespace {
+
+/** Two upstreams behind a flow that hedges. Requests for "/slow" are answered by a script, which
+ * gets 1 for the first attempt and 2 for the hedge; all others after 2 ms. */
+class HedgeFixture
+{
+public:
+    using Script = std::function<RawReply(const RawRequest &, int)>;
+
+    explicit HedgeFixture(Script script)
+        : script_(std::move(script))
+        , one_("127.0.0.1", [this](const RawRequest &request) { return reply(request); })
+        , two_("127.0.0.1", [this](const RawRequest &request) { return reply(request); })
+    {
+        flow.addUpstream("i-1", one_);
+        flow.addUpstream("i-2", two_);
+        for (int i = 0; i < 60; ++i) {
+            for (const char *path : {"/read/", "/book/"})
+                CHECK(
+                    statusOf(flow.sendRequest(callerRequest("POST", path, "w" + std::to_string(i))))
+                    == "200");
+        }
+    }
+
+    int slowRequests() const { return slow_; }
+    int closed() const { return one_.closed() + two_.closed(); }
+    int connections() const { return one_.connections() + two_.connections(); }
+    double hedges(const std::string &outcome)
+    {
+        return flow.metric("teaselreach_hedges_total{service=\"slot\",outcome=\"" + outcome
+                           + "\",reason=\"\"}");
+    }
+
+    FlowFixture flow {testConfiguration(core::Millis(3000)), core::Seconds(5), {}, 10000, 0.2};
+
+private:
+    RawReply reply(const RawRequest &request)
+    {
+        if (request.head.find("/slow") != std::string::npos)
+            return script_(request, ++slow_);
+        std::this_thread::sleep_for(core::Millis(2));
+        return {sealedReply(request, headerOf(request.head, "X-Attempt"))};
+    }
+
+    Script script_;
+    std::atomic<int> slow_ {0};
+    RawServer one_;
+    RawServer two_;
+};
+
+std::string refusal(const RawRequest &request)
+{
+    return okReply("", "X-Not-Run: 1\r\nX-Attempt: " + headerOf(request.head, "X-Attempt") + "\r\n",
+                   "503 Service Unavailable");
+}
+
+} // namespace
+
+TEST_CASE("the response of the slower of two attempts reaches a caller, or its body is lost")
+{
+    Gate release;
+    std::atomic<int> bodies {0};
+    HedgeFixture fixture([&](const RawRequest &request, int order) {
+        bodies += request.body == "whole body" ? 1 : 0;
+        if (order == 1)
+            CHECK(release.wait());
+        return RawReply {sealedReply(request, order == 1 ? "late" : "hedge")};
+    });
+    const int closed = fixture.closed();
+    const std::string answer =
+        fixture.flow.sendRequest(callerRequest("POST", "/read/slow", "a1", "", "whole body"));
+    CHECK(bodyOf(answer) == "hedge");
+    CHECK(bodies == 2);
+    CHECK(fixture.hedges("won") >= 1);
+    release.open();
+    CHECK(eventually([&] { return fixture.closed() == closed + 1; }));
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "b" + std::to_string(i);
+        CHECK(bodyOf(fixture.flow.sendRequest(callerRequest("GET", "/read/", id))) == id);
+    }
+}
+
+TEST_CASE("a good response of the first attempt is not used because a hedge was sent")
+{
+    Gate hedged;
+    Gate release;
+    HedgeFixture fixture([&](const RawRequest &request, int order) {
+        if (order == 1) {
+            CHECK(hedged.wait());
+            return RawReply {sealedReply(request, "first")};
+        }
+        hedged.open();
+        CHECK(release.wait());
+        return RawReply {sealedReply(request, "hedge")};
+    });
+    CHECK(bodyOf(fixture.flow.sendRequest(callerRequest("GET", "/read/slow", "a1"))) == "first");
+    CHECK(fixture.hedges("lost") >= 1);
+    release.open();
+}
+
+TEST_CASE("a request that is not idempotent is hedged")
+{
+    HedgeFixture fixture([&](const RawRequest &request, int) {
+        std::this_thread::sleep_for(core::Millis(300));
+        return RawReply {sealedReply(request, "once")};
+    });
+    CHECK(bodyOf(fixture.flow.sendRequest(callerRequest("POST", "/book/slow", "a1"))) == "once");
+    CHECK(fixture.slowRequests() == 1);
+}
+
+TEST_CASE("a hedged request is reported as not run without the proof for both attempts")
+{
+    // Which of the two refuses, whether the other one refuses too, and the caller's status.
+    struct Case
+    {
+        int refusing;
+        bool both;
+        const char *status;
+    };
+    for (const Case &expected :
+         {Case {1, false, "502"}, Case {2, false, "502"}, Case {1, true, "503"}}) {
+        CAPTURE(expected.refusing);
+        CAPTURE(expected.both);
+        Gate hedged;
+        HedgeFixture fixture([&](const RawRequest &request, int order) {
+            if (order == 2)
+                hedged.open();
+            CHECK(hedged.wait());
+            if (order == expected.refusing || expected.both)
+                return RawReply {refusal(request)};
+            return RawReply {.bytes = "", .close = true};
+        });
+        const std::string answer =
+            fixture.flow.sendRequest(callerRequest("GET", "/read/slow", "a1"));
+        CHECK(statusOf(answer) == expected.status);
+        CHECK(fixture.slowRequests() == 2);
+        CHECK(fixture.hedges("failed") >= 1);
+    }
+}
+
+TEST_CASE("an error of one attempt hides the good response of the other")
+{
+    Gate hedged;
+    HedgeFixture fixture([&](const RawRequest &request, int order) {
+        if (order == 2) {
+            hedged.open();
+            std::this_thread::sleep_for(
+                core::Millis(100)); // The error arrives before the response.
+            return RawReply {sealedReply(request, "good")};
+        }
+        CHECK(hedged.wait());
+        return RawReply {okReply("bad", "X-Attempt: a1\r\n", "500 Internal Server Error")};
+    });
+    CHECK(bodyOf(fixture.flow.sendRequest(callerRequest("GET", "/read/slow", "a1"))) == "good");
+}
+
+TEST_CASE("an attempt goes on after the caller of a hedged request has disconnected")
+{
+    Gate release;
+    HedgeFixture fixture([&](const RawRequest &request, int) {
+        CHECK(release.wait());
+        return RawReply {sealedReply(request, "unread")};
+    });
+    const int closed = fixture.closed();
+    const int caller = fixture.flow.connect();
+    standins::sendAll(caller, callerRequest("GET", "/read/slow", "a1"));
+    REQUIRE(eventually([&] { return fixture.slowRequests() == 2; }));
+    ::close(caller);
+    CHECK(eventually([&] { return fixture.hedges("cancelled") == 1; }));
+    release.open();
+    CHECK(eventually([&] { return fixture.closed() == closed + 2; }));
+}
--- a/tests/standins/proxy_emulator.h
+++ b/tests/standins/proxy_emulator.h
@@ -76,6 +76,7 @@
     struct Work
     {
         JobPtr job;
+        proxy::AttemptMark mark;
         std::uint64_t attempt = 0;
         core::Micros duration {0};
         bool fails = false;
@@ -364,9 +365,9 @@
         job->placement = placement;
         job->attemptAt = events_.now();
         job->request.retryGranted = false;
-        job->evidence.attemptStarted();
         const auto work = std::make_shared<Work>();
         work->job = job;
+        job->evidence.attemptStarted(work->mark);
         work->attempt = placement.attempt;
         work->fails = chance() < upstream.errorShare;
         work->duration = workTime(kinds_[job->kind], upstream, work->fails);
@@ -418,7 +419,7 @@
             return;
         }
         const proxy::Placement placement = *job->placement;
-        job->evidence.attemptEnded({.end = end});
+        job->evidence.attemptEnded(work->mark, {.end = end});
         decide(vm,
                vm.dispatcher->attemptFinished({.upstream = placement.upstream,
                                                .route = job->request.route->id,
