--- a/tests/proxy/hedge_policy_test.cpp
+++ b/tests/proxy/hedge_policy_test.cpp
@@ -332,8 +332,9 @@
     HedgeSimulation with(0.1, 2);
     run(without);
     run(with);
-    MESSAGE("p99.9 in ms without hedges: ", 1000 * without.latency(0.999),
-            ", with: ", 1000 * with.latency(0.999), ", hedges: ", with.hedges.size());
+    MESSAGE("p99 and p99.9 in ms without hedges: ", 1000 * without.latency(0.99), ", ",
+            1000 * without.latency(0.999), "; with: ", 1000 * with.latency(0.99), ", ",
+            1000 * with.latency(0.999), "; hedges: ", with.hedges.size());
     CHECK(with.latency(0.999) < 0.5 * without.latency(0.999));
     with.checkLimit(0.1);
 }
--- a/tests/proxy/platform_main_test.cpp
+++ b/tests/proxy/platform_main_test.cpp
@@ -109,3 +109,18 @@
     for (std::string line; std::getline(lines, line);)
         CHECK(line.starts_with("ts="));
 }
+
+TEST_CASE("a daemon starts with an invalid limit of hedges")
+{
+    const TemporaryFolder temporary;
+    const std::string &folder = temporary.path();
+    writeSettings(folder, "127.0.0.1:" + std::to_string(standins::freePort("127.0.0.1")));
+    for (const char *value : {"21", "-1", "some"}) {
+        const std::string command = std::string(DAEMON_PROGRAM) + " --settings=" + folder
+            + "/vm.json --hedge_percent=" + value + " 2> " + folder + "/error";
+        const int status = std::system(command.c_str());
+        CHECK(WIFEXITED(status));
+        CHECK(WEXITSTATUS(status) == 78);
+        CHECK(readFile(folder + "/error").find("hedge_percent") != std::string::npos);
+    }
+}
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -381,3 +381,14 @@
         CHECK(std::string_view(error.what()).size() < 500);
     }
 }
+
+TEST_CASE("an invalid limit of hedges is accepted, or a valid one changed")
+{
+    CHECK(parseHedgePercent("0") == 0);
+    CHECK(parseHedgePercent("2.5") == doctest::Approx(0.025));
+    CHECK(parseHedgePercent("20") == doctest::Approx(0.2));
+    for (const char *invalid : {"", "-1", "20.1", "5%", "five", "nan", "inf", " 5", "1e9"}) {
+        CAPTURE(invalid);
+        CHECK_THROWS_AS(parseHedgePercent(invalid), PlatformSettingsInvalid);
+    }
+}
