Fix: [Proxy] The linter reports a leak in the plan of a hedge

Cause: the linter cannot follow a function object that is built inside a designated initialiser.

Change: the filter is set afterwards, as in planAttempt().

--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -420,10 +420,11 @@
         .target = {.address = placement.address, .port = placement.port},
         .request = buildForwardRequest(job, placement, now),
         .options = {.connectTimeout = options_.connectTimeout, .deadline = job.request.deadline},
-        .filter = responseFilter(sent),
+        .filter = {},
         .cancelOnCallerLeft = true,
         .bodyCopy = BodyReservation(options_.bodies)};
     plan.bodyCopy.extendTo(sent.body().size()); // placeHedge() has found room for it.
+    plan.filter = responseFilter(sent);
     plan.request.body() = sent.body();
     plan.request.prepare_payload();
     return plan;
