--- a/tests/proxy/platform_main_test.cpp
+++ b/tests/proxy/platform_main_test.cpp
@@ -116,8 +116,9 @@
     const std::string &folder = temporary.path();
     writeSettings(folder, "127.0.0.1:" + std::to_string(standins::freePort("127.0.0.1")));
     for (const char *value : {"21", "-1", "some"}) {
-        const std::string command = std::string(DAEMON_PROGRAM) + " --settings=" + folder
-            + "/vm.json --hedge_percent=" + value + " 2> " + folder + "/error";
+        std::string command = DAEMON_PROGRAM;
+        command.append(" --settings=").append(folder).append("/vm.json --hedge_percent=");
+        command.append(value).append(" 2> ").append(folder).append("/error");
         const int status = std::system(command.c_str());
         CHECK(WIFEXITED(status));
         CHECK(WEXITSTATUS(status) == 78);
