--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -3,6 +3,7 @@
 
 #include "core/log_func.h"
 #include "placement/departure_rate_base.h"
+#include "placement/hedge_policy_base.h"
 #include "placement/retry_budget_base.h"
 #include "placement/upstream_table_base.h"
 #include "placement/wait_queue_base.h"
@@ -57,6 +58,7 @@
     core::Micros softTimeoutInterval {core::Millis(50)};
     /** Number of failed connections after which a request is refused instead of retried. */
     int maxConnectFailures = 3;
+    HedgeOptions hedges;
 
     /** @return The options of a deployment whose settings do not name a window of the retry budget:
      * queues admit by slots, and neither retries nor trials are restricted by their purpose. */
@@ -79,10 +81,19 @@
     RegionSet allowedRegions; ///< Common to the route and the account.
     core::MonoTime arrivedAt {};
     core::MonoTime deadline {};
-    std::vector<core::UpstreamId> tried; ///< Upstreams of all finished attempts.
-    int sent = 0;                        ///< Attempts that may have reached an upstream.
-    int connectFailures = 0;             ///< Attempts without a connection.
-    bool retryGranted = false;           ///< By grantAbandon() for the current attempt.
+    std::vector<core::UpstreamId> tried;   ///< Upstreams of all finished attempts.
+    int sent = 0;                          ///< Attempts that may have reached an upstream.
+    int connectFailures = 0;               ///< Attempts without a connection.
+    bool retryGranted = false;             ///< By grantAbandon() for the current attempt.
+    std::optional<core::UpstreamId> hedge; ///< Upstream of the hedge, once there was one.
+    bool wasOverdue = false;               ///< Whether the HedgePolicy counts it as slow.
+};
+
+/** Decision on a hedge: exactly one of the members is set. */
+struct HedgeDecision
+{
+    std::optional<Placement> placement; ///< Send the hedge to this upstream.
+    std::optional<HedgeDenial> denial;
 };
 
 /** Decision on a queued request. */
@@ -114,6 +125,7 @@
     Dispatcher(Chooser &upstreams, DispatcherOptions options)
         : upstreams_(upstreams)
         , options_(options)
+        , hedges_(options.hedges)
     { }
 
     /** Sets this VM's share of the fleet's traffic. It applies to the slack of the retry budgets
@@ -125,6 +137,8 @@
     void requestArrived(core::MonoTime now, const core::ServiceId &service)
     {
         budgetOf(service).requestStarted(now);
+        if (hedges_.enabled())
+            hedges_.requestArrived(now, service);
     }
 
     /** Decides on a new request or on a retry. If the result has a placement, the attempt counts as
@@ -265,6 +279,8 @@
                                                   DispatchRequest &request)
     {
         upstreams_.attemptFinished(record);
+        if (hedges_.enabled())
+            observeForHedges(record, request);
         request.tried.push_back(record.upstream);
         ++(record.end == AttemptEnd::NotSent ? request.connectFailures : request.sent);
         std::vector<DispatchDecision> decided;
@@ -298,6 +314,9 @@
     bool grantAbandon(core::MonoTime now, DispatchRequest &request,
                       const core::UpstreamId &upstream)
     {
+        // A hedged request already has an attempt at another upstream.
+        if (request.hedge)
+            return false;
         if (!hasTimeForAttempt(now, request) || queueLength(request) > 0)
             return false;
         PlacementRequest next = placementRequest(now, request);
@@ -313,6 +332,63 @@
         return request.retryGranted;
     }
 
+    /** @return Whether hedging is enabled. */
+    bool hedgingEnabled() const { return hedges_.enabled(); }
+
+    /** @return Hedges of a service for each of its requests in the limit's window. */
+    double hedgeShare(core::MonoTime now, const core::ServiceId &service)
+    {
+        return hedges_.enabled() ? hedges_.share(now, service) : 0;
+    }
+
+    /** @return Time after the start of an attempt at which a hedge is considered; zero for never.
+     * Only the first attempt of a request is hedged. */
+    core::Micros hedgeDelay(core::MonoTime now, const DispatchRequest &request)
+    {
+        if (!hedges_.enabled() || !request.route->idempotent || request.sent > 0 || request.hedge
+            || request.route->maxAttempts <= 1)
+            return core::Micros(0);
+        const core::Micros delay = hedges_.delay(now, request.route->id);
+        return now + delay >= request.deadline ? core::Micros(0) : delay;
+    }
+
+    /**
+     * Decides, after hedgeDelay(), whether to send a hedge while the first attempt is in flight. If
+     * so, takes it from the limit and from the retry budget, and it counts as started.
+     * @param first The first attempt. @param startedAt Its start.
+     */
+    HedgeDecision grantHedge(core::MonoTime now, DispatchRequest &request, const Placement &first,
+                             core::MonoTime startedAt)
+    {
+        const Route &route = *request.route;
+        if (!route.idempotent || request.hedge)
+            return {.denial = HedgeDenial::NotAllowed};
+        request.wasOverdue =
+            hedges_.attemptOverdue(now, request.service, route.id, now - startedAt);
+        if (queueLength(request.service) > 0)
+            return {.denial = HedgeDenial::Queued};
+        if (const auto denial = hedges_.denial(now, request.service))
+            return {.denial = denial};
+        if (!hasTimeForAttempt(now, request))
+            return {.denial = HedgeDenial::TooLate};
+        PlacementRequest second = placementRequest(now, request);
+        second.tried.push_back(first.upstream);
+        second.idempotent = false; // A hedge is no trial of an upstream believed to be failing.
+        second.freeSlotOnly = true;
+        PlacementResult result = upstreams_.choose(now, second);
+        if (!result.placement)
+            return {.denial = result.reason == PlacementFailure::TooLate ? HedgeDenial::TooLate
+                                                                         : HedgeDenial::NoUpstream};
+        if (result.placement->failureEstimate > options_.hedges.maxFailureEstimate)
+            return {.denial = HedgeDenial::NoUpstream};
+        if (!budgetOf(request.service).take(now, fleetShare_, RetryPurpose::Hedge, route.priority))
+            return {.denial = HedgeDenial::NoBudget};
+        hedges_.hedgeSent(now, request.service);
+        upstreams_.attemptStarted(now, *result.placement);
+        request.hedge = result.placement->upstream;
+        return {.placement = std::move(result.placement)};
+    }
+
     /** Decides whether to retry a request after a finished attempt. Takes the retry from the retry
      * budget, except after a failed connection or if grantAbandon() has taken it already.
      * @param end Outcome of the attempt.
@@ -320,7 +396,8 @@
     bool grantRetry(core::MonoTime now, const DispatchRequest &request, AttemptEnd end)
     {
         const Route &route = *request.route;
-        if (end == AttemptEnd::Answered || end == AttemptEnd::CallerLeft)
+        if (end == AttemptEnd::Answered || end == AttemptEnd::CallerLeft
+            || end == AttemptEnd::Superseded)
             return false;
         if (!certainlyNotExecuted(end) && !route.idempotent)
             return false;
@@ -374,6 +451,20 @@
         double servedPass = 0; ///< Pass of the last queue served; lower bound for others.
     };
 
+    /** Records a finished attempt in the HedgePolicy. */
+    void observeForHedges(const AttemptRecord &record, DispatchRequest &request)
+    {
+        const bool isHedge = request.hedge == record.upstream;
+        hedges_.attemptFinished({.service = request.service,
+                                 .route = record.route,
+                                 .end = record.end,
+                                 .startedAt = record.startedAt,
+                                 .endedAt = record.endedAt,
+                                 .isHedge = isHedge,
+                                 .wasOverdue = !isHedge && request.wasOverdue});
+        request.wasOverdue = isHedge && request.wasOverdue;
+    }
+
     /** @return Whether another attempt is expected to finish before the deadline. */
     bool hasTimeForAttempt(core::MonoTime now, const DispatchRequest &request) const
     {
@@ -382,6 +473,18 @@
             <= request.deadline;
     }
 
+    /** @return Number of queued requests of a service, for all regions. */
+    std::size_t queueLength(const core::ServiceId &service) const
+    {
+        const auto queues = queues_.find(service);
+        if (queues == queues_.end())
+            return 0;
+        std::size_t count = 0;
+        for (const auto &[regions, queue] : queues->second.ofRegions)
+            count += queue.order.size();
+        return count;
+    }
+
     /** @return Number of queued requests of a request's service and regions. */
     std::size_t queueLength(const DispatchRequest &request) const
     {
@@ -564,6 +667,7 @@
 
     Chooser &upstreams_;
     DispatcherOptions options_;
+    HedgePolicy hedges_;
     std::map<core::ServiceId, RetryBudget> budgets_;
     std::map<core::ServiceId, ServiceQueues> queues_;
     std::uint64_t lastTicket_ = 0;
--- a/src/placement/upstream_table_base.h
+++ b/src/placement/upstream_table_base.h
@@ -89,6 +89,7 @@
     core::Micros timeLeft {0};           ///< Time until the deadline.
     std::vector<core::UpstreamId> tried; ///< Upstreams to exclude.
     RegionSet allowedRegions;            ///< Upstreams of other regions are excluded.
+    bool freeSlotOnly = false;           ///< Only an upstream with a free slot will do.
 };
 
 /** The upstream selected for a request. */
@@ -267,8 +268,9 @@
     /** @return Whether an upstream takes new requests. */
     bool isAccepting(const Upstream &upstream) const;
     static bool wasTried(const Upstream &upstream, const PlacementRequest &request);
-    /** @return Whether an upstream has room for another request. */
-    bool hasRoom(core::MonoTime now, const Upstream &upstream, bool isRampingUp) const;
+    /** @return Whether an upstream has room for a request. */
+    bool hasRoom(core::MonoTime now, const Upstream &upstream, const PlacementRequest &request,
+                 bool isRampingUp) const;
     void setEvacuated(const core::AvailabilityZoneId &zone, bool evacuated);
     /** @return The estimate for an upstream; its loss includes a random tie-breaker. */
     Estimate evaluate(core::MonoTime now, const Upstream &upstream,
@@ -302,6 +304,7 @@
     void updateHealth(core::MonoTime now, Upstream &upstream, bool failed,
                       double healthyFailureRate);
     void updateProcessingTime(const AttemptRecord &record, Upstream &upstream);
+    void raiseSlowness(const AttemptRecord &record, Upstream &upstream) const;
     void updateLoad(const AttemptRecord &record, Upstream &upstream) const;
     void updateLimit(const AttemptRecord &record, Upstream &upstream);
     void updateColdLimit(core::MonoTime now, const Upstream &upstream, ColdSource source);
--- a/src/placement/upstream_table_query.cpp
+++ b/src/placement/upstream_table_query.cpp
@@ -31,9 +31,11 @@
         != request.tried.end();
 }
 
-bool UpstreamTable::hasRoom(core::MonoTime now, const Upstream &upstream, bool isRampingUp) const
+bool UpstreamTable::hasRoom(core::MonoTime now, const Upstream &upstream,
+                            const PlacementRequest &request, bool isRampingUp) const
 {
-    const double room = std::max(1, upstream.entry.slots) * options_.maxOccupancy;
+    const double maxOccupancy = request.freeSlotOnly ? 1 : options_.maxOccupancy;
+    const double room = std::max(1, upstream.entry.slots) * maxOccupancy;
     const double occupancy = occupancyOf(now, upstream) + 1;
     if (occupancy > room)
         return false;
