--- a/src/placement/account_limit_type.h
+++ b/src/placement/account_limit_type.h
@@ -19,7 +19,7 @@
     double floorRatio = 0.7;
     /** Part of the burst that an account may use again while its demand is above its rate; the
      * rest is spread over the window. */
-    double steadyBurstRatio = 0.5;
+    double steadyBurstRatio = 0.15;
     /** Least part of the rate for all routes but those of the highest priority that is asked for.
      */
     double lowPriorityRatio = 0.1;
--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -166,8 +166,9 @@
         const double slots = options_.measuresDepartures
             ? queue.departures.perSecond(now, queue.slotsPerSecond) * secondsOf(work)
             : slotShare;
+        // Neither an idle time nor a low priority that was served before counts for or against it.
         if (queue.order.size() == 0)
-            queue.pass = std::max(queue.pass, queues.servedPass);
+            queue.pass = queues.servedPass;
         const WaitAdmission admission = queue.order.enqueue(now, waiting, slots);
         if (!admission)
             return {.refusal = PlacementFailure::AllBusy};
@@ -211,8 +212,8 @@
         const double drain = static_cast<double>(queue.order.size()) / std::max(0.1, rate);
         const core::Micros wait = std::clamp(
             std::chrono::duration_cast<core::Micros>(std::chrono::duration<double>(drain)),
-            shortest, longest);
-        return std::min(longest, withJitter(wait, maxJitter * random));
+            shortest, std::chrono::duration_cast<core::Micros>(longest / (1 + maxJitter)));
+        return withJitter(wait, maxJitter * random);
     }
 
     /** Moves later deadlines of queued requests forward to a time, at which the process ends. */
@@ -355,16 +356,16 @@
     /**
      * Decides, after hedgeDelay(), whether to send a hedge while the first attempt is in flight. If
      * so, takes it from the limit and from the retry budget, and it counts as started.
-     * @param first The first attempt. @param startedAt Its start.
+     * @param first The first attempt.
      */
-    HedgeDecision grantHedge(core::MonoTime now, DispatchRequest &request, const Placement &first,
-                             core::MonoTime startedAt)
+    HedgeDecision grantHedge(core::MonoTime now, DispatchRequest &request, const Placement &first)
     {
         const Route &route = *request.route;
-        if (!route.idempotent || request.hedge)
+        // After grantAbandon() the first attempt ends, and another one follows.
+        if (!route.idempotent || request.hedge || request.retryGranted)
             return {.denial = HedgeDenial::NotAllowed};
-        request.wasOverdue =
-            hedges_.attemptOverdue(now, request.service, route.id, now - startedAt);
+        hedges_.attemptOverdue(now, request.service);
+        request.wasOverdue = true;
         if (queueLength(request.service) > 0)
             return {.denial = HedgeDenial::Queued};
         if (const auto denial = hedges_.denial(now, request.service))
@@ -373,7 +374,7 @@
             return {.denial = HedgeDenial::TooLate};
         PlacementRequest second = placementRequest(now, request);
         second.tried.push_back(first.upstream);
-        second.idempotent = false; // A hedge is no trial of an upstream believed to be failing.
+        second.idempotent = false; // It gets no further attempt if it fails.
         second.freeSlotOnly = true;
         PlacementResult result = upstreams_.choose(now, second);
         if (!result.placement)
--- a/src/placement/hedge_policy.cpp
+++ b/src/placement/hedge_policy.cpp
@@ -94,7 +94,12 @@
 
 void HedgePolicy::requestArrived(core::MonoTime now, const core::ServiceId &service)
 {
-    serviceAt(now, service).requests.push_back(now);
+    Service &state = serviceAt(now, service);
+    state.requests.push_back(now);
+    state.tokens = std::min(
+        state.tokens + options_.limitRatio,
+        std::max(1.0,
+                 maxSavedRatio * options_.limitRatio * static_cast<double>(state.requests.size())));
 }
 
 void HedgePolicy::attemptFinished(const HedgeObservation &observation)
@@ -111,13 +116,9 @@
     windowOf(observation.route).add(now, duration);
 }
 
-bool HedgePolicy::attemptOverdue(core::MonoTime now, const core::ServiceId &service,
-                                 const core::RouteId &route, core::Micros elapsed)
+void HedgePolicy::attemptOverdue(core::MonoTime now, const core::ServiceId &service)
 {
-    if (!isSlow(now, route, elapsed))
-        return false;
     serviceAt(now, service).speeds.add(now, true);
-    return true;
 }
 
 core::Micros HedgePolicy::delay(core::MonoTime now, const core::RouteId &route)
@@ -137,14 +138,16 @@
     if (speeds.size() >= options_.minSpeedSamples && 2 * speeds.bad() > speeds.size())
         return HedgeDenial::Slow;
     const double allowed = options_.limitRatio * static_cast<double>(service.requests.size());
-    if (static_cast<double>(service.hedges.size()) + 1 > allowed)
+    if (static_cast<double>(service.hedges.size()) + 1 > allowed || service.tokens < 1)
         return HedgeDenial::LimitReached;
     return std::nullopt;
 }
 
 void HedgePolicy::hedgeSent(core::MonoTime now, const core::ServiceId &service)
 {
-    serviceAt(now, service).hedges.push_back(now);
+    Service &state = serviceAt(now, service);
+    state.hedges.push_back(now);
+    state.tokens -= 1;
 }
 
 double HedgePolicy::share(core::MonoTime now, const core::ServiceId &id)
--- a/src/placement/hedge_policy_base.h
+++ b/src/placement/hedge_policy_base.h
@@ -34,6 +34,12 @@
 
 /** Largest HedgeOptions::limitRatio. */
 inline constexpr double maxHedgeRatio = 0.2;
+/** Hedges that a service may save up, as a fraction of those that its requests in the window allow.
+ * Bounds the hedges of all VMs together when callers move from one that has just used its limit to
+ * another one. */
+inline constexpr double maxSavedRatio = 0.1;
+/** The same for services with few requests, in hedges. */
+inline constexpr double minSavedHedges = 5;
 
 /** Why a hedge is not sent. */
 enum class HedgeDenial : std::uint8_t {
@@ -77,8 +83,9 @@
 
 /**
  * Applies the delay, the limit and the suppression rules of hedges. Knows the requests of this VM
- * only: each VM's hedges stay within the limit applied to its own requests, so those of the fleet
- * stay within the limit without messages between VMs. Uses no threads, sockets or clocks.
+ * only: each VM's hedges stay within the limit applied to its own requests, and only a tenth of
+ * them can be sent at once. So those of the fleet need no messages between VMs; callers that move
+ * from one VM to another add at most what both have saved up. Uses no threads, sockets or clocks.
  */
 class HedgePolicy
 {
@@ -92,10 +99,9 @@
     void requestArrived(core::MonoTime now, const core::ServiceId &service);
     /** Records a finished attempt. */
     void attemptFinished(const HedgeObservation &observation);
-    /** Records that an attempt has lasted for the delay and is still in flight. @return Whether it
-     * counts as slow from now on. */
-    bool attemptOverdue(core::MonoTime now, const core::ServiceId &service,
-                        const core::RouteId &route, core::Micros elapsed);
+    /** Records that an attempt has lasted for the delay and is still in flight. It counts as slow:
+     * usually one in twenty is, and when most are, no response has to end before it shows. */
+    void attemptOverdue(core::MonoTime now, const core::ServiceId &service);
 
     /** @return Time after the start of an attempt at which a hedge is considered; zero for never,
      * while too few response times of the route are known. */
@@ -132,6 +138,7 @@
     {
         std::deque<core::MonoTime> requests; ///< Arrivals in the limit's window.
         std::deque<core::MonoTime> hedges;   ///< Hedges sent in the limit's window.
+        double tokens = 0;                   ///< Hedges saved up by arrivals.
         Marks outcomes;                      ///< Bad: refused or failed.
         Marks speeds;                        ///< Bad: above slowFactor times the usual median.
     };
--- a/src/placement/paced_rate_limiter_base.h
+++ b/src/placement/paced_rate_limiter_base.h
@@ -162,6 +162,7 @@
     std::unordered_map<core::ClientAccountId, Account, core::StrongHash> accounts_;
     std::unordered_map<core::ClientAccountId, State, core::StrongHash> states_;
     core::ClientAccountId refreshedLast_; ///< Account whose window count was sent last.
+    core::ClientAccountId reportedLast_;  ///< The same for accounts with new admissions.
     core::MonoTime idleRemovedAt_ {};
 };
 
--- a/src/placement/paced_rate_limiter_reports.cpp
+++ b/src/placement/paced_rate_limiter_reports.cpp
@@ -1,14 +1,18 @@
 /** @file paced_rate_limiter_reports.cpp What VMs tell each other of the use of account limits. */
 #include "placement/paced_rate_limiter_base.h"
 
+#include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace teaselreach::proxy {
 
 namespace {
 
-/** Highest number of requests of one account in a window that a report may state. */
-constexpr int maxPlausible = 1000000;
+/** Requests in a window that a report may state, as a multiple of what the account is allowed. */
+constexpr double maxPlausibleRatio = 4;
+/** Accounts of one report, so that it fits into a datagram; the others follow in the next ones. */
+constexpr std::size_t maxReported = 40;
 /** Accounts of one report whose count in the window is repeated. */
 constexpr std::size_t maxRefreshed = 8;
 /** Accounts of one history, so that it fits into a datagram. */
@@ -16,6 +20,20 @@
 /** Part of its limit above which an account's history is told. */
 constexpr double historyFrom = 0.5;
 
+/** @param last The last account of the turn before; set to that of this one.
+ * @return Up to a number of accounts, each in its turn. */
+std::vector<core::ClientAccountId> inTurns(std::vector<core::ClientAccountId> accounts,
+                                           core::ClientAccountId &last, std::size_t count)
+{
+    std::sort(accounts.begin(), accounts.end());
+    const auto first = std::upper_bound(accounts.begin(), accounts.end(), last);
+    std::rotate(accounts.begin(), first, accounts.end());
+    accounts.resize(std::min(accounts.size(), count));
+    if (!accounts.empty())
+        last = accounts.back();
+    return accounts;
+}
+
 } // namespace
 
 void PacedRateLimiter::configure(std::span<const Account> accounts)
@@ -27,7 +45,9 @@
 
 bool PacedRateLimiter::isPlausible(const core::ClientAccountId &account, int requests) const
 {
-    return requests >= 0 && requests <= maxPlausible && accounts_.contains(account);
+    const auto found = accounts_.find(account);
+    return found != accounts_.end() && requests >= 0
+        && requests <= maxPlausibleRatio * std::max(1.0, allowedBy(found->second));
 }
 
 bool PacedRateLimiter::usageReported(core::MonoTime now, const core::VmId &sender,
@@ -45,26 +65,26 @@
 
 std::vector<AccountUsage> PacedRateLimiter::takeUsage(core::MonoTime now)
 {
-    std::vector<AccountUsage> usage;
+    std::vector<core::ClientAccountId> changed;
     std::vector<core::ClientAccountId> unchanged;
     const Slot oldest = slotAt(now) - slotsPerWindow();
     for (auto &[account, state] : states_) {
         prune(oldest, state);
         if (state.unreported > 0)
-            usage.push_back(
-                {.account = account, .requests = state.unreported, .inWindow = state.own.total()});
+            changed.push_back(account);
         else if (state.own.total() > 0)
             unchanged.push_back(account);
-        state.unreported = 0;
     }
-    std::sort(unchanged.begin(), unchanged.end());
-    const auto first = std::upper_bound(unchanged.begin(), unchanged.end(), refreshedLast_);
-    std::rotate(unchanged.begin(), first, unchanged.end());
-    unchanged.resize(std::min(unchanged.size(), maxRefreshed));
-    for (const core::ClientAccountId &account : unchanged) {
-        usage.push_back({.account = account, .inWindow = states_.at(account).own.total()});
-        refreshedLast_ = account;
+    std::vector<AccountUsage> usage;
+    for (const core::ClientAccountId &account : inTurns(changed, reportedLast_, maxReported)) {
+        State &state = states_.at(account);
+        usage.push_back({.account = account,
+                         .requests = std::exchange(state.unreported, 0),
+                         .inWindow = state.own.total()});
     }
+    const std::size_t room = std::min(maxRefreshed, maxReported - usage.size());
+    for (const core::ClientAccountId &account : inTurns(unchanged, refreshedLast_, room))
+        usage.push_back({.account = account, .inWindow = states_.at(account).own.total()});
     return usage;
 }
 
--- a/src/placement/upstream_rate_limiter.cpp
+++ b/src/placement/upstream_rate_limiter.cpp
@@ -97,7 +97,9 @@
     if (limited.isCold)
         limited.coldTokens = coldTokensAt(now, limited, share);
     limited.countedAt = now;
-    const core::Micros window = limited.limit ? options_.window : options_.coldWindow;
+    // An upstream without a cold-start limit may name its limit again: its counts stay complete.
+    const core::Micros window =
+        limited.limit || limited.cold.perSecond <= 0 ? options_.window : options_.coldWindow;
     for (std::deque<core::MonoTime> *times : {&limited.own, &limited.others}) {
         while (!times->empty() && times->front() <= now - window)
             times->pop_front();
--- a/src/placement/upstream_table_query.cpp
+++ b/src/placement/upstream_table_query.cpp
@@ -111,7 +111,8 @@
 bool UpstreamTable::isTrialDue(core::MonoTime now, const Upstream &upstream,
                                const PlacementRequest &request) const
 {
-    if (!upstream.inFlight.empty())
+    // A hedge is sent to win, not to learn whether an upstream has recovered.
+    if (request.freeSlotOnly || !upstream.inFlight.empty())
         return false;
     const core::Micros untriedFor = now - upstream.lastTriedAt;
     if (request.trials != TrialPolicy::EachVm && isFailing(now, upstream)) {
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -358,9 +358,12 @@
             shares_.paced()->configure(limitedTable_->configuration().accounts);
         }
         updatePoolReports(now);
-        message.usage.clear();
-        if (entries_.isActive(options_.self.id))
-            poolReports_->fill(now, message);
+        poolReports_->fill(now, message);
+        // What an inactive VM admitted is no use of the pool that it joins later.
+        if (!entries_.isActive(options_.self.id)) {
+            message.usage.clear();
+            message.view.reset();
+        }
     }
 
     /** Sets the shares of the pool's VMs; a VM that is inactive or leaves has no pool. */
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -443,12 +443,11 @@
                                           : core::Micros(0);
 }
 
-HedgeDecision RequestFlow::grantHedge(Job &job, const Placement &first, core::MonoTime startedAt,
-                                      core::MonoTime now)
+HedgeDecision RequestFlow::grantHedge(Job &job, const Placement &first, core::MonoTime now)
 {
     if (phase_ != core::Phase::Serving)
         return {.placement = std::nullopt, .denial = HedgeDenial::Leaving};
-    return dispatcher_.grantHedge(now, job.request, first, startedAt);
+    return dispatcher_.grantHedge(now, job.request, first);
 }
 
 /** Chooses the upstream of a hedge, unless a rule denies it. @param sent The request of the first
@@ -460,7 +459,7 @@
     BodyReservation copy(options_.bodies);
     HedgeDecision decision {.placement = std::nullopt, .denial = HedgeDenial::NoMemory};
     if (copy.extendTo(sent.body().size()))
-        decision = grantHedge(job, first, startedAt, now);
+        decision = grantHedge(job, first, now);
     if (decision.placement)
         return std::move(decision.placement);
     const std::string_view reason = hedgeDenialName(*decision.denial);
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -134,8 +134,7 @@
                                     core::MonoTime now) const;
     ResponseFilter responseFilter(const HttpRequest &request) const;
     ExchangeOptions exchangeOptions(Job &job, const Placement &placement, core::MonoTime now);
-    HedgeDecision grantHedge(Job &job, const Placement &first, core::MonoTime startedAt,
-                             core::MonoTime now);
+    HedgeDecision grantHedge(Job &job, const Placement &first, core::MonoTime now);
     void countHedge(const Job &job, std::string_view outcome, std::string_view reason);
     void limitDeadline(Job &job) const;
     void refuse(Job &job, const Refusal &refusal);
