Fix: [Placement] One account, or one slow route, gets the requests of others refused early

Change: requests of the same priorities count in the order of their arrival, eviction takes from the account with most requests of the lowest priority, and the expected departures are averaged. Result: proxy_dispatcher_test, proxy_load_replay_test, proxy_regions_test and proxy_hedge_policy_test pass.

--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -162,7 +162,7 @@
         const core::Micros work = waiting.expectedProcessingTime;
         const double slotShare = std::max(
             1.0, fleetShare_ * upstreams_.slotsOf(request.service, work, request.allowedRegions));
-        queue.slotsPerSecond = slotShare / secondsOf(work);
+        queue.slotsPerSecond = averageWith(queue.slotsPerSecond, slotShare / secondsOf(work));
         const double slots = options_.measuresDepartures
             ? queue.departures.perSecond(now, queue.slotsPerSecond) * secondsOf(work)
             : slotShare;
@@ -435,7 +435,7 @@
         { }
         WaitQueue order;
         DepartureRate departures;
-        double slotsPerSecond = 0; ///< Departures that the slots suggest, as of the last arrival.
+        double slotsPerSecond = 0; ///< Departures that the slots suggest, averaged over arrivals.
         std::map<WaitTicket, DispatchRequest> requests;
         double pass = 0;        ///< Virtual time; the queue with the lowest pass is served next.
         bool isBlocked = false; ///< All upstreams of its regions are busy, in dispatchQueues().
@@ -548,6 +548,14 @@
         return std::chrono::duration<double>(std::max(time, core::Micros(1))).count();
     }
 
+    /** @return The moving average with one more value. A single arrival of a route with long
+     * requests must not make the queue look blocked. */
+    static double averageWith(double average, double value)
+    {
+        constexpr double gain = 0.1;
+        return average <= 0 ? value : average + gain * (value - average);
+    }
+
     static core::Micros withJitter(core::Micros time, double part)
     {
         return time + std::chrono::duration_cast<core::Micros>(part * time);
--- a/src/placement/wait_queue.cpp
+++ b/src/placement/wait_queue.cpp
@@ -69,18 +69,26 @@
     return admission;
 }
 
-/** Removes the newest request of the lowest priority, if that is lower than a request's priority.
- * @return The removed request. */
+/** Removes the newest request of the account that has most of them at the lowest priority, if that
+ * is lower than a request's priority. @return The removed request. */
 std::optional<WaitTicket> WaitQueue::evictBelow(const WaitRequest &request)
 {
     if (flows_.empty())
         return std::nullopt;
-    const auto &[key, flow] = *flows_.rbegin();
-    const auto &[accountPriority, routePriority, account] = key;
-    if (std::tie(accountPriority, routePriority)
-        <= std::tie(request.accountPriority, request.routePriority))
+    const auto prioritiesOf = [](const FlowKey &key) {
+        return std::pair(std::get<0>(key), std::get<1>(key));
+    };
+    const auto lowest = prioritiesOf(flows_.rbegin()->first);
+    if (lowest <= std::pair(request.accountPriority, request.routePriority))
         return std::nullopt;
-    const WaitTicket evicted = flow.tickets.back();
+    const Flow *longest = nullptr;
+    for (const auto &[key, flow] : flows_) {
+        if (prioritiesOf(key) != lowest)
+            continue;
+        if (longest == nullptr || flow.tickets.size() > longest->tickets.size())
+            longest = &flow;
+    }
+    const WaitTicket evicted = longest->tickets.back();
     remove(evicted, false);
     return evicted;
 }
@@ -92,20 +100,27 @@
                                std::vector<WaitTicket> &removed)
 {
     const std::size_t before = removed.size();
+    // Accounts of the same priorities are served in turns: none waits for all requests of another.
+    std::vector<const WaitRequest *> order;
+    for (const auto &[ticket, request] : requests_)
+        order.push_back(&request);
+    const auto rankOf = [](const WaitRequest *request) {
+        return std::tie(request->accountPriority, request->routePriority, request->queuedAt);
+    };
+    std::stable_sort(order.begin(), order.end(), [&](const WaitRequest *a, const WaitRequest *b) {
+        return rankOf(a) < rankOf(b);
+    });
     std::size_t ahead = 0;
-    for (const auto &[key, flow] : flows_) {
-        for (const WaitTicket ticket : flow.tickets) {
-            const WaitRequest &request = requests_.at(ticket);
-            const std::chrono::duration<double> wait(static_cast<double>(ahead)
-                                                     / std::max(minRate, departuresPerSecond));
-            const core::MonoTime answeredAt = now + std::chrono::duration_cast<core::Micros>(wait)
-                + request.expectedProcessingTime;
-            const bool isNew = now - request.queuedAt <= request.targetLatency / earlyDivisor;
-            if (isNew && answeredAt > request.deadline)
-                removed.push_back(ticket);
-            else
-                ++ahead;
-        }
+    for (const WaitRequest *request : order) {
+        const std::chrono::duration<double> wait(static_cast<double>(ahead)
+                                                 / std::max(minRate, departuresPerSecond));
+        const core::MonoTime answeredAt =
+            now + std::chrono::duration_cast<core::Micros>(wait) + request->expectedProcessingTime;
+        const bool isNew = now - request->queuedAt <= request->targetLatency / earlyDivisor;
+        if (isNew && answeredAt > request->deadline)
+            removed.push_back(request->ticket);
+        else
+            ++ahead;
     }
     for (std::size_t i = before; i < removed.size(); ++i)
         remove(removed[i], false);
