--- a/src/placement/upstream_rate_limiter_base.h
+++ b/src/placement/upstream_rate_limiter_base.h
@@ -12,9 +12,9 @@
 namespace teaselreach::proxy {
 
 /** Requests above the cold-start limit that all VMs together may save up. Shares add up to one, or
- * to one and a half while one VM runs twice or the VMs know different members, and the users' rule
- * allows eight requests and half of the limit above it in one second. A VM whose part is less than
- * one request sends none, so no more than this number of VMs may hold shares. */
+ * to one and a half while one VM runs twice or the VMs know different members, and operators
+ * tolerate eight requests and half of the limit above it in one second. A VM whose part is less
+ * than one request sends none, so no more than this number of VMs may hold shares. */
 inline constexpr int coldBurst = 5;
 
 /** Parameters of the rate limits that upstreams name. */
