--- a/src/placement/account_rate_limiter.cpp
+++ b/src/placement/account_rate_limiter.cpp
@@ -102,20 +102,64 @@
     Window &window = prunedWindow(now, account.id);
     if (restartedAt_ && now - *restartedAt_ < options_.window)
         ++window.requestsSinceRestart;
-    const std::size_t count = countedRequests(window);
-    if (count >= maxRequests(now, account, effectiveShare()))
-        return false;
-    // Near the limit, usage reports from the pool arrive too late; the own share needs none.
-    const double ownShareOnlyFrom = static_cast<double>(maxRequests(now, account, effectiveShare()))
-        - options_.ownShareOnlySeconds * account.ratePerSecond * effectiveShare();
-    if (isPooled() && static_cast<double>(count) >= ownShareOnlyFrom
-        && window.own.size() >= maxRequests(now, account, ownShare_))
-        return false;
+    recordLimit(now, account, window);
+    const auto size = [](const std::deque<core::MonoTime> &times) { return times.size(); };
+    const bool isLowered = window.loweredAt && now - *window.loweredAt < options_.window;
+    if (!isLowered) {
+        if (!hasRoom(now, account, size(window.own), size(window.others)))
+            return false;
+    } else {
+        const auto sinceLowered = [&](const std::deque<core::MonoTime> &times) {
+            const auto first = std::lower_bound(times.begin(), times.end(), *window.loweredAt);
+            return static_cast<std::size_t>(times.end() - first);
+        };
+        if (!hasRoom(now, account, sinceLowered(window.own), sinceLowered(window.others))
+            || !hasRoom(now, window.formerLimit, size(window.own), size(window.others)))
+            return false;
+    }
     window.own.push_back(now);
     ++unreported_[account.id];
     return true;
 }
 
+/** Notices a change of an account's limit. A lower one has to hold one window later; until then the
+ * requests that were admitted under the former limit count against that one only. Otherwise an
+ * account would be refused everything until they leave the window. */
+void AccountRateLimiter::recordLimit(core::MonoTime now, const Account &account,
+                                     Window &window) const
+{
+    const double seconds = std::chrono::duration<double>(options_.window).count();
+    const auto perWindow = [&](const Account &limited) {
+        return limited.ratePerSecond * seconds + limited.burst;
+    };
+    const Account limit {
+        .id = account.id, .ratePerSecond = account.ratePerSecond, .burst = account.burst};
+    if (window.limit && perWindow(*window.limit) != perWindow(limit)) {
+        window.loweredAt.reset();
+        if (perWindow(limit) < perWindow(*window.limit)) {
+            window.loweredAt = now;
+            window.formerLimit = *window.limit;
+        }
+    }
+    window.limit = limit;
+}
+
+/** @param own Counted requests of this VM. @param others Those of the pool's other VMs.
+ * @return Whether a limit admits one more request. */
+bool AccountRateLimiter::hasRoom(core::MonoTime now, const Account &limit, std::size_t own,
+                                 std::size_t others) const
+{
+    const std::size_t count = own + (isPooled() ? others : 0);
+    const std::size_t most = maxRequests(now, limit, effectiveShare());
+    if (count >= most)
+        return false;
+    // Near the limit, usage reports from the pool arrive too late; the own share needs none.
+    const double ownShareOnlyFrom = static_cast<double>(most)
+        - options_.ownShareOnlySeconds * limit.ratePerSecond * effectiveShare();
+    return !isPooled() || static_cast<double>(count) < ownShareOnlyFrom
+        || own < maxRequests(now, limit, ownShare_);
+}
+
 core::Micros AccountRateLimiter::timeUntilAdmission(core::MonoTime now, const Account &account)
 {
     if (paced_)
--- a/src/placement/account_rate_limiter_base.h
+++ b/src/placement/account_rate_limiter_base.h
@@ -65,8 +65,15 @@
         std::deque<core::MonoTime> own;
         std::deque<core::MonoTime> others; ///< Reported by other VMs of the pool.
         int requestsSinceRestart = 0;      ///< Counted during the first window after a restart.
+        std::optional<Account> limit;      ///< In force at the last request.
+        std::optional<core::MonoTime> loweredAt; ///< Time at which the limit was last lowered.
+        Account formerLimit;                     ///< In force before loweredAt.
     };
 
+    void recordLimit(core::MonoTime now, const Account &account, Window &window) const;
+    bool hasRoom(core::MonoTime now, const Account &limit, std::size_t own,
+                 std::size_t others) const;
+
     /** @return The window of an account, created if missing, without its expired entries. */
     Window &prunedWindow(core::MonoTime now, const core::ClientAccountId &account);
     /** @return Requests allowed in one window under a share of the limit; at least 1. */
--- a/tests/proxy/decisions_test.cpp
+++ b/tests/proxy/decisions_test.cpp
@@ -432,6 +432,36 @@
     CHECK(entries.addressesFor(caller, allSilent).size() == 2);
 }
 
+TEST_CASE("an account whose limit is lowered is refused everything for a window, or overruns")
+{
+    AccountRateLimiter limiter({});
+    limiter.setShares(1, 1);
+    const Account before {
+        .id = core::ClientAccountId("a"), .ratePerSecond = 121, .burst = 121}; // 726 per window.
+    const Account lowered {
+        .id = core::ClientAccountId("a"), .ratePerSecond = 38, .burst = 38}; // 228 per window.
+    std::vector<core::MonoTime> admitted;
+    const auto run = [&](const Account &account, int fromMs, int toMs) {
+        for (int at = fromMs; at < toMs; at += 5) { // 200 requests per second.
+            const core::MonoTime now = start + core::Millis(at);
+            if (limiter.admit(now, account))
+                admitted.push_back(now);
+            const auto inWindow =
+                std::count_if(admitted.begin(), admitted.end(),
+                              [&](core::MonoTime time) { return now - time <= core::Seconds(5); });
+            CHECK(inWindow <= 726);
+        }
+    };
+    run(before, 0, 6000);
+    const std::size_t earlier = admitted.size();
+    run(lowered, 6000, 11000);
+    // The whole new limit in the first window, and no more.
+    CHECK(admitted.size() - earlier == 228);
+    const std::size_t settled = admitted.size();
+    run(lowered, 11000, 16000);
+    CHECK(admitted.size() - settled <= 228);
+}
+
 TEST_CASE("one VM of a zone reads the store on behalf of the others")
 {
     EntryVmSelector entries({.minActivePerZone = 2});
