Fix: [Placement] Recovered upstreams get no requests while the retry budget is short

Cause: trials in turns stop while less than half of the retry budget is left, and trials are what keeps the upstreams of a service with idempotent requests covered. Ruled out: downloads, which that service does not have. Change: trials in turns are an option of the dispatcher, off by default.

--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -46,8 +46,10 @@
     bool measuresDepartures = true;
     DepartureRateOptions departures;
     RetryBudgetOptions retries;
-    /** Whether trials are made in turns, and only while the retry budget has room for them. */
-    bool trialsInTurns = true;
+    /** Whether the VMs of a zone try an upstream that is believed to be failing in turns, and only
+     * while the retry budget has room. Off, because upstreams that recover while the budget is
+     * short then get no requests: the trials of each VM keep recovered upstreams in use. */
+    bool trialsInTurns = false;
     /** Soft timeout: fraction of the target latency after which an idempotent request may be sent
      * to another upstream. */
     double softTimeoutTargetRatio = 0.8;
