--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -2,118 +2,16 @@
 #pragma once
 
 #include "core/log_func.h"
-#include "placement/departure_rate_base.h"
-#include "placement/hedge_policy_base.h"
-#include "placement/retry_budget_base.h"
-#include "placement/upstream_table_base.h"
-#include "placement/wait_queue_base.h"
+#include "placement/service_queues_base.h"
 
 #include <algorithm>
 #include <cmath>
-#include <concepts>
 #include <map>
 #include <optional>
 #include <vector>
 
 namespace teaselreach::proxy {
 
-/** Selects upstreams and tracks their attempts. UpstreamTable is the production implementation. */
-template <typename T>
-concept UpstreamChooser = requires(T &chooser, const T &reader, core::MonoTime now,
-                                   const PlacementRequest &request, Placement &placement,
-                                   const AttemptRecord &record, const core::RouteId &route,
-                                   core::Micros time, const core::ServiceId &service,
-                                   const RegionSet &regions)
-{
-    {
-        chooser.choose(now, request)
-        } -> std::same_as<PlacementResult>;
-    chooser.attemptStarted(now, placement);
-    chooser.attemptFinished(record);
-    {
-        reader.expectedProcessingTime(route, time)
-        } -> std::same_as<core::Micros>;
-    {
-        reader.slotsOf(service, time, regions)
-        } -> std::same_as<double>;
-};
-
-/** Settings of the dispatcher. */
-struct DispatcherOptions
-{
-    WaitQueueOptions queue;
-    /** Whether queues admit by their measured departures instead of this VM's share of slots. */
-    bool measuresDepartures = true;
-    DepartureRateOptions departures;
-    RetryBudgetOptions retries;
-    /** Whether the VMs of a zone try an upstream that is believed to be failing in turns, and only
-     * while the retry budget has room. Off, because upstreams that recover while the budget is
-     * short then get no requests: the trials of each VM keep recovered upstreams in use. */
-    bool trialsInTurns = false;
-    /** Soft timeout: fraction of the target latency after which an idempotent request may be sent
-     * to another upstream. */
-    double softTimeoutTargetRatio = 0.8;
-    /** Soft timeout as a multiple of the expected duration; the longer of the two applies. */
-    int softTimeoutExpectedMultiple = 3;
-    /** Interval at which a slow attempt is checked again after the soft timeout. Another upstream
-     * usually has a free slot again after a few processing times. */
-    core::Micros softTimeoutInterval {core::Millis(50)};
-    /** Number of failed connections after which a request is refused instead of retried. */
-    int maxConnectFailures = 3;
-    HedgeOptions hedges;
-
-    /** @return The options of a deployment whose settings do not name a window of the retry budget:
-     * queues admit by slots, and neither retries nor trials are restricted by their purpose. */
-    static DispatcherOptions withoutLoadControl()
-    {
-        return {.queue = {.shedsEarly = false},
-                .measuresDepartures = false,
-                .retries = RetryBudgetOptions::withoutReserves(),
-                .trialsInTurns = false};
-    }
-};
-
-/** A request and the state of its attempts. */
-struct DispatchRequest
-{
-    core::ServiceId service;
-    const Route *route = nullptr;  ///< Must outlive the request.
-    core::ClientAccountId account; ///< Empty on public routes.
-    int accountPriority = 0;
-    RegionSet allowedRegions; ///< Common to the route and the account.
-    core::MonoTime arrivedAt {};
-    core::MonoTime deadline {};
-    std::vector<core::UpstreamId> tried;   ///< Upstreams of all finished attempts.
-    int sent = 0;                          ///< Attempts that may have reached an upstream.
-    int connectFailures = 0;               ///< Attempts without a connection.
-    bool retryGranted = false;             ///< By grantAbandon() for the current attempt.
-    std::optional<core::UpstreamId> hedge; ///< Upstream of the hedge, once there was one.
-    bool wasOverdue = false;               ///< Whether the HedgePolicy counts it as slow.
-};
-
-/** Decision on a hedge: exactly one of the members is set. */
-struct HedgeDecision
-{
-    std::optional<Placement> placement; ///< Send the hedge to this upstream.
-    std::optional<HedgeDenial> denial;
-};
-
-/** Decision on a queued request. */
-struct DispatchDecision
-{
-    WaitTicket ticket;
-    PlacementResult result;
-};
-
-/** Result of submitting a request: exactly one of the first three members is set. */
-struct DispatchResult
-{
-    std::optional<Placement> placement;      ///< Send the request to this upstream.
-    std::optional<WaitTicket> wait;          ///< The request is queued.
-    std::optional<PlacementFailure> refusal; ///< The request is refused for this reason.
-    std::optional<DispatchDecision> evicted; ///< A queued request is refused to make room.
-};
-
 /**
  * Decides for one VM which requests are sent at once, queued, refused or retried, and in which
  * order queued requests are sent. Under overload (bursts, lost or slow upstreams) it queues only
@@ -222,7 +120,7 @@
     void limitDeadlines(core::MonoTime latest)
     {
         for (auto &[service, queues] : queues_) {
-            for (auto &[regions, queue] : queues.ofRegions) {
+            for (auto &[regions, queue] : queues.byRegions) {
                 queue.order.limitDeadlines(latest);
                 for (auto &[ticket, request] : queue.requests)
                     request.deadline = std::min(request.deadline, latest);
@@ -236,7 +134,7 @@
         const auto queues = queues_.find(service);
         if (queues == queues_.end())
             return;
-        for (auto &[regions, queue] : queues->second.ofRegions) {
+        for (auto &[regions, queue] : queues->second.byRegions) {
             if (queue.requests.erase(ticket) > 0)
                 queue.order.remove(ticket, false);
         }
@@ -257,7 +155,7 @@
         for (const auto &[service, queues] : queues_) {
             std::size_t waiting = 0;
             double perSecond = 0;
-            for (const auto &[regions, queue] : queues.ofRegions) {
+            for (const auto &[regions, queue] : queues.byRegions) {
                 waiting += queue.order.size();
                 perSecond += queue.departures.perSecond(now, queue.slotsPerSecond);
             }
@@ -421,39 +319,13 @@
     {
         std::size_t count = 0;
         for (const auto &[service, queues] : queues_) {
-            for (const auto &[regions, queue] : queues.ofRegions)
+            for (const auto &[regions, queue] : queues.byRegions)
                 count += queue.order.size();
         }
         return count;
     }
 
 private:
-    /** The queued requests of one service with the same allowed regions. */
-    struct RegionQueue
-    {
-        explicit RegionQueue(const DispatcherOptions &options)
-            : order(options.queue)
-            , departures(options.departures)
-        { }
-        WaitQueue order;
-        DepartureRate departures;
-        double slotsPerSecond = 0; ///< Departures that the slots suggest, averaged over arrivals.
-        std::map<WaitTicket, DispatchRequest> requests;
-        double pass = 0;        ///< Virtual time; the queue with the lowest pass is served next.
-        bool isBlocked = false; ///< All upstreams of its regions are busy, in dispatchQueues().
-    };
-
-    /**
-     * The queues of one service, one for each set of allowed regions, so that requests whose
-     * regions are busy do not block others. Stride scheduling among the queues keeps the priorities
-     * where their regions overlap.
-     */
-    struct ServiceQueues
-    {
-        std::map<RegionSet, RegionQueue> ofRegions;
-        double servedPass = 0; ///< Pass of the last queue served; lower bound for others.
-    };
-
     /** Records a finished attempt in the HedgePolicy. */
     void observeForHedges(const AttemptRecord &record, DispatchRequest &request)
     {
@@ -483,7 +355,7 @@
         if (queues == queues_.end())
             return 0;
         std::size_t count = 0;
-        for (const auto &[regions, queue] : queues->second.ofRegions)
+        for (const auto &[regions, queue] : queues->second.byRegions)
             count += queue.order.size();
         return count;
     }
@@ -501,8 +373,8 @@
         const auto queues = queues_.find(request.service);
         if (queues == queues_.end())
             return nullptr;
-        const auto queue = queues->second.ofRegions.find(request.allowedRegions);
-        return queue == queues->second.ofRegions.end() ? nullptr : &queue->second;
+        const auto queue = queues->second.byRegions.find(request.allowedRegions);
+        return queue == queues->second.byRegions.end() ? nullptr : &queue->second;
     }
 
     PlacementRequest placementRequest(core::MonoTime now, const DispatchRequest &request) const
@@ -566,7 +438,7 @@
     RegionQueue &queueOf(const DispatchRequest &request)
     {
         return queues_[request.service]
-            .ofRegions.try_emplace(request.allowedRegions, options_)
+            .byRegions.try_emplace(request.allowedRegions, options_)
             .first->second;
     }
 
@@ -574,9 +446,8 @@
     void dispatchQueues(core::MonoTime now, ServiceQueues &queues,
                         std::vector<DispatchDecision> &decided)
     {
-        for (auto &[regions, queue] : queues.ofRegions)
-            queue.isBlocked = false;
-        while (RegionQueue *next = nextQueue(queues)) {
+        queues.unblock();
+        while (RegionQueue *next = queues.next()) {
             const double pass = next->pass;
             next->isBlocked = !dispatchNext(now, *next, decided);
             if (next->pass > pass)
@@ -584,19 +455,6 @@
         }
     }
 
-    /** @return The queue with the lowest pass that is neither empty nor blocked, or nullptr. */
-    static RegionQueue *nextQueue(ServiceQueues &queues)
-    {
-        RegionQueue *best = nullptr;
-        for (auto &[regions, queue] : queues.ofRegions) {
-            if (queue.isBlocked || queue.order.size() == 0)
-                continue;
-            if (best == nullptr || queue.pass < best->pass)
-                best = &queue;
-        }
-        return best;
-    }
-
     /** Dispatches the next request of a queue for which an upstream has room, and refuses those
      * that cannot be served. @return Whether a request was dispatched. */
     bool dispatchNext(core::MonoTime now, RegionQueue &queue,
