Fix: [Placement] Recovered upstreams get no requests once a service has none left that may be retried

At 23.8 s a configuration moved the only idempotent route away from the service. 12 of its 29 upstreams had failed last or first recovered at 22 to 23.7 s; trials by idempotent requests had just found 4 of them healthy again, but one success leaves the estimate at 0.6, and requests that may not be retried were trials only for the least avoided ones beyond a quarter. No VM sent them anything until the evidence aged out.

--- a/src/placement/upstream_table_query.cpp
+++ b/src/placement/upstream_table_query.cpp
@@ -125,15 +125,20 @@
         return untriedFor > options_.trialInterval;
     const UpstreamCoverageOptions &coverage = options_.coverage;
     // The VMs of each zone try its upstreams, so that a failing one costs few requests.
-    if (untriedFor <= coverage.trialInterval || upstream.distance > 0
-        || !coverage_.isShort(request.service))
+    if (untriedFor <= coverage.trialInterval || upstream.distance > 0)
         return false;
-    const bool isAvoided = isFailing(now, upstream) || isSlow(now, upstream);
-    if (isAvoided && avoidanceOf(now, upstream) > coverage_.trialLimit(request.service))
+    const bool failing = isFailing(now, upstream);
+    const bool slow = isSlow(now, upstream);
+    // After a success the failing period has probably ended. If the requests that may be retried
+    // have moved to another service, no other request would confirm that.
+    const bool hasRecovered = failing && !slow && !upstream.lastFailed;
+    if (!hasRecovered && !coverage_.isShort(request.service))
         return false;
-    const core::Micros interval = upstream.lastFailed || isSlow(now, upstream)
-        ? coverage.retrialInterval
-        : coverage.trialInterval;
+    if (!hasRecovered && (failing || slow)
+        && avoidanceOf(now, upstream) > coverage_.trialLimit(request.service))
+        return false;
+    const core::Micros interval =
+        upstream.lastFailed || slow ? coverage.retrialInterval : coverage.trialInterval;
     return untriedFor > interval + trialRank(upstream) * coverage.trialStagger;
 }
 
--- a/tests/proxy/upstream_coverage_test.cpp
+++ b/tests/proxy/upstream_coverage_test.cpp
@@ -20,8 +20,8 @@
 /** What happens to an upstream until faultEnd. */
 enum class Fault : std::uint8_t { None, Errors, Slow };
 
-/** Some VMs of one zone that send requests which may not be retried to the zone's upstreams, in
- * virtual time. Each VM sees most of the upstreams, and most reports of the others. */
+/** Some VMs of one zone that send requests to the zone's upstreams, most or all of which may not be
+ * retried, in virtual time. Each VM sees most of the upstreams, and most reports of the others. */
 class CoverageFleet
 {
 public:
@@ -35,6 +35,8 @@
         core::Micros faultEnd {core::Seconds(4)};
         double missingFromView = 0.1;
         double lostReports = 0.05;
+        double retryableShare = 0; ///< Share of requests that may be retried, until retryableEnd.
+        core::Micros retryableEnd {0};
     };
 
     CoverageFleet(Options options, std::uint64_t seed)
@@ -72,17 +74,18 @@
     /** @return The smallest share of upstreams with a request in a window between two times. */
     double smallestShare(core::Micros from, core::Micros until) const
     {
-        constexpr core::Millis step {100};
-        double smallest = 1;
-        for (core::Micros begin = from; begin + floorWindow <= until; begin += step) {
-            std::set<core::UpstreamId> used;
-            for (const auto &[at, id] : sent_) {
-                if (at >= start() + begin && at < start() + begin + floorWindow)
-                    used.insert(id);
-            }
-            smallest = std::min(smallest, static_cast<double>(used.size()) / options_.upstreams);
-        }
-        return smallest;
+        return smallestShareOf(from, until, [](const core::UpstreamId &) { return true; });
+    }
+
+    /** @return As smallestShare(), of the upstreams that were faulty and had answered a VM before a
+     * time; 1 if there are none. */
+    double smallestShareOfRecovered(core::Micros from, core::Micros until) const
+    {
+        return smallestShareOf(from, until, [&](const core::UpstreamId &id) {
+            const auto answered = answeredAt_.find(id);
+            return faulty_.at(id) && answered != answeredAt_.end()
+                && answered->second < start() + from;
+        });
     }
 
     /** @return Number of requests at faulty upstreams between two times. */
@@ -95,6 +98,25 @@
     }
 
 private:
+    double smallestShareOf(core::Micros from, core::Micros until, const auto &counts) const
+    {
+        constexpr core::Millis step {100};
+        const auto upstreams = std::count_if(
+            faulty_.begin(), faulty_.end(), [&](const auto &entry) { return counts(entry.first); });
+        double smallest = 1;
+        for (core::Micros begin = from; begin + floorWindow <= until; begin += step) {
+            std::set<core::UpstreamId> used;
+            for (const auto &[at, id] : sent_) {
+                if (at >= start() + begin && at < start() + begin + floorWindow && counts(id))
+                    used.insert(id);
+            }
+            if (upstreams > 0)
+                smallest = std::min(
+                    smallest, static_cast<double>(used.size()) / static_cast<double>(upstreams));
+        }
+        return smallest;
+    }
+
     static core::MonoTime start() { return core::MonoTime {core::Seconds(100)}; }
     static core::VmId vmId(int number) { return core::VmId("vm" + std::to_string(number)); }
     static core::Location location()
@@ -125,9 +147,13 @@
     {
         const std::size_t vm =
             std::uniform_int_distribution<std::size_t>(0, tables_.size() - 1)(random_);
+        const bool isRetryable =
+            queue_.now() < start() + options_.retryableEnd && chance(options_.retryableShare);
         PlacementResult result = tables_[vm].choose(queue_.now(),
                                                     {.service = core::ServiceId("slot"),
                                                      .route = core::RouteId("book"),
+                                                     .idempotent = isRetryable,
+                                                     .trials = TrialPolicy::EachVm,
                                                      .targetLatency = core::Millis(1200),
                                                      .timeLeft = core::Seconds(8)});
         if (!result.placement)
@@ -153,6 +179,8 @@
 
     void finish(std::size_t vm, const AttemptRecord &record)
     {
+        if (record.end == AttemptEnd::Answered && queue_.now() >= start() + options_.faultEnd)
+            answeredAt_.try_emplace(record.upstream, queue_.now());
         tables_[vm].attemptFinished(record);
         for (const OutcomeReport &report : tables_[vm].takeReports()) {
             for (std::size_t peer = 0; peer < tables_.size(); ++peer) {
@@ -170,6 +198,7 @@
     standins::EventQueue queue_ {start()};
     std::vector<UpstreamTable> tables_;
     std::map<core::UpstreamId, bool> faulty_;
+    std::map<core::UpstreamId, core::MonoTime> answeredAt_; ///< First success after the fault.
     std::vector<std::pair<core::MonoTime, core::UpstreamId>> sent_;
 };
 
@@ -206,6 +235,28 @@
     CHECK(below.empty());
 }
 
+TEST_CASE(
+    "upstreams that recovered get no request once a service has none left that may be retried")
+{
+    // Trials by requests that may be retried reached each upstream at most once after its fault.
+    const CoverageFleet::Options options {.vms = 2,
+                                          .upstreams = 30,
+                                          .requestsPerSecond = 150,
+                                          .faultyShare = 0.35,
+                                          .retryableShare = 0.4,
+                                          .retryableEnd = core::Seconds(5)};
+    std::vector<int> below;
+    for (int seed = 1; seed <= seeds; ++seed) {
+        CoverageFleet fleet(options, static_cast<std::uint64_t>(seed));
+        fleet.run(core::Seconds(10));
+        if (fleet.smallestShareOfRecovered(core::Millis(5500), core::Seconds(10)) < floorShare)
+            below.push_back(seed);
+    }
+    CAPTURE(below.size());
+    CAPTURE(below.empty() ? 0 : below.front());
+    CHECK(below.empty());
+}
+
 TEST_CASE("a few failing upstreams get requests that may not be retried as trials")
 {
     // Each trial at a failing upstream is a failure for a caller, so it has to be worth it.
