Fix: [Placement] Hedges of all VMs together exceed the limit when callers move

Cause: each VM applied the limit to its own requests of the 10 s that end with the hedge. Callers that move count at two VMs within one window, and a window that ends later contains fewer requests. Change: HedgePolicy also applies a RetryBudget with the limit as its ratio, without slack and reserves, for each service. Its proof holds for all VMs together, for every window that contains a hedge, also after restarts. The check of the own window and the saved tenth stay. The weights of the windows are 0.5, 0 and 0.5. A service with fewer than 2 / limit requests in 10 s on a VM gets no hedges there. minSavedHedges, which nothing used, is gone.

--- a/src/placement/hedge_policy.cpp
+++ b/src/placement/hedge_policy.cpp
@@ -28,6 +28,24 @@
         || end == AttemptEnd::Superseded;
 }
 
+/** Weights of the requests in a window, in the one half a window before it and in the window before
+ * it. They add up to 1 and are the same on all VMs, see RetryBudget. In steady traffic, the first
+ * hedge needs 2 / limitRatio requests in a window, against 2.9 with the weights of retries (0.3,
+ * 0.7 and 0); after a start half of the limit can be used, against 0.3. */
+constexpr std::array<double, 3> limitWindowWeights {0.5, 0, 0.5};
+
+/** @return The limit as a budget without a constant part, so that neither restarts nor the number
+ * of VMs add to it. */
+RetryBudgetOptions windowLimit(const HedgeOptions &options)
+{
+    return {.ratio = options.limitRatio,
+            .slack = 0,
+            .window = options.limitWindow,
+            .windowWeights = limitWindowWeights,
+            .optionalReserve = 0,
+            .priorityReserve = 0};
+}
+
 } // namespace
 
 std::string_view hedgeDenialName(HedgeDenial denial)
@@ -95,6 +113,7 @@
 void HedgePolicy::requestArrived(core::MonoTime now, const core::ServiceId &service)
 {
     Service &state = serviceAt(now, service);
+    state.windows.requestStarted(now);
     state.requests.push_back(now);
     state.tokens = std::min(
         state.tokens + options_.limitRatio,
@@ -138,7 +157,8 @@
     if (speeds.size() >= options_.minSpeedSamples && 2 * speeds.bad() > speeds.size())
         return HedgeDenial::Slow;
     const double allowed = options_.limitRatio * static_cast<double>(service.requests.size());
-    if (static_cast<double>(service.hedges.size()) + 1 > allowed || service.tokens < 1)
+    if (static_cast<double>(service.hedges.size()) + 1 > allowed || service.tokens < 1
+        || !service.windows.permits(now, 0, RetryPurpose::Hedge, 0))
         return HedgeDenial::LimitReached;
     return std::nullopt;
 }
@@ -146,6 +166,7 @@
 void HedgePolicy::hedgeSent(core::MonoTime now, const core::ServiceId &service)
 {
     Service &state = serviceAt(now, service);
+    state.windows.take(now, 0, RetryPurpose::Hedge, 0);
     state.hedges.push_back(now);
     state.tokens -= 1;
 }
@@ -162,7 +183,7 @@
 /** @return The state of a service, without what has left its windows. */
 HedgePolicy::Service &HedgePolicy::serviceAt(core::MonoTime now, const core::ServiceId &id)
 {
-    Service &service = services_[id];
+    Service &service = services_.try_emplace(id, windowLimit(options_)).first->second;
     // A request at the very start of the window is left out and a hedge there is counted, so that
     // the limit holds for windows with and without their ends.
     expire(service.requests, now - options_.limitWindow + core::Micros(1));
--- a/src/placement/hedge_policy_base.h
+++ b/src/placement/hedge_policy_base.h
@@ -3,6 +3,7 @@
 
 #include "placement/latency_window_base.h"
 #include "placement/placement_type.h"
+#include "placement/retry_budget_base.h"
 
 #include <cstdint>
 #include <deque>
@@ -34,12 +35,9 @@
 
 /** Largest HedgeOptions::limitRatio. */
 inline constexpr double maxHedgeRatio = 0.2;
-/** Hedges that a service may save up, as a fraction of those that its requests in the window allow.
- * Bounds the hedges of all VMs together when callers move from one that has just used its limit to
- * another one. */
+/** Hedges that a service may save up, as a fraction of those that its requests in the window allow,
+ * but at least one. Bounds the hedges that are sent at once when responses become slow. */
 inline constexpr double maxSavedRatio = 0.1;
-/** The same for services with few requests, in hedges. */
-inline constexpr double minSavedHedges = 5;
 
 /** Why a hedge is not sent. */
 enum class HedgeDenial : std::uint8_t {
@@ -83,9 +81,9 @@
 
 /**
  * Applies the delay, the limit and the suppression rules of hedges. Knows the requests of this VM
- * only: each VM's hedges stay within the limit applied to its own requests, and only a tenth of
- * them can be sent at once. So those of the fleet need no messages between VMs; callers that move
- * from one VM to another add at most what both have saved up. Uses no threads, sockets or clocks.
+ * only. The limit of all VMs together holds in every window without messages between them, also
+ * when callers move: RetryBudget, which each VM applies to its own requests, has that property.
+ * Uses no threads, sockets or clocks.
  */
 class HedgePolicy
 {
@@ -136,6 +134,10 @@
     /** State of one service. */
     struct Service
     {
+        explicit Service(const RetryBudgetOptions &limit)
+            : windows(limit)
+        { }
+        RetryBudget windows;                 ///< The limit in each window that contains a hedge.
         std::deque<core::MonoTime> requests; ///< Arrivals in the limit's window.
         std::deque<core::MonoTime> hedges;   ///< Hedges sent in the limit's window.
         double tokens = 0;                   ///< Hedges saved up by arrivals.
