Change: [Placement] Check that the heavy tail is slow only by two slow attempts

Cause: moved the check of the heavy tail from p99.9 to p99 without figures. p99.9 cannot hold there: with 3% slow responses, 0.9 of 1,000 requests have two slow attempts, and some slow requests of the start have no hedge. Change: p99 stays, and from 20 s on no request may be slow for another reason than two slow attempts. The check of p99.9 with one slow upstream is unchanged.

--- a/tests/proxy/hedge_policy_test.cpp
+++ b/tests/proxy/hedge_policy_test.cpp
@@ -106,6 +106,18 @@
                    latencies_[static_cast<std::size_t>(rank * latencies_.size())])
             .count();
     }
+    /** @return Number of requests. */
+    std::size_t requests() const { return arrivals_.size(); }
+    /** @return Requests of 500 ms and more, with the reasons why they had no hedge. */
+    std::string slowRequests() const
+    {
+        std::string text;
+        for (const auto &[denial, count] : slow_)
+            text += denial + " " + std::to_string(count) + " ";
+        return text;
+    }
+    /** @return Requests of 500 ms and more without a hedge, from 20 s on. */
+    int slowWithoutHedge() const { return slowWithoutHedge_; }
     /** Checks the limit in each window that ends with a hedge. */
     void checkLimit(double limitRatio) const { ::checkLimit(hedges, arrivals_, limitRatio); }
 
@@ -124,6 +136,7 @@
     {
         DispatchRequest request;
         std::vector<Attempt> open;
+        std::string denial = "no_delay"; ///< Why there was no hedge, or "hedged".
     };
     using RunningPtr = std::shared_ptr<Running>;
 
@@ -168,6 +181,7 @@
             return;
         const HedgeDecision decision = dispatcher_.grantHedge(now_, running->request, first.place);
         CHECK(decision.placement.has_value() != decision.denial.has_value());
+        running->denial = decision.denial ? hedgeDenialName(*decision.denial) : "hedged";
         if (!decision.placement)
             return;
         CHECK(decision.placement->upstream != first.place.upstream);
@@ -186,6 +200,11 @@
         record(running, ended, outcome);
         if (outcome == AttemptEnd::Answered) {
             latencies_.push_back(now_ - running->request.arrivedAt);
+            if (latencies_.back() >= core::Millis(500)) {
+                ++slow_[running->denial];
+                if (running->request.arrivedAt >= at(20) && running->denial != "hedged")
+                    ++slowWithoutHedge_;
+            }
             for (const Attempt &loser : std::exchange(running->open, {}))
                 record(running, loser, AttemptEnd::Superseded);
         } else if (running->open.empty()
@@ -228,6 +247,8 @@
     std::multimap<core::MonoTime, std::function<void()>> events_;
     std::vector<core::MonoTime> arrivals_;
     std::vector<core::Micros> latencies_;
+    std::map<std::string, int> slow_; ///< Requests of 500 ms and more, by their denial.
+    int slowWithoutHedge_ = 0;
     std::map<WaitTicket, RunningPtr> waiting_;
 };
 
@@ -288,25 +309,36 @@
           "hedges, or costs more than the limit")
 {
     // A cancelled attempt that is left out of the response times lowers p95 with each hedge.
-    for (const bool isTail : {true, false}) {
-        HedgeSimulation without(0, 1);
-        HedgeSimulation with(0.1, 1);
-        for (HedgeSimulation *simulation : {&without, &with}) {
-            simulation->work = [=](int upstream, core::MonoTime now) {
-                const bool slow = isTail ? simulation->chance(0.03)
-                                         : upstream == 0 && now > at(10) && simulation->chance(0.3);
-                return Work {slow ? core::Millis(600) : simulation->between(10, 20)};
-            };
-            simulation->run(60);
-            MESSAGE("p99 ", 1000 * simulation->latency(0.99), " ms, p99.9 ",
-                    1000 * simulation->latency(0.999), " ms, hedges ", simulation->hedges.size());
+    for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+        for (const bool isTail : {true, false}) {
+            HedgeSimulation without(0, seed);
+            HedgeSimulation with(0.1, seed);
+            for (HedgeSimulation *simulation : {&without, &with}) {
+                simulation->work = [=](int upstream, core::MonoTime now) {
+                    const bool slow = isTail
+                        ? simulation->chance(0.03)
+                        : upstream == 0 && now > at(10) && simulation->chance(0.3);
+                    return Work {slow ? core::Millis(600) : simulation->between(10, 20)};
+                };
+                simulation->run(60);
+            }
+            MESSAGE("p99 ", 1000 * without.latency(0.99), " and ", 1000 * with.latency(0.99),
+                    " ms, p99.9 ", 1000 * without.latency(0.999), " and ",
+                    1000 * with.latency(0.999), " ms, hedges ", with.hedges.size(), ", requests ",
+                    with.requests(), ", slow: ", with.slowRequests());
+            CHECK(without.hedges.empty());
+            // The tail cannot be held at p99.9: 0.03 x 0.03 = 0.9 of 1,000 requests have two slow
+            // attempts, and before there are 50 response times or enough requests for the limit,
+            // slow requests have no hedge. In the run of seed 1 these are 10, 3 and 1 of 12,122
+            // requests, and p99.9 leaves 12. So p99 is checked, and that no later request is slow
+            // for another reason than two slow attempts.
+            const double quantile = isTail ? 0.99 : 0.999;
+            CHECK(with.latency(quantile) < 0.3 * without.latency(quantile));
+            if (isTail)
+                CHECK(with.slowWithoutHedge() == 0);
+            CHECK(static_cast<double>(with.hedgesIn(30, 60)) < 0.06 * 200 * 30);
+            with.checkLimit(0.1);
         }
-        CHECK(without.hedges.empty());
-        // Of the requests of the tail, 0.9 in 1,000 have two slow attempts, so p99 shows the gain.
-        const double quantile = isTail ? 0.99 : 0.999;
-        CHECK(with.latency(quantile) < 0.3 * without.latency(quantile));
-        CHECK(static_cast<double>(with.hedgesIn(30, 60)) < 0.06 * 200 * 30);
-        with.checkLimit(0.1);
     }
 }
 
