Feature: [Tool] Explain where a request would go now

Cause: operators see where a request went only after it was sent; why another upstream was not chosen is in no log. Change: GET /explain at a daemon's address for other VMs and 'teaselreach explain placement' answer with route, account, queue, retry budget, hedge delay and each upstream with its estimate or the reason why it is not chosen. UpstreamTable::choose() and explain() share exclusionOf() and evaluate(), and only choose() draws random numbers.

--- a/src/placement/account_limit_type.h
+++ b/src/placement/account_limit_type.h
@@ -110,4 +110,14 @@
     bool isPooled = false; ///< Whether both VMs know what the other one admits.
 };
 
+/** Use of an account's limit at one VM. */
+struct AccountRoom
+{
+    bool isLimited = false;      ///< Whether the account has a limit.
+    bool isPaced = false;        ///< Whether a pace decides instead; then the rest is not known.
+    std::size_t counted = 0;     ///< Requests in the window that count against the share in use.
+    std::size_t allowed = 0;     ///< Requests that this share allows in one window.
+    core::Micros retryAfter {0}; ///< Time until a request may be admitted; 0 for at once.
+};
+
 } // namespace teaselreach::proxy
--- a/src/placement/account_rate_limiter.cpp
+++ b/src/placement/account_rate_limiter.cpp
@@ -38,14 +38,19 @@
     return window.own.size() + (isPooled() ? window.others.size() : 0);
 }
 
-AccountRateLimiter::Window &AccountRateLimiter::prunedWindow(core::MonoTime now,
-                                                             const core::ClientAccountId &account)
+void AccountRateLimiter::prune(core::MonoTime now, Window &window) const
 {
-    Window &window = windows_[account];
     for (std::deque<core::MonoTime> *times : {&window.own, &window.others}) {
         while (!times->empty() && now - times->front() > options_.window)
             times->pop_front();
     }
+}
+
+AccountRateLimiter::Window &AccountRateLimiter::prunedWindow(core::MonoTime now,
+                                                             const core::ClientAccountId &account)
+{
+    Window &window = windows_[account];
+    prune(now, window);
     return window;
 }
 
@@ -103,25 +108,29 @@
     if (restartedAt_ && now - *restartedAt_ < options_.window)
         ++window.requestsSinceRestart;
     recordLimit(now, account, window);
-    const auto size = [](const std::deque<core::MonoTime> &times) { return times.size(); };
-    const bool isLowered = window.loweredAt && now - *window.loweredAt < options_.window;
-    if (!isLowered) {
-        if (!hasRoom(now, account, size(window.own), size(window.others)))
-            return false;
-    } else {
-        const auto sinceLowered = [&](const std::deque<core::MonoTime> &times) {
-            const auto first = std::lower_bound(times.begin(), times.end(), *window.loweredAt);
-            return static_cast<std::size_t>(times.end() - first);
-        };
-        if (!hasRoom(now, account, sinceLowered(window.own), sinceLowered(window.others))
-            || !hasRoom(now, window.formerLimit, size(window.own), size(window.others)))
-            return false;
-    }
+    if (!mayAdmit(now, account, window))
+        return false;
     window.own.push_back(now);
     ++unreported_[account.id];
     return true;
 }
 
+/** @return Whether an account's window has room for one more request. */
+bool AccountRateLimiter::mayAdmit(core::MonoTime now, const Account &account,
+                                  const Window &window) const
+{
+    const auto size = [](const std::deque<core::MonoTime> &times) { return times.size(); };
+    const bool isLowered = window.loweredAt && now - *window.loweredAt < options_.window;
+    if (!isLowered)
+        return hasRoom(now, account, size(window.own), size(window.others));
+    const auto sinceLowered = [&](const std::deque<core::MonoTime> &times) {
+        const auto first = std::lower_bound(times.begin(), times.end(), *window.loweredAt);
+        return static_cast<std::size_t>(times.end() - first);
+    };
+    return hasRoom(now, account, sinceLowered(window.own), sinceLowered(window.others))
+        && hasRoom(now, window.formerLimit, size(window.own), size(window.others));
+}
+
 /** Notices a change of an account's limit. A lower one has to hold one window later; until then the
  * requests that were admitted under the former limit count against that one only. Otherwise an
  * account would be refused everything until they leave the window. */
@@ -164,7 +173,29 @@
 {
     if (paced_)
         return paced_->timeUntilAdmission(now, account);
-    const Window &window = prunedWindow(now, account.id);
+    return timeUntilRoom(now, account, prunedWindow(now, account.id));
+}
+
+AccountRoom AccountRateLimiter::roomOf(core::MonoTime now, const Account &account) const
+{
+    AccountRoom room {.isLimited = account.ratePerSecond > 0, .isPaced = paced_.has_value()};
+    if (!room.isLimited || room.isPaced)
+        return room;
+    const auto found = windows_.find(account.id);
+    Window window = found == windows_.end() ? Window {} : found->second;
+    prune(now, window);
+    room.counted = countedRequests(window);
+    room.allowed = maxRequests(now, account, effectiveShare());
+    recordLimit(now, account, window);
+    if (!mayAdmit(now, account, window))
+        room.retryAfter = timeUntilRoom(now, account, window);
+    return room;
+}
+
+/** @return Time until an account's window has room for one more request. */
+core::Micros AccountRateLimiter::timeUntilRoom(core::MonoTime now, const Account &account,
+                                               const Window &window) const
+{
     const std::size_t limit = maxRequests(now, account, effectiveShare());
     const std::size_t count = countedRequests(window);
     if (count < limit)
--- a/src/placement/account_rate_limiter_base.h
+++ b/src/placement/account_rate_limiter_base.h
@@ -45,6 +45,8 @@
     /** @return Time until admit() may succeed for the account, provided that no other requests are
      * admitted. */
     core::Micros timeUntilAdmission(core::MonoTime now, const Account &account);
+    /** @return How much of its limit an account uses at this VM. Changes nothing. */
+    AccountRoom roomOf(core::MonoTime now, const Account &account) const;
     /** Removes the account's last admitted request from the count. For requests that were not
      * passed on to an upstream. */
     void refund(const Account &account);
@@ -74,6 +76,10 @@
     bool hasRoom(core::MonoTime now, const Account &limit, std::size_t own,
                  std::size_t others) const;
 
+    void prune(core::MonoTime now, Window &window) const;
+    bool mayAdmit(core::MonoTime now, const Account &account, const Window &window) const;
+    core::Micros timeUntilRoom(core::MonoTime now, const Account &account,
+                               const Window &window) const;
     /** @return The window of an account, created if missing, without its expired entries. */
     Window &prunedWindow(core::MonoTime now, const core::ClientAccountId &account);
     /** @return Requests allowed in one window under a share of the limit; at least 1. */
--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -116,6 +116,29 @@
         return withJitter(wait, maxJitter * random);
     }
 
+    /** @return What submit() would decide on a new request now, and why. Changes nothing. */
+    DispatchExplanation
+    explain(core::MonoTime now,
+            const DispatchRequest &request) const requires ExplainingChooser<Chooser>
+    {
+        DispatchExplanation result {.placement =
+                                        upstreams_.explain(now, placementRequest(now, request))};
+        if (const auto budget = budgets_.find(request.service); budget != budgets_.end())
+            result.retryBudgetLeft = budget->second.left(now, fleetShare_);
+        if (hedges_.enabled() && request.route->idempotent && request.route->maxAttempts > 1)
+            result.hedgeDelay = hedges_.currentDelay(now, request.route->id);
+        const RegionQueue *queue = findQueue(request);
+        if (queue == nullptr)
+            return result;
+        result.waiting = queue->order.size();
+        result.departuresPerSecond = queue->departures.perSecond(now, queue->slotsPerSecond);
+        if (result.waiting > 0 && result.departuresPerSecond > 0)
+            result.expectedWait =
+                std::chrono::duration_cast<core::Micros>(std::chrono::duration<double>(
+                    static_cast<double>(result.waiting) / result.departuresPerSecond));
+        return result;
+    }
+
     /** Moves later deadlines of queued requests forward to a time, at which the process ends. */
     void limitDeadlines(core::MonoTime latest)
     {
--- a/src/placement/dispatcher_type.h
+++ b/src/placement/dispatcher_type.h
@@ -34,6 +34,16 @@
         } -> std::same_as<double>;
 };
 
+/** An UpstreamChooser that can explain its choice. */
+template <typename T>
+concept ExplainingChooser = UpstreamChooser<T> && requires(const T &reader, core::MonoTime now,
+                                                           const PlacementRequest &request)
+{
+    {
+        reader.explain(now, request)
+        } -> std::same_as<PlacementExplanation>;
+};
+
 /** Settings of the dispatcher. */
 struct DispatcherOptions
 {
@@ -101,6 +111,17 @@
     PlacementResult result;
 };
 
+/** What would happen to a request that arrives now. */
+struct DispatchExplanation
+{
+    std::size_t waiting = 0;        ///< Requests that wait for the same service and regions.
+    double departuresPerSecond = 0; ///< Of that queue; 0 if it has never been used.
+    core::Micros expectedWait {0};  ///< Of a request behind all of them; 0 without a queue.
+    double retryBudgetLeft = 1;     ///< Part of the service's retry budget, 0 to 1.
+    core::Micros hedgeDelay {0};    ///< Time after which a hedge is considered; 0 for never.
+    PlacementExplanation placement;
+};
+
 /** Result of submitting a request: exactly one of the first three members is set. */
 struct DispatchResult
 {
--- a/src/placement/hedge_policy.cpp
+++ b/src/placement/hedge_policy.cpp
@@ -147,6 +147,17 @@
     return quantiles ? std::max(shortest, quantiles->p95) : core::Micros(0);
 }
 
+core::Micros HedgePolicy::currentDelay(core::MonoTime now, const core::RouteId &route) const
+{
+    const auto found = routes_.find(route);
+    if (found == routes_.end())
+        return core::Micros(0);
+    LatencyWindow copy = found->second;
+    constexpr core::Micros shortest {1};
+    const auto quantiles = copy.quantiles(now);
+    return quantiles ? std::max(shortest, quantiles->p95) : core::Micros(0);
+}
+
 std::optional<HedgeDenial> HedgePolicy::denial(core::MonoTime now, const core::ServiceId &id)
 {
     const Service &service = serviceAt(now, id);
--- a/src/placement/hedge_policy_base.h
+++ b/src/placement/hedge_policy_base.h
@@ -104,6 +104,8 @@
     /** @return Time after the start of an attempt at which a hedge is considered; zero for never,
      * while too few response times of the route are known. */
     core::Micros delay(core::MonoTime now, const core::RouteId &route);
+    /** @return As delay(). Changes nothing. */
+    core::Micros currentDelay(core::MonoTime now, const core::RouteId &route) const;
     /** @return The reason why the service gets no hedge now, or nothing. */
     std::optional<HedgeDenial> denial(core::MonoTime now, const core::ServiceId &service);
     /** Counts a hedge against the limit. */
--- a/src/placement/placement_type.cpp
+++ b/src/placement/placement_type.cpp
@@ -30,4 +30,23 @@
     return "unknown";
 }
 
+std::string_view placementFailureName(PlacementFailure reason)
+{
+    switch (reason) {
+    case PlacementFailure::NoUpstream:
+        return "no_upstream";
+    case PlacementFailure::LimitReached:
+        return "upstream_limit_reached";
+    case PlacementFailure::AllBusy:
+        return "all_upstreams_busy";
+    case PlacementFailure::TooLate:
+        return "deadline_too_close";
+    case PlacementFailure::NoAllowedRegion:
+        return "no_allowed_region";
+    case PlacementFailure::Evicted:
+        return "evicted";
+    }
+    return "no_upstream";
+}
+
 } // namespace teaselreach::proxy
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -1,4 +1,5 @@
-/** @file proxy_type.h Types of the event-driven data path: configuration, upstreams, entry VMs. */
+/** @file placement_type.h Types of the event-driven data path: configuration, upstreams, entry VMs.
+ */
 #pragma once
 
 #include "core/clock_type.h"
@@ -159,4 +160,18 @@
     std::optional<core::Micros> warmupLeft; ///< Time left until it is warm.
 };
 
+/** Reason why no upstream was selected. */
+enum class PlacementFailure : std::uint8_t {
+    NoUpstream,   ///< The service has no upstream that accepts new requests.
+    LimitReached, ///< Only upstreams that want no more requests at present could be used.
+    AllBusy,      ///< The eligible upstreams have no room; waiting may help.
+    TooLate,      ///< No available upstream is expected to answer before the deadline.
+    /** No upstream in the allowed regions accepts new requests; other regions may have some. */
+    NoAllowedRegion,
+    Evicted, ///< Left the queue for a request of a higher priority.
+};
+
+/** @return The name of a reason in logs, metrics and answers; these names do not change. */
+std::string_view placementFailureName(PlacementFailure reason);
+
 } // namespace teaselreach::proxy
--- a/src/placement/upstream_table.cpp
+++ b/src/placement/upstream_table.cpp
@@ -96,31 +96,23 @@
     bool healthyIsBusy = false;
     const Upstream *best = nullptr;
     Estimate bestEstimate;
+    std::uniform_real_distribution<double> tieBreak(0, tieLoss);
     for (const Upstream *upstream : service->second) {
         // The remaining upstreams are at least as far away, and their distance alone costs as much
         // as the whole expected loss of the best candidate.
         if (best != nullptr && bestEstimate.isAcceptable && upstream->distance >= bestEstimate.loss)
             break;
-        if (!regions.allows(upstream->region) || !isAccepting(*upstream))
-            continue;
-        if (reason == PlacementFailure::NoAllowedRegion)
-            reason = PlacementFailure::NoUpstream;
-        if (wasTried(*upstream, request))
-            continue;
-        if (notices_.isHoldingOff(now, upstream->entry)
-            || !limiter_.mayStart(now, upstream->entry.id, limitShareOf(*upstream))) {
-            if (reason == PlacementFailure::NoUpstream)
-                reason = PlacementFailure::LimitReached;
+        const std::optional<Exclusion> exclusion =
+            exclusionOf(now, *upstream, request, regions, isRampingUp);
+        reason = failureAfter(reason, exclusion);
+        if (exclusion) {
+            healthyIsBusy = healthyIsBusy
+                || (exclusion == Exclusion::Full
+                    && failureProbability(now, *upstream) < options_.suspectThreshold);
             continue;
         }
-        if (reason == PlacementFailure::NoUpstream || reason == PlacementFailure::LimitReached)
-            reason = PlacementFailure::AllBusy;
-        if (!hasRoom(now, *upstream, request, isRampingUp)) {
-            healthyIsBusy =
-                healthyIsBusy || failureProbability(now, *upstream) < options_.suspectThreshold;
-            continue;
-        }
-        const Estimate estimate = evaluate(now, *upstream, request);
+        Estimate estimate = evaluate(now, *upstream, request);
+        estimate.loss += tieBreak(random_);
         if (estimate.duration > request.timeLeft) {
             reason = PlacementFailure::TooLate;
             continue;
@@ -140,9 +132,8 @@
 }
 
 UpstreamTable::Estimate UpstreamTable::evaluate(core::MonoTime now, const Upstream &upstream,
-                                                const PlacementRequest &request)
+                                                const PlacementRequest &request) const
 {
-    std::uniform_real_distribution<double> tieBreak(0, tieLoss);
     const core::Micros duration = expectedDuration(now, upstream, request);
     const double failure = failureProbability(now, upstream);
     const bool isTrial = isTrialDue(now, upstream, request);
@@ -153,7 +144,7 @@
     const double loss =
         isTrial ? upstream.distance : expectedLoss(upstream, request, countedDuration, failure);
     return {.duration = duration,
-            .loss = loss + tieBreak(random_),
+            .loss = loss,
             .failure = failure,
             .isAcceptable = isTrial || failure <= options_.avoidThreshold,
             .isTrial = isTrial && isFailing(now, upstream)};
--- a/src/placement/upstream_table_base.h
+++ b/src/placement/upstream_table_base.h
@@ -1,6 +1,7 @@
 /** @file upstream_table_base.h Table of live upstreams: health, load and selection. */
 #pragma once
 
+#include "placement/placement_explanation_type.h"
 #include "placement/placement_type.h"
 #include "placement/upstream_coverage_base.h"
 #include "placement/upstream_notices_base.h"
@@ -105,17 +106,6 @@
     std::uint64_t attempt = 0;  ///< Number of the attempt; set by attemptStarted().
 };
 
-/** Reason why no upstream was selected. */
-enum class PlacementFailure : std::uint8_t {
-    NoUpstream,   ///< The service has no upstream that accepts new requests.
-    LimitReached, ///< Only upstreams that want no more requests at present could be used.
-    AllBusy,      ///< The eligible upstreams have no room; waiting may help.
-    TooLate,      ///< No available upstream is expected to answer before the deadline.
-    /** No upstream in the allowed regions accepts new requests; other regions may have some. */
-    NoAllowedRegion,
-    Evicted, ///< Left the queue for a request of a higher priority.
-};
-
 /** Result of a selection. */
 struct PlacementResult
 {
@@ -166,6 +156,9 @@
     /** Selects the upstream with the lowest expected loss. The caller reports its use by
      * attemptStarted(). */
     PlacementResult choose(core::MonoTime now, const PlacementRequest &request);
+    /** @return What choose() would decide now, with each upstream of the service and why it is not
+     * selected. Changes nothing. */
+    PlacementExplanation explain(core::MonoTime now, const PlacementRequest &request) const;
     /** Records that an attempt is about to be sent to the upstream, and sets its number. */
     void attemptStarted(core::MonoTime now, Placement &placement);
     /** Updates the estimates with a finished attempt. */
@@ -272,9 +265,16 @@
     bool hasRoom(core::MonoTime now, const Upstream &upstream, const PlacementRequest &request,
                  bool isRampingUp) const;
     void setEvacuated(const core::AvailabilityZoneId &zone, bool evacuated);
-    /** @return The estimate for an upstream; its loss includes a random tie-breaker. */
+    /** @return Why an upstream cannot get a request at all, or nothing. */
+    std::optional<Exclusion> exclusionOf(core::MonoTime now, const Upstream &upstream,
+                                         const PlacementRequest &request,
+                                         const RegionFilter &regions, bool isRampingUp) const;
+    /** @return The estimate for an upstream. */
     Estimate evaluate(core::MonoTime now, const Upstream &upstream,
-                      const PlacementRequest &request);
+                      const PlacementRequest &request) const;
+    CandidateExplanation explainCandidate(core::MonoTime now, const Upstream &upstream,
+                                          const PlacementRequest &request,
+                                          std::optional<Exclusion> exclusion) const;
     static Placement makePlacement(const Upstream &upstream, const Estimate &estimate);
     void addToService(Upstream &upstream);
     void removeFromService(const Upstream &upstream);
--- a/src/placement/upstream_table_internal.h
+++ b/src/placement/upstream_table_internal.h
@@ -57,4 +57,24 @@
         || end == AttemptEnd::Broken || end == AttemptEnd::TimedOut || end == AttemptEnd::NotSent;
 }
 
+/** @return The reason for a service without a selected upstream, after one more of its upstreams.
+ * The reason that is closest to a selection counts. */
+inline PlacementFailure failureAfter(PlacementFailure reason, std::optional<Exclusion> exclusion)
+{
+    if (exclusion == Exclusion::OtherRegion || exclusion == Exclusion::Evacuated
+        || exclusion == Exclusion::Draining)
+        return reason;
+    if (reason == PlacementFailure::NoAllowedRegion)
+        reason = PlacementFailure::NoUpstream;
+    if (exclusion == Exclusion::Tried)
+        return reason;
+    const bool isLimited = exclusion == Exclusion::HoldingOff || exclusion == Exclusion::NamedLimit
+        || exclusion == Exclusion::ColdLimit;
+    if (isLimited)
+        return reason == PlacementFailure::NoUpstream ? PlacementFailure::LimitReached : reason;
+    const bool isUnset =
+        reason == PlacementFailure::NoUpstream || reason == PlacementFailure::LimitReached;
+    return isUnset ? PlacementFailure::AllBusy : reason;
+}
+
 } // namespace teaselreach::proxy::detail
--- a/src/placement/upstream_table_query.cpp
+++ b/src/placement/upstream_table_query.cpp
@@ -25,6 +25,28 @@
     return !upstream.entry.draining && !upstream.evacuated && !notices_.isLeaving(upstream.entry);
 }
 
+std::optional<Exclusion> UpstreamTable::exclusionOf(core::MonoTime now, const Upstream &upstream,
+                                                    const PlacementRequest &request,
+                                                    const RegionFilter &regions,
+                                                    bool isRampingUp) const
+{
+    if (!regions.allows(upstream.region))
+        return Exclusion::OtherRegion;
+    if (upstream.evacuated)
+        return Exclusion::Evacuated;
+    if (!isAccepting(upstream))
+        return Exclusion::Draining;
+    if (wasTried(upstream, request))
+        return Exclusion::Tried;
+    if (notices_.isHoldingOff(now, upstream.entry))
+        return Exclusion::HoldingOff;
+    if (!limiter_.mayStart(now, upstream.entry.id, limitShareOf(upstream)))
+        return hasColdLimit(now, upstream) ? Exclusion::ColdLimit : Exclusion::NamedLimit;
+    if (!hasRoom(now, upstream, request, isRampingUp))
+        return Exclusion::Full;
+    return std::nullopt;
+}
+
 bool UpstreamTable::wasTried(const Upstream &upstream, const PlacementRequest &request)
 {
     return std::find(request.tried.begin(), request.tried.end(), upstream.entry.id)
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -98,6 +98,8 @@
 private:
     /** Path of the metrics at the peers address. */
     static constexpr std::string_view metricsPath = "/metrics";
+    /** Path of questions where a request would go, at the same address. */
+    static constexpr std::string_view explainPath = "/explain";
     /** Interval of the periodic work. */
     static constexpr core::Millis tickInterval {25};
     /** Ticks between two calls of runMaintenance(). */
@@ -187,10 +189,22 @@
             exchange->response = co_await relay_.handle(exchange->request);
         else if (target.starts_with(metricsPath))
             exchange->response = metricsResponse();
+        else if (target.starts_with(explainPath))
+            exchange->response = explainResponse(target);
         else
             exchange->response = makeResponse(beasthttp::status::not_found);
     }
 
+    HttpResponse explainResponse(std::string_view target) const
+    {
+        const auto query = parsePlacementQuery(target);
+        if (const auto *error = std::get_if<PlacementQueryError>(&query))
+            return makeResponse(beasthttp::status::bad_request, placementQueryErrorJson(*error));
+        return makeResponse(beasthttp::status::ok,
+                            placementAnswerJson(flow_.explain(core::MonoClock::now(),
+                                                              std::get<PlacementQuery>(query))));
+    }
+
     HttpResponse metricsResponse()
     {
         const core::MonoTime now = core::MonoClock::now();
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -23,26 +23,6 @@
     return text.data();
 }
 
-/** @return The outcome of a request without a placement, in logs and metrics. */
-std::string_view placementFailureName(PlacementFailure reason)
-{
-    switch (reason) {
-    case PlacementFailure::NoUpstream:
-        return "no_upstream";
-    case PlacementFailure::LimitReached:
-        return "upstream_limit_reached";
-    case PlacementFailure::AllBusy:
-        return "all_upstreams_busy";
-    case PlacementFailure::TooLate:
-        return "deadline_too_close";
-    case PlacementFailure::NoAllowedRegion:
-        return "no_allowed_region";
-    case PlacementFailure::Evicted:
-        return "evicted";
-    }
-    return "no_upstream";
-}
-
 } // namespace
 
 RequestFlow::RequestFlow(Parts parts, RequestFlowOptions options, std::uint64_t seed)
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -7,6 +7,7 @@
 #include "placement/dispatcher_base.h"
 #include "placement/route_table_base.h"
 #include "proxy/exchange_func.h"
+#include "proxy/placement_query_func.h"
 #include "proxy/request_loop_base.h"
 
 #include <functional>
@@ -86,6 +87,8 @@
     void publishMetrics(core::MonoTime now);
     /** @return Number of requests that wait for an upstream. */
     std::size_t waiting() const { return dispatcher_.waiting(); }
+    /** @return What would happen to a request that arrives now, and why. Changes nothing. */
+    PlacementAnswer explain(core::MonoTime now, const PlacementQuery &query) const;
     /** Sets the gauge of the extra load by hedges, unless hedging is disabled. */
     void updateHedgeShare(core::MonoTime now);
 
--- a/src/table/exit_code_table.h
+++ b/src/table/exit_code_table.h
@@ -48,7 +48,7 @@
 };
 
 /// Error codes that are not listed map to ExitCode::Failed.
-inline constexpr std::array<ErrorExitRow, 14> errorExitTable {{
+inline constexpr std::array<ErrorExitRow, 18> errorExitTable {{
     {"usage", ExitCode::Usage},
     {"invalid_records", ExitCode::Invalid},
     {"unknown_schema_version", ExitCode::Invalid},
@@ -63,6 +63,10 @@
     {"store_outcome_unknown", ExitCode::OutcomeUnknown},
     {"store_behind", ExitCode::StoreBehind},
     {"store_rejected", ExitCode::Failed},
+    {"unknown_route", ExitCode::Invalid},
+    {"unknown_account", ExitCode::Invalid},
+    {"daemon_unreachable", ExitCode::Unavailable},
+    {"daemon_answer_unusable", ExitCode::Failed},
 }};
 
 /** @return The exit code for an error code of core::Error. */
--- a/src/table/tool_command_table.h
+++ b/src/table/tool_command_table.h
@@ -14,7 +14,7 @@
     std::string_view help;
 };
 
-inline constexpr std::array<ToolCommandRow, 14> toolCommandTable {{
+inline constexpr std::array<ToolCommandRow, 15> toolCommandTable {{
     {"account", "account create|change ID FIELD=VALUE... | show|withdraw ID | list",
      "Client accounts. An account can be withdrawn only after its keys and limit; use "
      "'apply' to withdraw them together."},
@@ -37,6 +37,11 @@
     {"status", "status", "Revision of the store and of every daemon in the VM list."},
     {"explain", "explain upstream|account|request ID",
      "Shows what every daemon knows and decided about an upstream, an account or a request."},
+    {"explain placement",
+     "explain placement HOST PATH [METHOD] --daemon=ADDRESS:PORT "
+     "[--account=ID] [--body_bytes=N]",
+     "Shows where a daemon would send a request now, and why, without sending it. The address is "
+     "the daemon's one for other VMs."},
     {"report", "report burn",
      "Error budget and burn rates over the fleet; --output table, json or svg."},
     {"restore", "restore",
--- a/src/tool/main.cpp
+++ b/src/tool/main.cpp
@@ -19,6 +19,9 @@
 DEFINE_int32(call_timeout_ms, 1000, "timeout of each call to a daemon, in milliseconds");
 DEFINE_string(change_id, "", "id of a change to repeat after an unknown outcome");
 DEFINE_bool(fleet_check, true, "ask the daemons whether the store is behind before writing");
+DEFINE_string(daemon, "", "address and port for other VMs of the daemon that explains a placement");
+DEFINE_string(account, "", "account of the request whose placement is explained");
+DEFINE_uint64(body_bytes, 0, "size of its body, in bytes");
 DECLARE_bool(help);
 
 namespace {
@@ -61,6 +64,9 @@
     options.callTimeout = core::Millis(FLAGS_call_timeout_ms);
     options.fleetCheck = FLAGS_fleet_check;
     options.changeId = FLAGS_change_id;
+    options.daemon = FLAGS_daemon;
+    options.account = FLAGS_account;
+    options.bodyBytes = FLAGS_body_bytes;
     options.pause = [](core::Millis pause) { std::this_thread::sleep_for(pause); };
     options.now = [] { return core::MonoClock::now(); };
     return options;
--- a/src/tool/tool_base.h
+++ b/src/tool/tool_base.h
@@ -5,6 +5,7 @@
 #include "config/accept_func.h"
 #include "tool/edit_func.h"
 #include "tool/output_func.h"
+#include "tool/placement_func.h"
 
 #include <fstream>
 #include <iterator>
@@ -199,10 +200,15 @@
 
     ExitCode runExplain(const std::vector<std::string> &words)
     {
+        if (!words.empty() && words[0] == "placement") {
+            explainPlacement(out_, options_, {words.begin() + 1, words.end()});
+            return ExitCode::Done;
+        }
         const bool valid = words.size() == 2
             && (words[0] == "upstream" || words[0] == "account" || words[0] == "request");
         if (!valid)
-            throw UsageError("expected 'explain upstream|account|request ID'");
+            throw UsageError("expected 'explain upstream|account|request ID' or "
+                             "'explain placement HOST PATH [METHOD]'");
         const auto answers =
             callFleet(transport_, source_.read().entryVms, "fleet.explain",
                       {{"subject", words[0]}, {"id", words[1]}}, options_.callTimeout);
--- a/src/tool/tool_type.h
+++ b/src/tool/tool_type.h
@@ -5,6 +5,7 @@
 #include "core/error_type.h"
 #include "table/exit_code_table.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -25,6 +26,9 @@
     core::Millis callTimeout {1'000};  ///< For each call to a daemon.
     bool fleetCheck = true;            ///< Whether to ask the daemons if the store is behind.
     std::string changeId;              ///< Id of a change to repeat; if empty, a new id is made.
+    std::string daemon;                ///< Address and port of the daemon that explains.
+    std::string account;               ///< Account of the request to explain; may be empty.
+    std::uint64_t bodyBytes = 0;       ///< Size of its body.
     std::function<void(core::Millis)> pause; ///< Sleeps; a test advances virtual time.
     std::function<core::MonoTime()> now;     ///< Returns the current time.
 };
--- a/tests/cmake/proxy.cmake
+++ b/tests/cmake/proxy.cmake
@@ -6,6 +6,7 @@
 teaselreach_test(proxy_hedge_policy_test SOURCES proxy/hedge_policy_test.cpp LIBS tr_placement)
 teaselreach_test(proxy_hedge_limit_test SOURCES proxy/hedge_limit_test.cpp LIBS tr_placement)
 teaselreach_test(proxy_placement_test SOURCES proxy/placement_test.cpp LIBS tr_placement)
+teaselreach_test(proxy_placement_explanation_test SOURCES proxy/placement_explanation_test.cpp LIBS tr_proxy)
 teaselreach_test(proxy_execution_evidence_test SOURCES proxy/execution_evidence_test.cpp LIBS tr_fleet)
 teaselreach_test(proxy_flow_test SOURCES proxy/flow_test.cpp LIBS tr_fleet)
 teaselreach_test(proxy_sync_test SOURCES proxy/sync_test.cpp LIBS tr_fleet)
--- a/tests/proxy/loop_daemon_test.cpp
+++ b/tests/proxy/loop_daemon_test.cpp
@@ -267,6 +267,29 @@
           != std::string::npos);
 }
 
+TEST_CASE("a question where a request would go is answered with an error, a key or nothing")
+{
+    RawServer upstream("127.0.0.1",
+                       [](const RawRequest &) { return RawReply {standins::okReply("x")}; });
+    DaemonFixture fixture;
+    fixture.addUpstream(upstream);
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.ready(); }));
+    const auto ask = [&](const std::string &parameters) {
+        return fixture.sendRequest(fixture.internalPort,
+                                   "GET /explain?" + parameters + " HTTP/1.1\r\nHost: x\r\n\r\n");
+    };
+    const std::string answer = ask("host=shop.example&path=/read/");
+    CHECK(answer.starts_with("200"));
+    CHECK(answer.find("\"upstream\":\"i-1\"") != std::string::npos);
+    CHECK(answer.find("\"decision\":\"sent\"") != std::string::npos);
+    CHECK(ask("host=shop.example&path=/read/&account=nobody").find("unknown_account")
+          != std::string::npos);
+    CHECK(ask("host=other.example&path=/read/").find("unknown_route") != std::string::npos);
+    CHECK(ask("host=shop.example").starts_with("400"));
+    CHECK(upstream.requests() == 0);
+}
+
 namespace {
 
 /** Times of a shutdown that a test can wait for. */
--- a/tests/unit/tool_test.cpp
+++ b/tests/unit/tool_test.cpp
@@ -1,6 +1,7 @@
 /** @file tool_test.cpp Tests of the tool's commands with a fake store and fake daemons. */
 #include "config/config_state_base.h"
 #include "standins/fake_store.h"
+#include "standins/raw_server.h"
 #include "table/exit_code_table.h"
 #include "tool/json_transport_base.h"
 #include "tool/tool_base.h"
@@ -274,3 +275,50 @@
     CHECK(fixture.output.find("rate_per_second") != std::string::npos);
     CHECK(fixture.output.find("exit codes") != std::string::npos);
 }
+
+TEST_CASE("explain placement does not tell a wrong question, an unknown route or account and an "
+          "unreachable daemon apart")
+{
+    std::string answer;
+    std::string status = "200 OK";
+    std::string asked;
+    standins::RawServer daemon("127.0.0.1", [&](const standins::RawRequest &request) {
+        asked = request.head.substr(0, request.head.find('\r'));
+        return standins::RawReply {.bytes = standins::okReply(answer, "", status), .close = true};
+    });
+    ToolFixture fixture;
+    const std::vector<std::string> words {"explain", "placement", "a.test", "/read/x"};
+    CHECK(fixture.run(words) == ExitCode::Usage); // No daemon is named.
+    fixture.options.daemon = "127.0.0.1:" + std::to_string(daemon.port());
+    fixture.options.account = "bakery";
+    CHECK(fixture.run({"explain", "placement", "a.test"}) == ExitCode::Usage);
+    answer = R"({"refusal":"unknown_route","services":[]})";
+    CHECK(fixture.run(words) == ExitCode::Invalid);
+    CHECK(fixture.output.find("no route") != std::string::npos);
+    CHECK(asked
+          == "GET /explain?host=a.test&path=/read/x&method=GET&bytes=0&account=bakery HTTP/1.1");
+    answer = R"({"refusal":"unknown_account","services":[]})";
+    CHECK(fixture.run(words) == ExitCode::Invalid);
+    CHECK(fixture.output.find("bakery") != std::string::npos);
+    answer = R"({"route":{"id":"r","idempotent":true,"max_attempts":2,"priority":0,)"
+             R"("allowed_regions":"any"},"account":{"limited":true,"counted":3,"allowed":9,)"
+             R"("retry_after_ms":0},"services":[{"service":"s","weight":1,"waiting":0,)"
+             R"("departures_per_second":0,"expected_wait_ms":0,"retry_budget_left":1,)"
+             R"("hedge_after_ms":null,"tie_width":0.02,"decision":"sent","upstream":"i-1",)"
+             R"("candidates":[{"upstream":"i-1","zone":"z","state":"selected","expected_ms":5,)"
+             R"("failure_estimate":0.1,"expected_loss":0.2,"trial":false}]}]})";
+    CHECK(fixture.run(words) == ExitCode::Done);
+    CHECK(fixture.output.find("sent to i-1") != std::string::npos);
+    CHECK(fixture.output.find("3 of 9") != std::string::npos);
+    fixture.options.output = tool::OutputFormat::Json;
+    CHECK(fixture.run(words) == ExitCode::Done);
+    CHECK(json::parse(fixture.output).at("services").size() == 1);
+    fixture.options.output = tool::OutputFormat::Table;
+    answer = "{}";
+    CHECK(fixture.run(words) == ExitCode::Failed);
+    status = "400 Bad Request";
+    answer = R"({"error":"invalid_parameter","parameter":"path","detail":"is wrong"})";
+    CHECK(fixture.run(words) == ExitCode::Usage);
+    fixture.options.daemon = "127.0.0.1:1";
+    CHECK(fixture.run(words) == ExitCode::Unavailable);
+}
