Feature: [Proxy] Accounts share the memory for message bodies

Cause: BodyBudget bounded all bodies of a process together. An account whose callers do not read their responses, or that uploads large bodies, could take all of it and kept taking what was freed. Change: each reservation names its account, found from the key before the body is read. While accounts with more than one short body compete, each holds at most an equal part, or one body; an account that was refused competes for 2 s more. Only where the contracts contain pressure. New log line body_refused, and teaselreach_body_bytes by account for the five largest.

--- a/src/proxy/body_budget.cpp
+++ b/src/proxy/body_budget.cpp
@@ -1,4 +1,5 @@
 /** @file body_budget.cpp Bounds the memory that message bodies take in one process. */
+#include "core/log_func.h"
 #include "proxy/body_budget_base.h"
 
 #include <malloc.h>
@@ -19,19 +20,39 @@
     , maxForLongBodies_(
           options.maxBytes
           - static_cast<std::size_t>(options.shortBodyPart * static_cast<double>(options.maxBytes)))
-{ }
+{
+    if (options.sharesByAccount)
+        shares_.emplace(BodySharesOptions {.freeBytes = options.shortBodyBytes});
+}
 
-bool BodyBudget::take(std::size_t more, std::size_t bodyBytes)
+bool BodyBudget::take(const core::ClientAccountId &account, std::size_t more, std::size_t bodyBytes)
 {
     const std::size_t limit = limitOf(bodyBytes);
-    if (taken_ > limit || more > limit - taken_)
+    const bool fits = taken_ <= limit && more <= limit - taken_;
+    if (!shares_) {
+        taken_ += fits ? more : 0;
+        return fits;
+    }
+    const core::MonoTime now = core::MonoClock::now();
+    if (!fits || !shares_->mayTake(now, account, more, bodyBytes, limit)) {
+        shares_->refused(now, account);
         return false;
+    }
+    shares_->taken(account, more);
     taken_ += more;
     return true;
 }
 
+void BodyBudget::giveBack(const core::ClientAccountId &account, std::size_t bytes)
+{
+    taken_ -= bytes;
+    if (shares_)
+        shares_->givenBack(account, bytes);
+}
+
 BodyReservation::BodyReservation(BodyReservation &&other) noexcept
     : budget_(std::move(other.budget_))
+    , account_(std::move(other.account_))
     , bytes_(std::exchange(other.bytes_, 0))
 { }
 
@@ -41,6 +62,7 @@
         return *this;
     release();
     budget_ = std::move(other.budget_);
+    account_ = std::move(other.account_);
     bytes_ = std::exchange(other.bytes_, 0);
     return *this;
 }
@@ -49,7 +71,7 @@
 {
     if (!budget_ || bodyBytes <= bytes_)
         return true;
-    if (!budget_->take(bodyBytes - bytes_, bodyBytes))
+    if (!budget_->take(account_, bodyBytes - bytes_, bodyBytes))
         return false;
     bytes_ = bodyBytes;
     return true;
@@ -59,10 +81,22 @@
 {
     if (!budget_ || bodyBytes >= bytes_)
         return;
-    budget_->giveBack(bytes_ - bodyBytes);
+    budget_->giveBack(account_, bytes_ - bodyBytes);
     bytes_ = bodyBytes;
 }
 
+void BodyReservation::logRefusal(std::size_t bodyBytes) const
+{
+    // Without shares by account the reader of the body alone logs that there is no room.
+    if (!budget_ || !budget_->sharesByAccount())
+        return;
+    core::logEvent(core::LogLevel::Info, "body_refused",
+                   {{"account", account_.str()},
+                    {"bytes", static_cast<std::int64_t>(bodyBytes)},
+                    {"held", static_cast<std::int64_t>(budget_->heldBy(account_))},
+                    {"held_by_all", static_cast<std::int64_t>(budget_->taken())}});
+}
+
 std::shared_ptr<BodyBudget> makeControlBudget()
 {
     constexpr std::size_t maxBytes = std::size_t {16} * 1024 * 1024;
--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -172,12 +172,18 @@
 /** Reads the body, if the process has room for it. */
 asio::awaitable<void> CallerSession::readBody(Reader &reader, ErrorCode &error)
 {
-    readingBody_ = BodyReservation(handlers_.budget);
+    const HttpRequest::header_type &header = reader.parser().get().base();
+    readingBody_ = BodyReservation(handlers_.budget,
+                                   handlers_.accountOf ? handlers_.accountOf(header)
+                                                       : core::ClientAccountId());
     reader.reserveStatedBody(readingBody_, error);
     while (!error && !reader.parser().is_done()) {
         bodyReadAt_ = core::MonoClock::now();
         co_await reader.readSome(readingBody_, error);
     }
+    if (error == asio::error::no_memory)
+        readingBody_.logRefusal(std::max<std::size_t>(reader.parser().content_length().value_or(0),
+                                                      reader.parser().get().body().size()));
     if (error)
         readingBody_.release();
 }
--- a/src/proxy/caller_session_base.h
+++ b/src/proxy/caller_session_base.h
@@ -65,6 +65,9 @@
     std::function<HttpResponse(RequestReadError)> errorResponse;
     /** Bounds the memory of request bodies; nullptr for no bound. */
     std::shared_ptr<BodyBudget> budget;
+    /** @return The account that holds the body of a request, empty for none. If the function is
+     * empty, no request has an account. */
+    std::function<core::ClientAccountId(const HttpRequest::header_type &)> accountOf = {};
 };
 
 /** One connection of a caller. Handles pipelined requests concurrently and sends the responses in
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -177,7 +177,8 @@
     return forwarded;
 }
 
-std::optional<std::string> apiKeyOf(const HttpRequest &request, const HeaderNames &names)
+std::optional<std::string> apiKeyOf(const HttpRequest::header_type &request,
+                                    const HeaderNames &names)
 {
     const auto field = request[beasthttp::field::authorization];
     const std::string_view value(field.data(), field.size());
--- a/src/proxy/exchange_func.h
+++ b/src/proxy/exchange_func.h
@@ -55,7 +55,8 @@
 HttpResponse toCallerResponse(HttpResponse response, const HeaderNames &names);
 
 /** @return The API key in the Authorization field, or nothing. */
-std::optional<std::string> apiKeyOf(const HttpRequest &request, const HeaderNames &names);
+std::optional<std::string> apiKeyOf(const HttpRequest::header_type &request,
+                                    const HeaderNames &names);
 
 /** @return How long the caller waits for the response, or nothing if the field does not begin with
  * a non-negative number. */
--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -238,7 +238,7 @@
     co_await beasthttp::async_write(socket_, request, captureError(error));
     // Read even if the write failed: a server may respond and close before it has read the request.
     ErrorCode readError;
-    co_await readResponse(result, request, filter, readError);
+    co_await readResponse(result, request, options, filter, readError);
     if (!readError)
         co_return result;
     result.detail = error ? error.message() : readError.message();
@@ -253,12 +253,13 @@
 
 asio::awaitable<void> HttpConnection::readResponse(ExchangeResult &result,
                                                    const HttpRequest &request,
+                                                   const ExchangeOptions &options,
                                                    const ResponseFilter &filter, ErrorCode &error)
 {
     CloseTimer unclearTimer(context_, socket_);
     int informational = 0;
     for (int skipped = 0; skipped <= maxSkippedResponses && informational <= maxInformational;) {
-        co_await readMessage(result, request, error);
+        co_await readMessage(result, request, options, error);
         if (error)
             co_return;
         if (!isFinalOrInterim(result.response)) {
@@ -288,12 +289,13 @@
 
 /** Reads one whole message. Sets an error if it is malformed or does not fit the limits. */
 asio::awaitable<void> HttpConnection::readMessage(ExchangeResult &result,
-                                                  const HttpRequest &request, ErrorCode &error)
+                                                  const HttpRequest &request,
+                                                  const ExchangeOptions &options, ErrorCode &error)
 {
     MessageReader<false> reader(socket_, buffer_, responseLimits);
     MessageReader<false>::Parser &parser = reader.parser();
     parser.skip(request.method() == beasthttp::verb::head);
-    result.body = BodyReservation(budget_);
+    result.body = BodyReservation(budget_, options.account);
     co_await reader.readHeader(error);
     // A body of a known length gets all of its room before it is read, so that two of them cannot
     // wait for what the other one holds.
--- a/src/proxy/http_connection_base.h
+++ b/src/proxy/http_connection_base.h
@@ -49,6 +49,7 @@
     core::Micros softTimeoutInterval {0}; ///< Time between further calls of mayAbandon.
     /** @return Whether to abandon the exchange because another attempt replaces it. */
     std::function<bool()> mayAbandon;
+    core::ClientAccountId account; ///< Holds the body of the response.
 };
 
 /** Cancels an exchange. */
@@ -109,9 +110,10 @@
 private:
     asio::awaitable<void> connect(core::Micros timeout, ErrorCode &error);
     asio::awaitable<void> readResponse(ExchangeResult &result, const HttpRequest &request,
-                                       const ResponseFilter &filter, ErrorCode &error);
+                                       const ExchangeOptions &options, const ResponseFilter &filter,
+                                       ErrorCode &error);
     asio::awaitable<void> readMessage(ExchangeResult &result, const HttpRequest &request,
-                                      ErrorCode &error);
+                                      const ExchangeOptions &options, ErrorCode &error);
     void updateKeepAlive(const HttpResponse &response);
 
     asio::io_context &context_;
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -111,13 +111,16 @@
 
     CallerHandlers callerHandlers()
     {
-        return {.serve =
-                    [this](std::shared_ptr<CallerExchange> exchange) {
-                        return flow_.serve(std::move(exchange));
-                    },
-                .limits = [this] { return sessionLimits(); },
-                .shouldClose = [this] { return flow_.phase() != core::Phase::Serving; },
-                .budget = options_.flow.bodies};
+        return {
+            .serve =
+                [this](std::shared_ptr<CallerExchange> exchange) {
+                    return flow_.serve(std::move(exchange));
+                },
+            .limits = [this] { return sessionLimits(); },
+            .shouldClose = [this] { return flow_.phase() != core::Phase::Serving; },
+            .budget = options_.flow.bodies,
+            .accountOf =
+                [this](const HttpRequest::header_type &header) { return flow_.accountOf(header); }};
     }
 
     CallerHandlers syncHandlers(std::function<HttpResponse(const HttpRequest &)> respond)
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -148,6 +148,13 @@
     return true;
 }
 
+core::ClientAccountId RequestFlow::accountOf(const HttpRequest::header_type &header) const
+{
+    const auto key = apiKeyOf(header, options_.names);
+    const Account *account = table_ && key ? table_->findAccount(*key) : nullptr;
+    return account == nullptr ? core::ClientAccountId() : account->id;
+}
+
 /** Finds the regions in which the request may be served. @return Whether there are any; it is
  * refused if route and account have no region in common. */
 bool RequestFlow::findRegions(Job &job)
--- a/src/proxy/request_flow_attempt.cpp
+++ b/src/proxy/request_flow_attempt.cpp
@@ -28,10 +28,12 @@
             .softTimeout = dispatcher_.softTimeout(now, job.request, placement),
             .softTimeoutInterval = options_.dispatch.softTimeoutInterval,
             // During shutdown, attempts in progress are completed.
-            .mayAbandon = [this, &job, upstream = placement.upstream] {
-                return phase_ == core::Phase::Serving
-                    && dispatcher_.grantAbandon(core::MonoClock::now(), job.request, upstream);
-            }};
+            .mayAbandon =
+                [this, &job, upstream = placement.upstream] {
+                    return phase_ == core::Phase::Serving
+                        && dispatcher_.grantAbandon(core::MonoClock::now(), job.request, upstream);
+                },
+            .account = job.request.account};
 }
 
 AttemptPlan RequestFlow::planAttempt(Job &job, const Placement &placement, core::MonoTime now)
@@ -159,7 +161,7 @@
                                                  core::MonoTime startedAt, const HttpRequest &sent)
 {
     const core::MonoTime now = core::MonoClock::now();
-    BodyReservation copy(options_.bodies);
+    BodyReservation copy(options_.bodies, job.request.account);
     HedgeDecision decision {.placement = std::nullopt, .denial = HedgeDenial::NoMemory};
     if (copy.extendTo(sent.body().size()))
         decision = grantHedge(job, first, now);
@@ -181,13 +183,14 @@
 AttemptPlan RequestFlow::planHedge(const Job &job, const Placement &placement, core::MonoTime now,
                                    const HttpRequest &sent) const
 {
-    AttemptPlan plan {
-        .target = {.address = placement.address, .port = placement.port},
-        .request = buildForwardRequest(job, placement, now),
-        .options = {.connectTimeout = options_.connectTimeout, .deadline = job.request.deadline},
-        .filter = {},
-        .cancelOnCallerLeft = true,
-        .bodyCopy = BodyReservation(options_.bodies)};
+    AttemptPlan plan {.target = {.address = placement.address, .port = placement.port},
+                      .request = buildForwardRequest(job, placement, now),
+                      .options = {.connectTimeout = options_.connectTimeout,
+                                  .deadline = job.request.deadline,
+                                  .account = job.request.account},
+                      .filter = {},
+                      .cancelOnCallerLeft = true,
+                      .bodyCopy = BodyReservation(options_.bodies, job.request.account)};
     plan.bodyCopy.extendTo(sent.body().size()); // placeHedge() has found room for it.
     plan.filter = responseFilter(sent);
     plan.request.body() = sent.body();
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -6,6 +6,7 @@
 #include "placement/account_rate_limiter_base.h"
 #include "placement/dispatcher_base.h"
 #include "placement/route_table_base.h"
+#include "proxy/body_gauges_base.h"
 #include "proxy/exchange_func.h"
 #include "proxy/placement_query_func.h"
 #include "proxy/request_loop_base.h"
@@ -85,6 +86,8 @@
     void closeStaleConnections(core::MonoTime now) { loop_.closeStaleConnections(now); }
     /** Sets the metrics of the retry budgets and of the queues. */
     void publishMetrics(core::MonoTime now);
+    /** @return The account of a request's key; empty without one. */
+    core::ClientAccountId accountOf(const HttpRequest::header_type &header) const;
     /** @return Number of requests that wait for an upstream. */
     std::size_t waiting() const { return dispatcher_.waiting(); }
     /** @return What would happen to a request that arrives now, and why. Changes nothing. */
@@ -157,6 +160,7 @@
     std::mt19937_64 random_; ///< For the jitter of Retry-After.
     std::shared_ptr<const RouteTable> table_;
     core::Phase phase_ = core::Phase::Serving;
+    BodyGauges bodyGauges_;
     std::optional<core::MonoTime> lastResponseAt_; ///< Set while this VM shuts down.
 };
 
--- a/src/proxy/request_flow_report.cpp
+++ b/src/proxy/request_flow_report.cpp
@@ -33,6 +33,8 @@
                                      static_cast<double>(waiting));
             parts_.registry.setGauge("teaselreach_queue_departures_per_second", labels, perSecond);
         });
+    if (options_.bodies)
+        bodyGauges_.publish(*options_.bodies, parts_.registry);
 }
 
 void RequestFlow::hedgeEnded(Job &job, HedgeOutcome outcome, const HedgedAttempt<Placement> &first,
--- a/tests/proxy/flow_fixture.h
+++ b/tests/proxy/flow_fixture.h
@@ -128,7 +128,11 @@
                                                  .idleTimeout = idleTimeout};
                        },
                    .shouldClose = [this] { return flow_.phase() != core::Phase::Serving; },
-                   .budget = bodies_})
+                   .budget = bodies_,
+                   .accountOf =
+                       [this](const HttpRequest::header_type &header) {
+                           return flow_.accountOf(header);
+                       }})
         , workGuard_(context_.get_executor())
     {
         shares_.setShares(1, 1);
@@ -218,6 +222,13 @@
         const std::size_t at = text.find("\n" + name + " ");
         return at == std::string::npos ? 0 : std::stod(text.substr(at + name.size() + 2));
     }
+    /** @return Bytes that an account holds for bodies. */
+    std::size_t bodyBytesOf(const core::ClientAccountId &account)
+    {
+        std::size_t bytes = 0;
+        onLoop([&] { bytes = bodies_->heldBy(account); });
+        return bytes;
+    }
     RequestFlow &flow() { return flow_; }
     AccountRateLimiter &shares() { return shares_; }
 
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -112,6 +112,19 @@
     CHECK_THROWS_AS(isPaced(R"("contracts": "pressure", )"), PlatformSettingsInvalid);
 }
 
+// Failure guarded against: a deployment that does not ask for shares of the body memory gets them.
+TEST_CASE("accounts share the body memory only if the contracts contain pressure")
+{
+    const auto hasShares = [](const std::string &contracts) {
+        std::string text = settingsText;
+        text.insert(1, contracts);
+        return parsePlatformSettings(text).daemon.flow.bodies->sharesByAccount();
+    };
+    CHECK(!hasShares(""));
+    CHECK(!hasShares(R"("contracts": ["regions"], )"));
+    CHECK(hasShares(R"("contracts": ["pressure"], )"));
+}
+
 TEST_CASE("unreadable, incomplete and missing settings are rejected")
 {
     const auto without = [](const std::string &part) {
