Feature: [Soak] Home regions and evacuations with the checks region, evacuation and failback

Cause: the soak had one region, and neither home regions nor evacuations; a daemon that sent requests abroad or into an evacuated zone passed. Change: three zones in two regions. Each configuration draws the home regions of two routes and one account anew; each zone is evacuated again and again. The ledger knows for each request the daemon it was sent to and the oldest version that the daemon may still apply, and checks where it arrives and runs. The zone of an upstream no longer depends on its port.

--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -1,6 +1,9 @@
 /** @file ledger.cpp Records requests, runs and responses, and finds violations. */
 #include "ledger_base.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace teaselreach::soak {
 
 namespace {
@@ -65,6 +68,71 @@
     window.clear(); // Each excess is one violation, not each request of it.
 }
 
+void Ledger::ranIn(const std::string &id, const std::string &account, const SoakZone &zone)
+{
+    const auto request = requests_.find(id);
+    if (request == requests_.end())
+        return; // Reported as unasked.
+    const RequestOrigin &origin = request->second.origin;
+    const auto allows = [&](const HomeRegions &homes, const std::string &name) {
+        const auto home = homes.find(name);
+        return home == homes.end() || home->second == zone.region;
+    };
+    for (std::size_t version = origin.oldestVersion; version < homes_.size(); ++version) {
+        if (allows(homes_[version], origin.route) && allows(homes_[version], account))
+            return;
+    }
+    broken("region",
+           id + " of route " + origin.route + " and account " + account + " ran in " + zone.name
+               + ", allowed by no version from " + std::to_string(origin.oldestVersion) + " to "
+               + std::to_string(homes_.size()));
+}
+
+void Ledger::evacuated(core::MonoTime now, const std::string &zone)
+{
+    evacuatedSince_[zone] = now;
+    failbacks_.erase(zone);
+}
+
+void Ledger::evacuationEnded(core::MonoTime now, const std::string &zone)
+{
+    evacuatedSince_.erase(zone);
+    failbacks_[zone] = {.endedAt = now};
+}
+
+void Ledger::arrivedIn(core::MonoTime now, const std::string &id, const std::string &zone,
+                       core::MonoTime heldUntil)
+{
+    failbacks_.erase(zone);
+    const auto evacuation = evacuatedSince_.find(zone);
+    if (evacuation == evacuatedSince_.end())
+        return;
+    const auto request = requests_.find(id);
+    if (request == requests_.end())
+        return; // Reported as unasked if it runs.
+    const int daemon = request->second.origin.daemon;
+    const core::MonoTime knownFrom =
+        std::max({evacuation->second, daemonFaults_[daemon], heldUntil});
+    if (now - knownFrom > evacuationBound)
+        broken("evacuation",
+               id + " of daemon " + std::to_string(daemon) + " reached evacuated " + zone);
+}
+
+void Ledger::demanded(core::MonoTime now, const std::string &zone)
+{
+    const auto found = failbacks_.find(zone);
+    if (found == failbacks_.end())
+        return;
+    Failback &failback = found->second;
+    const core::Micros gap = now - std::exchange(failback.lastDemandAt, now);
+    if (gap <= longestDemandGap)
+        failback.demand += gap;
+    if (failback.demand < failbackDemand || now - failback.endedAt <= failbackBound)
+        return;
+    broken("failback", zone + " has got no requests since its evacuation ended");
+    failbacks_.erase(found); // Each evacuation is one violation, not each request after it.
+}
+
 void Ledger::answered(const std::string &id, int status, const std::string &body, bool sealed)
 {
     Entry &entry = requests_[id];
--- a/soak/ledger_base.h
+++ b/soak/ledger_base.h
@@ -41,6 +41,33 @@
 inline constexpr double coldAllowed = 1.5 * coldPerSecond + 8;
 inline constexpr core::Seconds coldWindow {1};
 
+/** An availability zone and its region. */
+struct SoakZone
+{
+    std::string name;
+    std::string region;
+};
+
+/** Regions in which requests may run, by route or account; any region without an entry. */
+using HomeRegions = std::map<std::string, std::string>;
+
+/** How a request enters the fleet. */
+struct RequestOrigin
+{
+    int daemon = 0;                ///< Number of the daemon to which the caller sends it.
+    std::string route;             ///< Name in HomeRegions.
+    std::size_t oldestVersion = 0; ///< Oldest configuration that the daemon may still apply.
+};
+
+/** Time after which no request reaches an evacuated zone. */
+inline constexpr core::Seconds evacuationBound {5};
+/** Time after the end of an evacuation within which the zone receives requests. */
+inline constexpr core::Seconds failbackBound {15};
+/** Time of demand within the bound that suffices for it; the steps of the return take 3 s. */
+inline constexpr core::Seconds failbackDemand {5};
+/** Longest pause between two requests that counts as demand. */
+inline constexpr core::Seconds longestDemandGap {1};
+
 /** Records events and checks each one when it is recorded. Not thread-safe. */
 class Ledger
 {
@@ -50,6 +77,28 @@
     /** An upstream starts to run a request. @param keyWasPassedOn Whether it got an API key. */
     void ran(core::MonoTime now, const std::string &id, const std::string &account,
              bool keyWasPassedOn);
+    /** The operators write a version of the configuration; versions are numbered from 0. */
+    void configuredHomes(HomeRegions homes) { homes_.push_back(std::move(homes)); }
+    /** Adds how a request that was sent enters the fleet. */
+    void sentTo(const std::string &id, const RequestOrigin &origin)
+    {
+        requests_[id].origin = origin;
+    }
+    /** A request runs in a zone. It may have met any version since the oldest of its origin. */
+    void ranIn(const std::string &id, const std::string &account, const SoakZone &zone);
+    /** The store has accepted the evacuation of a zone. */
+    void evacuated(core::MonoTime now, const std::string &zone);
+    /** The key of an evacuated zone is removed. */
+    void evacuationEnded(core::MonoTime now, const std::string &zone);
+    /** A daemon or its contact to the store has a fault, or a fault ends. */
+    void daemonFault(core::MonoTime now, int daemon) { daemonFaults_[daemon] = now; }
+    /** A request reaches an upstream. @param heldUntil When the last cut of the upstream's path
+     * ended; the requests that it held arrive then. */
+    void arrivedIn(core::MonoTime now, const std::string &id, const std::string &zone,
+                   core::MonoTime heldUntil);
+    /** A caller in a zone with an upstream that accepts requests sends one that may run anywhere,
+     * to a daemon of the zone that is in contact with the store. */
+    void demanded(core::MonoTime now, const std::string &zone);
     /** A request that is not refused as misdirected arrived at a cold upstream. */
     void arrivedCold(core::MonoTime now, const std::string &upstream);
     /** A caller received a response. @param sealed Whether it carries an upstream's seal. */
@@ -78,12 +127,24 @@
         bool idempotent = false;
         int runs = 0;
         bool refusedAsNotRun = false;
+        RequestOrigin origin;
+    };
+    /** Demand in a zone since its evacuation ended, until the first request. */
+    struct Failback
+    {
+        core::MonoTime endedAt {};
+        core::MonoTime lastDemandAt {};
+        core::Micros demand {0};
     };
 
     std::map<std::string, Entry> requests_;
     std::map<std::string, SoakAccount> accounts_;
     std::map<std::string, std::deque<core::MonoTime>> recentRuns_;
     std::map<std::string, std::deque<core::MonoTime>> coldArrivals_; ///< By upstream.
+    std::vector<HomeRegions> homes_;                                 ///< By version.
+    std::map<std::string, core::MonoTime> evacuatedSince_;           ///< By zone.
+    std::map<std::string, Failback> failbacks_;                      ///< By zone.
+    std::map<int, core::MonoTime> daemonFaults_; ///< The last one of each daemon.
     std::map<std::string, int> outcomes_;
     std::vector<Violation> violations_;
 };
--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -36,6 +36,17 @@
 constexpr core::Seconds callerTimeout {3};
 /** Time after the last request in which the outstanding responses arrive. */
 constexpr core::Seconds completionTime {4};
+/** Calm before an evacuation and length of one, in milliseconds. Some end before the bound of the
+ * check, and some calms are longer than that of the failback. */
+constexpr std::uint64_t longestCalmMs = 30000;
+constexpr std::uint64_t longestEvacuationMs = 12000;
+/** The first two zones share a region, so that requests with home regions have other upstreams
+ * there while one of the zones is evacuated. */
+const std::array<SoakZone, 3> zones {{{"z0", "r0"}, {"z1", "r0"}, {"z2", "r1"}}};
+/** Name of the routes with home regions in HomeRegions; they start with "/home-". */
+const std::string homeRoute = "home";
+/** Number of an account with home regions. */
+constexpr std::size_t homeAccount = 2;
 
 /** @return A key that an account has in one version of the configuration only. */
 std::string versionKey(const std::string &account, std::int64_t version)
@@ -58,14 +69,16 @@
     , random_(options_.seed)
     , storePort_(standins::freePort(loopback))
     , store_(context_, storePort_)
-    , accounts_ {{"bakery", "key-bakery", 90, 90}, {"clinic", "key-clinic", 5, 5}}
+    , accounts_ {{"bakery", "key-bakery", 90, 90},
+                 {"clinic", "key-clinic", 5, 5},
+                 {"notary", "key-notary", 40, 40}}
 {
     for (const SoakAccount &account : accounts_)
         ledger_.configured(account);
     for (int i = 0; i < options_.upstreams; ++i) {
         const std::uint16_t port = standins::freePort(loopback);
-        upstreams_.push_back(std::make_unique<SoakUpstream>(context_, "i-" + std::to_string(i),
-                                                            port, ledger_, random_()));
+        upstreams_.push_back(std::make_unique<SoakUpstream>(
+            context_, "i-" + std::to_string(i), zones[i % zones.size()], port, ledger_, random_()));
         upstreamPorts_.push_back(standins::freePort(loopback));
         upstreamPaths_.push_back(std::make_unique<standins::Relay>(
             standins::ListenOptions {.address = loopback, .port = upstreamPorts_.back()},
@@ -89,15 +102,18 @@
 void SoakSite::writeSettings(int index, Vm &vm, std::uint16_t storePort)
 {
     const std::string name = "vm-" + std::to_string(index);
-    const std::string zone = "z" + std::to_string(index % 3);
+    const SoakZone &zone = zones[index % zones.size()];
+    json regionOfZone;
+    for (const SoakZone &entry : zones)
+        regionOfZone[entry.name] = entry.region;
     vm.callerPort = standins::freePort(loopback);
     vm.directoryPort = standins::freePort(loopback);
     const auto address = [](std::uint16_t port) { return loopback + ":" + std::to_string(port); };
     const json settings {{"nodeName", name},
                          {"ip", loopback},
-                         {"zone", zone},
-                         {"region", "r0"},
-                         {"zones", {{"z0", "r0"}, {"z1", "r0"}, {"z2", "r0"}}},
+                         {"zone", zone.name},
+                         {"region", zone.region},
+                         {"zones", regionOfZone},
                          {"listen",
                           {{"front", address(vm.callerPort)},
                            {"readiness", address(standins::freePort(loopback))},
@@ -118,20 +134,33 @@
 void SoakSite::writeConfiguration()
 {
     ++version_;
-    versionAt_ = core::MonoClock::now();
+    versionTimes_.push_back(core::MonoClock::now());
+    HomeRegions homes;
+    for (const std::string &name : {homeRoute, accounts_[homeAccount].name}) {
+        const std::size_t draw = random_() % zones.size();
+        if (draw > 0)
+            homes[name] = zones[draw].region; // The regions are those of the last two zones.
+    }
+    const auto allowedRegions = [&](const std::string &name) {
+        return homes.contains(name) ? json {homes[name]} : json::array();
+    };
     json routes = json::array();
     const auto addRoute = [&](const std::string &prefix, const char *kind) {
-        routes.push_back({{"name", "r" + prefix},
-                          {"host", "soak.example"},
-                          {"prefix", prefix},
-                          {"kind", kind},
-                          {"timeout", "1500ms"},
-                          {"targetLatency", "500ms"},
-                          {"maxAttempts", 2},
-                          {"service", "work"}});
+        routes.push_back(
+            {{"name", "r" + prefix},
+             {"host", "soak.example"},
+             {"prefix", prefix},
+             {"kind", kind},
+             {"timeout", "1500ms"},
+             {"targetLatency", "500ms"},
+             {"maxAttempts", 2},
+             {"allowedRegions", allowedRegions(prefix.starts_with("/home-") ? homeRoute : "")},
+             {"service", "work"}});
     };
     addRoute("/read/", "idempotent");
     addRoute("/book/", "non_idempotent");
+    addRoute("/home-read/", "idempotent");
+    addRoute("/home-book/", "non_idempotent");
     // Each version adds a route, so that a request shows whether a daemon has applied the version.
     for (std::int64_t version = 1; version <= version_; ++version)
         addRoute("/version-" + std::to_string(version) + "/", "idempotent");
@@ -140,7 +169,9 @@
         tenants.push_back({{"name", account.name},
                            {"apiKeys", {account.key, versionKey(account.name, version_)}},
                            {"ratePerS", account.ratePerSecond},
-                           {"burst", account.burst}});
+                           {"burst", account.burst},
+                           {"allowedRegions", allowedRegions(account.name)}});
+    ledger_.configuredHomes(std::move(homes));
     store_.put(
         "op/config",
         json {{"version", version_},
@@ -162,7 +193,7 @@
     store_.put("servers/" + upstreams_[index]->id(),
                json {{"service", "work"},
                      {"address", loopback + ":" + std::to_string(port)},
-                     {"zone", "z" + std::to_string(port % 3)},
+                     {"zone", upstreams_[index]->zone().name},
                      {"slots", 4},
                      {"state", draining ? "draining" : "ready"},
                      {"warmupLeft",
@@ -191,11 +222,82 @@
     const core::MonoTime now = core::MonoClock::now();
     storeFaultAt_ = now;
     for (Vm &vm : vms_)
-        vm.lastFaultAt = now;
+        recordFault(vm);
     for (const auto &upstream : upstreams_)
         upstream->restartDrainTimer(now);
 }
 
+/** Records a fault of a daemon, or its end, for the checks that it excuses. */
+void SoakSite::recordFault(Vm &vm)
+{
+    vm.lastFaultAt = core::MonoClock::now();
+    ledger_.daemonFault(vm.lastFaultAt, static_cast<int>(&vm - vms_.data()));
+}
+
+/** @return Whether a daemon and the store have had no fault for so long that the daemon must know
+ * what the store holds. */
+bool SoakSite::isSettled(const Vm &vm, core::MonoTime now) const
+{
+    return now - vm.lastOwnFaultAt > settleTime && now - storeFaultAt_ > storeSettleTime;
+}
+
+/** @return The oldest version of the configuration, from 0, that a daemon may apply to a request
+ * that it gets now. */
+std::size_t SoakSite::oldestVersion(Vm &vm, core::MonoTime now) const
+{
+    if (std::exchange(vm.settledStart, vm.process->starts()) != vm.settledStart)
+        vm.settledVersion = 0;
+    const auto inForce =
+        std::count_if(versionTimes_.begin(), versionTimes_.end(), [&](core::MonoTime acceptedAt) {
+            return now - acceptedAt > configurationBound;
+        });
+    if (isSettled(vm, now) && inForce > 0)
+        vm.settledVersion = static_cast<std::size_t>(inForce) - 1;
+    return vm.settledVersion;
+}
+
+/** Records that a caller is about to send a request to a daemon. */
+void SoakSite::recordSent(const std::string &id, const std::string &key, bool idempotent, Vm &vm,
+                          const std::string &route)
+{
+    ledger_.sent(id, key, idempotent);
+    ledger_.sentTo(id,
+                   {.daemon = static_cast<int>(&vm - vms_.data()),
+                    .route = route,
+                    .oldestVersion = oldestVersion(vm, core::MonoClock::now())});
+}
+
+/** Records a request that may run anywhere as demand in the zone of its daemon, if the daemon is in
+ * contact and an upstream there accepts requests. */
+void SoakSite::recordDemand(const Vm &vm)
+{
+    const std::string &zone = zones[(&vm - vms_.data()) % zones.size()].name;
+    const bool hasUpstream =
+        std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto &upstream) {
+            return upstream->zone().name == zone && !upstream->isDraining();
+        });
+    const core::MonoTime now = core::MonoClock::now();
+    if (hasUpstream && isSettled(vm, now))
+        ledger_.demanded(now, zone);
+}
+
+/** Evacuates a zone for a while, again and again. */
+proxy::asio::awaitable<void> SoakSite::evacuateRepeatedly(std::string zone)
+{
+    co_await sleepFor(startupTime);
+    const std::string key = std::string(platform::evacuationPrefix) + zone;
+    while (true) {
+        co_await sleepFor(core::Millis(random_() % longestCalmMs));
+        recordEvent(zone + " is evacuated");
+        store_.put(key, "{}");
+        ledger_.evacuated(core::MonoClock::now(), zone);
+        co_await sleepFor(core::Millis(random_() % longestEvacuationMs));
+        recordEvent(zone + " is no longer evacuated");
+        store_.remove(key);
+        ledger_.evacuationEnded(core::MonoClock::now(), zone);
+    }
+}
+
 const Ledger &SoakSite::run()
 {
     end_ = core::MonoClock::now() + startupTime + options_.length;
@@ -206,6 +308,8 @@
     spawn(generateRequests());
     spawn(probeVersions());
     spawn(injectFaults());
+    for (const SoakZone &zone : zones)
+        spawn(evacuateRepeatedly(zone.name));
     spawn(stopLoopAfter(context_, startupTime + options_.length + completionTime));
     context_.run();
     for (Vm &vm : vms_) {
@@ -266,9 +370,9 @@
 proxy::asio::awaitable<std::uint16_t> SoakSite::resolveDaemonPort()
 {
     const Vm &vm = vms_[random_() % vms_.size()];
-    const ExchangeResult result =
-        co_await sendRequest(vm.directoryPort, "GET",
-                             "/resolve?region=r0&zone=z" + std::to_string(random_() % 3), "", "");
+    const SoakZone &zone = zones[random_() % zones.size()];
+    const ExchangeResult result = co_await sendRequest(
+        vm.directoryPort, "GET", "/resolve?region=" + zone.region + "&zone=" + zone.name, "", "");
     if (result.failure != ExchangeFailure::None || result.response.result_int() != 200)
         co_return 0;
     const json answer = json::parse(result.response.body());
@@ -291,24 +395,30 @@
 proxy::asio::awaitable<void> SoakSite::sendOneRequest(std::uint64_t number)
 {
     const std::uint16_t port = co_await resolveDaemonPort();
-    if (port == 0)
+    const auto vm = std::find_if(vms_.begin(), vms_.end(),
+                                 [&](const Vm &entry) { return entry.callerPort == port; });
+    if (vm == vms_.end())
         co_return;
     const bool idempotent = number % 3 == 0;
-    const SoakAccount &account = accounts_[number % 6 == 5 ? 1 : 0];
+    const std::size_t payer = number % 6 == 5 ? 1 : number % 6 == 2 ? homeAccount : 0;
+    const SoakAccount &account = accounts_[payer];
+    const bool hasHome = number / 6 % 3 == 0;
     const std::string id = "a" + std::to_string(number);
-    ledger_.sent(id, account.key, idempotent);
+    recordSent(id, account.key, idempotent, *vm, hasHome ? homeRoute : "");
+    if (!hasHome && payer == 0)
+        recordDemand(*vm);
     const core::MonoTime startedAt = core::MonoClock::now();
-    const ExchangeResult result = co_await sendRequest(
-        port, idempotent ? "GET" : "POST", idempotent ? "/read/x" : "/book/x", id, account.key);
+    const ExchangeResult result = co_await sendRequest(port, idempotent ? "GET" : "POST",
+                                                       std::string(hasHome ? "/home-" : "/")
+                                                           + (idempotent ? "read/x" : "book/x"),
+                                                       id, account.key);
     if (result.failure == ExchangeFailure::None) {
         ledger_.answered(id, static_cast<int>(result.response.result_int()), result.response.body(),
                          result.response.count(platform::headerNames().seal) > 0);
         co_return;
     }
-    const auto vm = std::find_if(vms_.begin(), vms_.end(),
-                                 [&](const Vm &entry) { return entry.callerPort == port; });
     // A closed connection counts only if the last fault of the daemon was a recent SIGTERM.
-    const bool onlyTerminated = vm != vms_.end() && vm->terminatedAt == vm->lastFaultAt
+    const bool onlyTerminated = vm->terminatedAt == vm->lastFaultAt
         && vm->terminatedAt + core::Seconds(3) > startedAt && vm->terminatedAt != core::MonoTime();
     if (result.failure == ExchangeFailure::Broken && onlyTerminated)
         ledger_.closedByShutdown(id);
@@ -322,11 +432,11 @@
         co_await sleepFor(core::Millis(60));
         Vm &vm = vms_[number % vms_.size()];
         const std::int64_t version = version_;
-        const core::MonoTime writtenAt = versionAt_;
+        const core::MonoTime writtenAt = versionTimes_.back();
         const core::MonoTime askedAt = core::MonoClock::now();
         const int start = vm.process->starts();
         const std::string id = "p" + std::to_string(number++);
-        ledger_.sent(id, accounts_.front().key, true);
+        recordSent(id, accounts_.front().key, true, vm);
         const ExchangeResult result =
             co_await sendRequest(vm.callerPort, "GET", "/version-" + std::to_string(version) + "/",
                                  id, accounts_.front().key);
@@ -337,9 +447,7 @@
         if (unknown && start == vm.newestServedStart && version <= vm.newestServedVersion)
             ledger_.broken("configuration",
                            "a daemon went back to before version " + std::to_string(version));
-        const bool calm =
-            askedAt - vm.lastOwnFaultAt > settleTime && askedAt - storeFaultAt_ > storeSettleTime;
-        const bool settled = calm && askedAt - writtenAt > configurationBound;
+        const bool settled = isSettled(vm, askedAt) && askedAt - writtenAt > configurationBound;
         if (unknown && settled)
             ledger_.broken("configuration",
                            "version " + std::to_string(version) + " is not in force in time");
@@ -354,11 +462,11 @@
 }
 
 /** Sends a request with the key of an earlier version to a daemon that must know a later one. */
-proxy::asio::awaitable<void> SoakSite::probeWithdrawnKey(const Vm &vm, std::int64_t version)
+proxy::asio::awaitable<void> SoakSite::probeWithdrawnKey(Vm &vm, std::int64_t version)
 {
     const SoakAccount &account = accounts_.front();
     const std::string id = "w" + std::to_string(lastKeyProbe_++);
-    ledger_.sent(id, account.key, true);
+    recordSent(id, account.key, true, vm);
     const ExchangeResult result = co_await sendRequest(vm.callerPort, "GET", "/read/x", id,
                                                        versionKey(account.name, version));
     if (result.failure == ExchangeFailure::None && result.response.result_int() == 200)
@@ -402,7 +510,8 @@
         co_return;
     }
     const core::Millis time(200 + random_() % 2500);
-    vm.lastFaultAt = vm.lastOwnFaultAt = core::MonoClock::now();
+    recordFault(vm);
+    vm.lastOwnFaultAt = vm.lastFaultAt;
     if (kind == 2)
         vm.terminatedAt = vm.lastFaultAt;
     constexpr std::array<const char *, 4> names {"killed", "frozen", "terminated",
@@ -425,8 +534,10 @@
     }
     if (kind == 3)
         vm.storePath->setCuts({});
-    if (kind != 2)
-        vm.lastFaultAt = vm.lastOwnFaultAt = core::MonoClock::now();
+    if (kind != 2) {
+        recordFault(vm);
+        vm.lastOwnFaultAt = vm.lastFaultAt;
+    }
     for (const auto &upstream : upstreams_)
         upstream->restartDrainTimer(core::MonoClock::now());
     vm.process->start();
@@ -490,6 +601,7 @@
     upstreamPaths_[index]->setCuts({});
     upstreams_[index]->restartDrainTimer(core::MonoClock::now());
     upstreams_[index]->excuseColdArrivals(core::MonoClock::now());
+    upstreams_[index]->pathHealed(core::MonoClock::now());
 }
 
 /** Writes the entry of a cold upstream until it is warm. */
--- a/soak/soak_site_base.h
+++ b/soak/soak_site_base.h
@@ -55,10 +55,19 @@
         core::MonoTime terminatedAt {};       ///< Last SIGTERM.
         std::int64_t newestServedVersion = 0; ///< Newest version served since its start.
         int newestServedStart = 0;            ///< Start count to which newestServedVersion belongs.
+        std::size_t settledVersion = 0; ///< Version that it must have applied since its start.
+        int settledStart = 0;           ///< Start count to which settledVersion belongs.
     };
 
     void writeSettings(int index, Vm &vm, std::uint16_t storePort);
     void writeConfiguration();
+    bool isSettled(const Vm &vm, core::MonoTime now) const;
+    std::size_t oldestVersion(Vm &vm, core::MonoTime now) const;
+    void recordSent(const std::string &id, const std::string &key, bool idempotent, Vm &vm,
+                    const std::string &route = "");
+    void recordDemand(const Vm &vm);
+    void recordFault(Vm &vm);
+    proxy::asio::awaitable<void> evacuateRepeatedly(std::string zone);
     void writeUpstream(std::size_t index, bool draining);
     proxy::asio::awaitable<void> sleepFor(core::Micros time);
     proxy::asio::awaitable<void> expireStoreLeases();
@@ -66,7 +75,7 @@
     proxy::asio::awaitable<void> generateRequests();
     proxy::asio::awaitable<void> sendOneRequest(std::uint64_t number);
     proxy::asio::awaitable<void> probeVersions();
-    proxy::asio::awaitable<void> probeWithdrawnKey(const Vm &vm, std::int64_t version);
+    proxy::asio::awaitable<void> probeWithdrawnKey(Vm &vm, std::int64_t version);
     proxy::asio::awaitable<std::uint16_t> resolveDaemonPort();
     proxy::asio::awaitable<proxy::ExchangeResult>
     sendRequest(std::uint16_t port, const std::string &method, const std::string &path,
@@ -94,8 +103,8 @@
     std::vector<SoakAccount> accounts_;
     std::int64_t version_ = 0;
     std::uint64_t lastKeyProbe_ = 0;
-    core::MonoTime versionAt_ {};
-    core::MonoTime storeFaultAt_ {}; ///< Start or end of the last fault of the store.
+    std::vector<core::MonoTime> versionTimes_; ///< When the store accepted versions 1, 2, ...
+    core::MonoTime storeFaultAt_ {};           ///< Start or end of the last fault of the store.
     core::MonoTime end_ {};
     std::vector<std::string> timeline_;
 };
--- a/soak/soak_upstream.cpp
+++ b/soak/soak_upstream.cpp
@@ -44,10 +44,11 @@
 
 } // namespace
 
-SoakUpstream::SoakUpstream(proxy::asio::io_context &context, std::string id, std::uint16_t port,
-                           Ledger &ledger, std::uint64_t seed)
+SoakUpstream::SoakUpstream(proxy::asio::io_context &context, std::string id, SoakZone zone,
+                           std::uint16_t port, Ledger &ledger, std::uint64_t seed)
     : context_(context)
     , id_(std::move(id))
+    , zone_(std::move(zone))
     , ledger_(ledger)
     , random_(seed)
     , acceptor_(context, {proxy::asio::ip::make_address_v4(soakAddress()), port})
@@ -155,6 +156,9 @@
                                                  const proxy::HttpRequest &request)
 {
     const proxy::HeaderNames names = platform::headerNames();
+    const core::MonoTime now = core::MonoClock::now();
+    ledger_.arrivedIn(now, std::string(proxy::fieldValue(request, names.attemptId)), zone_.name,
+                      pathHealedAt_);
     if (proxy::fieldValue(request, names.targetUpstream) != id_) {
         const std::string id(proxy::fieldValue(request, names.attemptId));
         const std::string refusal =
@@ -164,7 +168,6 @@
             writeSoon(connection, refusal);
         co_return;
     }
-    const core::MonoTime now = core::MonoClock::now();
     if (now < warmAt_ && now >= coldExcusedUntil_)
         ledger_.arrivedCold(now, id_);
     for (const UpstreamStep step : chooseBehaviour().steps) {
@@ -180,8 +183,10 @@
     const std::string id(proxy::fieldValue(request, names.attemptId));
     if (drainingSince_ && core::MonoClock::now() - *drainingSince_ > drainBound)
         ledger_.broken("drain", id + " reached " + id_ + ", which has been leaving for too long");
-    ledger_.ran(core::MonoClock::now(), id, std::string(proxy::fieldValue(request, names.account)),
+    const std::string account(proxy::fieldValue(request, names.account));
+    ledger_.ran(core::MonoClock::now(), id, account,
                 request.count(proxy::beasthttp::field::authorization) > 0);
+    ledger_.ranIn(id, account, zone_);
 }
 
 /** Writes a response unless the connection is closed. */
--- a/soak/soak_upstream_base.h
+++ b/soak/soak_upstream_base.h
@@ -19,8 +19,8 @@
 {
 public:
     /** @param port Port on soakAddress(). @param ledger Records runs. @param seed For faults. */
-    SoakUpstream(proxy::asio::io_context &context, std::string id, std::uint16_t port,
-                 Ledger &ledger, std::uint64_t seed);
+    SoakUpstream(proxy::asio::io_context &context, std::string id, SoakZone zone,
+                 std::uint16_t port, Ledger &ledger, std::uint64_t seed);
 
     /** Sets the behaviour for most requests from now on; nullptr for the proper one. Some requests
      * always meet a fault at random. */
@@ -42,6 +42,10 @@
     /** Excuses arrivals for a while, because a fault has held requests back or may have delayed the
      * news of a cold start. */
     void excuseColdArrivals(core::MonoTime now);
+    /** @return Its zone. */
+    const SoakZone &zone() const { return zone_; }
+    /** A cut of its path has ended; the requests that it held arrive now. */
+    void pathHealed(core::MonoTime now) { pathHealedAt_ = now; }
     /** @return Whether it drains. */
     bool isDraining() const { return drainingSince_.has_value(); }
     /** Starts a drain. Requests that arrive later than the drain bound are violations. */
@@ -79,6 +83,7 @@
 
     proxy::asio::io_context &context_;
     std::string id_;
+    SoakZone zone_;
     Ledger &ledger_;
     std::mt19937_64 random_;
     const UpstreamBehaviour *fault_ = nullptr;
@@ -87,6 +92,7 @@
     std::optional<core::MonoTime> drainingSince_;
     core::MonoTime warmAt_ {};
     core::MonoTime coldExcusedUntil_ {};
+    core::MonoTime pathHealedAt_ {};
     proxy::asio::ip::tcp::acceptor acceptor_;
 };
 
--- a/tests/unit/soak_ledger_test.cpp
+++ b/tests/unit/soak_ledger_test.cpp
@@ -121,3 +121,70 @@
           == "graceful stop");
     CHECK(broken([](Ledger &ledger) { ledger.closedByShutdown("a"); }).empty());
 }
+
+TEST_CASE("a run outside the regions that a configuration in force allows is not reported")
+{
+    const soak::SoakZone abroad {"z2", "r1"};
+    const auto runs = [&](const soak::HomeRegions &last, std::size_t oldestVersion,
+                          const std::string &account = "bakery") {
+        return broken([&](Ledger &ledger) {
+            ledger.configuredHomes({});
+            ledger.configuredHomes(last);
+            ledger.sentTo("a", {.route = "home", .oldestVersion = oldestVersion});
+            ledger.ranIn("a", account, abroad);
+        });
+    };
+    CHECK(runs({{"home", "r0"}}, 1) == "region");
+    CHECK(runs({{"home", "r0"}}, 0).empty()); // It may have met the version before.
+    CHECK(runs({{"home", "r1"}, {"bakery", "r0"}}, 1) == "region");
+    CHECK(runs({{"home", "r1"}, {"bakery", "r0"}}, 1, "clinic").empty());
+}
+
+TEST_CASE("a request that reaches a zone long after its evacuation is not reported")
+{
+    const auto arrival = [](core::Micros after, const std::function<void(Ledger &)> &before) {
+        return broken([&](Ledger &ledger) {
+            ledger.sentTo("a", {.daemon = 3});
+            ledger.evacuated(start, "z1");
+            before(ledger);
+            ledger.arrivedIn(start + after, "a", "z1", {});
+        });
+    };
+    const auto nothing = [](Ledger &) {};
+    const core::Micros late = core::Seconds(5) + core::Micros(1);
+    CHECK(arrival(late, nothing) == "evacuation");
+    CHECK(arrival(core::Seconds(5), nothing).empty());
+    CHECK(arrival(late, [](Ledger &ledger) { ledger.evacuationEnded(start, "z1"); }).empty());
+    // Excused: the daemon lost the store meanwhile; not another daemon.
+    const auto fault = [](int daemon) {
+        return [daemon](Ledger &ledger) { ledger.daemonFault(start + core::Millis(1), daemon); };
+    };
+    CHECK(arrival(late, fault(3)).empty());
+    CHECK(arrival(late, fault(2)) == "evacuation");
+    CHECK(arrival(late + core::Millis(1), fault(3)) == "evacuation");
+}
+
+TEST_CASE("a zone that gets nothing after its evacuation is not reported")
+{
+    const auto demand = [](int requests, core::Micros apart, core::Micros from, bool arrives) {
+        return broken([&](Ledger &ledger) {
+            ledger.sentTo("a", {});
+            ledger.evacuated(start, "z1");
+            ledger.evacuationEnded(start, "z1");
+            for (int i = 0; i < requests; ++i) {
+                ledger.demanded(start + from + i * apart, "z1");
+                if (arrives && i == requests / 2)
+                    ledger.arrivedIn(start + from + i * apart, "a", "z1", {});
+            }
+        });
+    };
+    const core::Millis apart(100);
+    const core::Micros none {0};
+    CHECK(demand(152, apart, none, false) == "failback");
+    CHECK(demand(151, apart, none, false).empty()); // Until 15 s after the evacuation.
+    CHECK(demand(152, apart, none, true).empty());
+    // Five seconds of demand, or a little less, or with pauses.
+    CHECK(demand(51, apart, core::Millis(10001), false) == "failback");
+    CHECK(demand(50, apart, core::Millis(10101), false).empty());
+    CHECK(demand(50, core::Millis(1001), none, false).empty());
+}
