Fix: [Proxy] A queued request keeps the regions of its arrival

Cause: RequestFlow computed the allowed regions once on arrival. A version that narrowed the regions of the route or account did not reach queued requests, retries and hedges. Change: a configuration takes queued requests whose regions it narrows out of their queue; they are submitted again with the smaller set, or refused as not executed. Retries, abandoned attempts and hedges are narrowed as well. The set never grows. The end of the process, if it is set while a request waits, also applies when it is submitted again. New log line regions_narrowed.

--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -172,9 +172,50 @@
     return false;
 }
 
+/** Restricts a request to the regions that a request like it may be served in now. Regions that a
+ * later configuration adds do not apply to it. @return Whether its regions have changed. */
+bool RequestFlow::narrowRegions(Job &job) const
+{
+    if (job.table == table_)
+        return false;
+    const HttpRequest &request = job.exchange->request;
+    const auto host = request[beasthttp::field::host];
+    const auto target = request.target();
+    const Route *route =
+        table_->findRoute({host.data(), host.size()}, {target.data(), target.size()});
+    RegionSet regions = job.request.allowedRegions;
+    if (route != nullptr)
+        regions = regions.intersect(route->allowedRegions);
+    for (const Account &account : table_->configuration().accounts) {
+        if (job.account != nullptr && account.id == job.account->id)
+            regions = regions.intersect(account.allowedRegions);
+    }
+    if (regions == job.request.allowedRegions)
+        return false;
+    core::logEvent(core::LogLevel::Info, "regions_narrowed",
+                   {{"route", job.request.route->id.str()},
+                    {"account", job.request.account.str()},
+                    {"before", job.request.allowedRegions.text()},
+                    {"allowed_regions", regions.text()}});
+    job.request.allowedRegions = std::move(regions);
+    return true;
+}
+
+void RequestFlow::configure(std::shared_ptr<const RouteTable> table)
+{
+    table_ = std::move(table);
+    for (auto &[ticket, waiter] : waiters_) {
+        if (waiter->result || !narrowRegions(waiter->job))
+            continue;
+        dispatcher_.withdraw(waiter->job.request.service, ticket);
+        waiter->isNarrowed = true;
+        waiter->wake.cancel();
+    }
+}
+
 asio::awaitable<std::optional<Placement>> RequestFlow::place(Job &job)
 {
-    limitDeadline(job);
+    narrowRegions(job);
     PlacementResult result = co_await choosePlacement(job);
     if (!result.placement)
         refuseUnplaced(job, result.reason);
@@ -184,22 +225,31 @@
 /** Chooses an upstream; waits in the queue if all are busy. */
 asio::awaitable<PlacementResult> RequestFlow::choosePlacement(Job &job)
 {
-    const core::MonoTime now = core::MonoClock::now();
-    DispatchResult result = dispatcher_.submit(now, job.request);
-    if (result.evicted)
-        wakeWaiters({*result.evicted});
-    if (result.placement)
-        co_return PlacementResult {.placement = std::move(result.placement)};
-    if (result.refusal)
-        co_return PlacementResult {.placement = std::nullopt, .reason = *result.refusal};
-    co_return co_await waitForPlacement(job, *result.wait, now);
+    while (!job.request.allowedRegions.isNone()) {
+        limitDeadline(job); // The end of the process may have been set while it waited.
+        const core::MonoTime now = core::MonoClock::now();
+        DispatchResult result = dispatcher_.submit(now, job.request);
+        if (result.evicted)
+            wakeWaiters({*result.evicted});
+        if (result.placement)
+            co_return PlacementResult {.placement = std::move(result.placement)};
+        if (result.refusal)
+            co_return PlacementResult {.placement = std::nullopt, .reason = *result.refusal};
+        const std::optional<PlacementResult> decided =
+            co_await waitForPlacement(job, *result.wait, now);
+        if (decided)
+            co_return *decided;
+    }
+    co_return PlacementResult {.placement = std::nullopt,
+                               .reason = PlacementFailure::NoAllowedRegion};
 }
 
-/** Waits until the dispatcher decides or the caller disconnects. */
-asio::awaitable<PlacementResult> RequestFlow::waitForPlacement(Job &job, WaitTicket ticket,
-                                                               core::MonoTime now)
+/** Waits until the dispatcher decides or the caller disconnects. @return The decision; nothing if
+ * the request must be submitted again, because its regions have changed. */
+asio::awaitable<std::optional<PlacementResult>>
+RequestFlow::waitForPlacement(Job &job, WaitTicket ticket, core::MonoTime now)
 {
-    const auto waiter = std::make_shared<Waiter>(parts_.context);
+    const auto waiter = std::make_shared<Waiter>(parts_.context, job);
     waiters_.emplace(ticket, waiter);
     job.exchange->onCallerLeft = [waiter] { waiter->wake.cancel(); };
     ErrorCode cancelled; // The timer never expires; cancelling it wakes the request.
@@ -209,6 +259,8 @@
     waiters_.erase(ticket);
     if (waiter->result)
         co_return *waiter->result;
+    if (waiter->isNarrowed && !job.exchange->callerLeft)
+        co_return std::nullopt;
     dispatcher_.withdraw(job.request.service, ticket);
     co_return PlacementResult {.placement = std::nullopt, .reason = PlacementFailure::TooLate};
 }
--- a/src/proxy/request_flow_attempt.cpp
+++ b/src/proxy/request_flow_attempt.cpp
@@ -30,6 +30,7 @@
             // During shutdown, attempts in progress are completed.
             .mayAbandon =
                 [this, &job, upstream = placement.upstream] {
+                    narrowRegions(job); // Those of the next attempt.
                     return phase_ == core::Phase::Serving
                         && dispatcher_.grantAbandon(core::MonoClock::now(), job.request, upstream);
                 },
@@ -152,6 +153,7 @@
 {
     if (phase_ != core::Phase::Serving)
         return {.placement = std::nullopt, .denial = HedgeDenial::Leaving};
+    narrowRegions(job);
     return dispatcher_.grantHedge(now, job.request, first);
 }
 
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -62,8 +62,10 @@
 
     /** Serves one request and fills its response. */
     asio::awaitable<void> serve(std::shared_ptr<CallerExchange> exchange);
-    /** Applies a configuration to all requests that arrive from now on. */
-    void configure(std::shared_ptr<const RouteTable> table) { table_ = std::move(table); }
+    /** Applies a configuration to all requests that arrive from now on. If it narrows the regions
+     * of earlier ones, these apply to their attempts from now on, and queued requests are decided
+     * again. */
+    void configure(std::shared_ptr<const RouteTable> table);
     /** @return The current configuration, or nullptr before the first. */
     const std::shared_ptr<const RouteTable> &table() const { return table_; }
     /** @param share This VM's share of the fleet's traffic, 0 to 1; it has the same share of the
@@ -131,10 +133,11 @@
     bool findRoute(Job &job);
     bool findAccount(Job &job);
     bool findRegions(Job &job);
+    bool narrowRegions(Job &job) const;
     bool checkLimit(Job &job);
     asio::awaitable<PlacementResult> choosePlacement(Job &job);
-    asio::awaitable<PlacementResult> waitForPlacement(Job &job, WaitTicket ticket,
-                                                      core::MonoTime now);
+    asio::awaitable<std::optional<PlacementResult>> waitForPlacement(Job &job, WaitTicket ticket,
+                                                                     core::MonoTime now);
     void wakeWaiters(std::vector<DispatchDecision> decided);
     HttpRequest buildForwardRequest(const Job &job, const Placement &placement,
                                     core::MonoTime now) const;
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -140,6 +140,55 @@
     CHECK(server.requests() == 1);
 }
 
+TEST_CASE("a queued request is sent to a region that the configuration has excluded meanwhile")
+{
+    // Guards against a queue that keeps the regions of the arrival.
+    Gate release;
+    RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+        release.wait();
+        return RawReply {sealedReply(request, "x")};
+    });
+    const auto regions = [](const char *name) { return RegionSet::of({core::RegionId(name)}); };
+    Configuration configuration = testConfiguration(core::Seconds(3));
+    configuration.accounts.push_back({.id = core::ClientAccountId("clinic"),
+                                      .keys = {"k2"},
+                                      .ratePerSecond = 1000,
+                                      .burst = 1000});
+    FlowFixture fixture(configuration);
+    fixture.addUpstream("i-1", upstream);
+    std::vector<int> busy;
+    const auto send = [&](const std::string &request) {
+        busy.push_back(fixture.connect());
+        standins::sendAll(busy.back(), request);
+        return busy.back();
+    };
+    for (int i = 0; i < 8; ++i)
+        send(callerRequest("POST", "/book/", "b" + std::to_string(i), "", "x"));
+    REQUIRE(eventually([&] { return upstream.requests() == 8; }));
+    const std::string last = "Connection: close\r\n";
+    const int ofRoute = send(callerRequest("POST", "/book/", "w1", last, "x"));
+    std::string otherKey = callerRequest("GET", "/read/", "w2", last);
+    otherKey.replace(otherKey.find("k1"), 2, "k2");
+    const int ofAccount = send(otherKey);
+    const int allowed = send(callerRequest("GET", "/read/", "w3", last));
+    REQUIRE(eventually([&] { return fixture.waiting() == 3; }));
+    configuration.routes[0].allowedRegions = regions("west");
+    configuration.routes[1].allowedRegions = regions("east");
+    configuration.accounts[1].allowedRegions = regions("east");
+    fixture.onLoop(
+        [&] { fixture.flow().configure(std::make_shared<const RouteTable>(configuration)); });
+    // The others are refused while the upstream is still busy; this one waits for its new regions.
+    CHECK(eventually([&] { return fixture.waiting() == 1; }));
+    release.open();
+    const auto answerOf = [](int fd) { return statusOf(standins::readAll(fd)); };
+    CHECK(answerOf(ofRoute) == "503");
+    CHECK(answerOf(ofAccount) == "503");
+    CHECK(answerOf(allowed) == "200");
+    CHECK(upstream.requests() == 9);
+    for (const int fd : busy)
+        ::close(fd);
+}
+
 TEST_CASE("a TRACE or CONNECT request gets no response")
 {
     RawServer upstream("127.0.0.1", [](const RawRequest &request) {
