Fix: [Placement] A cold upstream gets nothing while the VMs of its zone are silent

Cause: only VMs of the upstream's zone held shares of its cold-start limit. While all of them were silent or partitioned, it got nothing; 20 s after they had left, others took the whole limit, and with a zone that had only lost the store the limit was used twice. Change: the zone's VMs hold 0.8 of the limit, at most four of them. Two VMs of other zones hold 0.1 each at all times, 0.25 each once the zone has no registered VM. The requests that a VM may save up are set with its share. No share depends on whether a VM is silent, since it may be serving.

--- a/src/fleet/entry_vm_selector.cpp
+++ b/src/fleet/entry_vm_selector.cpp
@@ -3,7 +3,9 @@
 #include "fleet/entry_vm_selector_base.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
+#include <tuple>
 
 namespace teaselreach::proxy {
 
@@ -18,6 +20,15 @@
     return member.location.region == place.region ? division.otherZone : division.otherRegion;
 }
 
+/** @return VMs in the order of their rendezvous weights for a key, the largest first. */
+std::vector<core::VmId> sortedByWeight(const std::string &key, std::vector<core::VmId> vms)
+{
+    std::sort(vms.begin(), vms.end(), [&](const core::VmId &a, const core::VmId &b) {
+        return core::rendezvousWeight(key, a.str()) > core::rendezvousWeight(key, b.str());
+    });
+    return vms;
+}
+
 } // namespace
 
 EntryVmSelector::EntryVmSelector(EntryVmSelectorOptions options)
@@ -272,32 +283,61 @@
     return active;
 }
 
-double EntryVmSelector::coldShareOf(const core::VmId &id,
-                                    const std::optional<core::Location> &place) const
+std::vector<core::VmId> EntryVmSelector::outsideColdHolders(const core::Location &place) const
 {
+    std::map<core::AvailabilityZoneId, core::RegionId> zones;
+    for (const auto &[id, member] : members_)
+        zones.emplace(member.location.availabilityZone, member.location.region);
+    for (const auto &[id, departed] : departed_)
+        zones.emplace(departed.zone, departed.region);
+    zones.erase(place.availabilityZone);
+    // One VM of each zone before the second one of any, those of the region before all others.
+    std::vector<std::tuple<bool, std::size_t, std::uint64_t, core::VmId>> candidates;
+    for (const auto &entry : zones) {
+        const std::vector<core::VmId> active = sortedByWeight(
+            place.availabilityZone.str(),
+            activeWhere([&](const core::AvailabilityZoneId &other, const core::RegionId &) {
+                return other == entry.first;
+            }));
+        for (std::size_t rank = 0; rank < active.size(); ++rank)
+            candidates.emplace_back(
+                entry.second != place.region, rank,
+                ~core::rendezvousWeight(place.availabilityZone.str(), active[rank].str()),
+                active[rank]);
+    }
+    std::sort(candidates.begin(), candidates.end());
     std::vector<core::VmId> holders;
-    if (place) {
-        holders = activeWhere([&](const core::AvailabilityZoneId &zone, const core::RegionId &) {
-            return zone == place->availabilityZone;
-        });
+    for (const auto &candidate : candidates) {
+        if (holders.size() < options_.outsideColdHolders)
+            holders.push_back(std::get<core::VmId>(candidate));
     }
-    if (place && holders.empty()) {
-        holders = activeWhere([&](const core::AvailabilityZoneId &, const core::RegionId &region) {
-            return region == place->region;
-        });
+    return holders;
+}
+
+ColdShare EntryVmSelector::coldShareOf(const core::VmId &id,
+                                       const std::optional<core::Location> &place) const
+{
+    const double total = place ? options_.zoneColdShare : 1;
+    std::vector<core::VmId> holders = sortedByWeight(
+        place ? place->availabilityZone.str() : std::string(),
+        activeWhere([&](const core::AvailabilityZoneId &zone, const core::RegionId &) {
+            return !place || zone == place->availabilityZone;
+        }));
+    const auto maxHolders = static_cast<std::size_t>(std::lround(total * coldBurst));
+    if (holders.size() > maxHolders)
+        holders.resize(maxHolders);
+    const auto holds = [&](const std::vector<core::VmId> &vms) {
+        return std::find(vms.begin(), vms.end(), id) != vms.end();
+    };
+    if (holds(holders)) {
+        const double share =
+            std::min(options_.maxColdShare, total / static_cast<double>(holders.size()));
+        return {.share = share, .saved = coldBurst * share};
     }
-    if (holders.empty())
-        holders = activeWhere(
-            [](const core::AvailabilityZoneId &, const core::RegionId &) { return true; });
-    const std::string key = place ? place->availabilityZone.str() : std::string();
-    std::sort(holders.begin(), holders.end(), [&](const core::VmId &a, const core::VmId &b) {
-        return core::rendezvousWeight(key, a.str()) > core::rendezvousWeight(key, b.str());
-    });
-    if (holders.size() > coldBurst)
-        holders.resize(coldBurst);
-    if (std::find(holders.begin(), holders.end(), id) == holders.end())
-        return 0;
-    return std::min(options_.maxColdShare, 1 / static_cast<double>(holders.size()));
+    if (!place || !holds(outsideColdHolders(*place)))
+        return {};
+    return {.share = holders.empty() ? options_.loneOutsideColdShare : options_.outsideColdShare,
+            .saved = 1};
 }
 
 std::map<core::AvailabilityZoneId, UpstreamLimitShare> EntryVmSelector::upstreamLimitShares(
@@ -310,7 +350,9 @@
         const core::Location place {.availabilityZone = zone, .region = regionOfZone.at(zone)};
         UpstreamLimitShare &share = shares[zone];
         share.own = share.pool = isSelfActive ? shareOfMember(division, place, self) : 0;
-        share.cold = isSelfActive ? coldShareOf(self.id, place) : 0;
+        const ColdShare cold = isSelfActive ? coldShareOf(self.id, place) : ColdShare {};
+        share.cold = cold.share;
+        share.coldSaved = cold.saved;
         // A pool shares the limits of its own region; of others its VMs hold too little.
         if (place.region != self.location.region)
             continue;
--- a/src/fleet/entry_vm_selector_base.h
+++ b/src/fleet/entry_vm_selector_base.h
@@ -45,6 +45,24 @@
     /** Largest share of one VM in a cold-start limit. Leaves room while one VM of two knows of the
      * other and the other does not, and each would take the whole limit. */
     double maxColdShare = 0.6;
+    /** Share of a cold-start limit that the VMs of the upstream's zone hold together. Even if they
+     * are out of contact and one of them runs twice, the shares of all VMs add up to no more than
+     * one and a half. */
+    double zoneColdShare = 0.8;
+    /** Number of VMs of other zones that hold shares of a cold-start limit, so that the upstream
+     * gets requests while those of its zone are silent. */
+    std::size_t outsideColdHolders = 2;
+    /** Share of each of them: while VMs of the upstream's zone are registered, and otherwise. Those
+     * of the zone may still be serving without contact to the store, and so may earlier holders. */
+    double outsideColdShare = 0.1;
+    double loneOutsideColdShare = 0.25;
+};
+
+/** One VM's part of a cold-start limit. */
+struct ColdShare
+{
+    double share = 0;
+    double saved = 0; ///< Requests that it may save up.
 };
 
 /** Shares of one VM in the limits that the upstreams of one zone name, by the VM's place. The
@@ -100,13 +118,14 @@
     std::map<core::AvailabilityZoneId, UpstreamLimitDivision> divideUpstreamLimits(
         const std::map<core::AvailabilityZoneId, core::RegionId> &regionOfZone) const;
     /**
-     * Only the VMs nearest to an upstream share its cold-start limit, and at most coldBurst of
-     * them, so that each can save up one request: the active VMs of its zone, else those of its
-     * region, else all. VMs that have departed lately count as active.
-     * @param place Of the upstream; nothing if it is not known.
+     * Divides cold-start limits among few VMs, so that each can save up one request: four active
+     * VMs of the upstream's zone, and two of other zones, which are in different zones of its
+     * region if possible. Whether a VM is silent does not count: it may be out of contact, and
+     * serving. VMs that have departed lately count as active.
+     * @param place Of the upstream; nothing if it is not known. Then five VMs hold shares.
      * @return A VM's share of the cold-start limits of the upstreams at a place.
      */
-    double coldShareOf(const core::VmId &id, const std::optional<core::Location> &place) const;
+    ColdShare coldShareOf(const core::VmId &id, const std::optional<core::Location> &place) const;
     /** @return Whether a VM is active. */
     bool isActive(const core::VmId &id) const;
     /** @return The VM of the same availability zone that reads the store on behalf of the others;
@@ -141,6 +160,8 @@
     std::vector<core::VmId>
     activeWhere(const std::function<bool(const core::AvailabilityZoneId &zone,
                                          const core::RegionId &region)> &matches) const;
+    /** @return The VMs of other zones that hold shares of the cold-start limits at a place. */
+    std::vector<core::VmId> outsideColdHolders(const core::Location &place) const;
     /** @return Caller addresses of the active VMs that are not silent, or of all if all are. */
     std::vector<std::string>
     addressesIn(const std::set<core::AvailabilityZoneId> &zones,
--- a/src/placement/upstream_rate_limiter.cpp
+++ b/src/placement/upstream_rate_limiter.cpp
@@ -77,7 +77,7 @@
                                          const UpstreamLimitShare &share) const
 {
     const double perSecond = options_.coldFill * limited.cold.perSecond * share.cold;
-    return std::min(coldBurst * share.cold,
+    return std::min(share.coldSaved,
                     limited.coldTokens + perSecond * seconds(now - limited.countedAt));
 }
 
--- a/src/placement/upstream_rate_limiter_base.h
+++ b/src/placement/upstream_rate_limiter_base.h
@@ -11,10 +11,10 @@
 
 namespace teaselreach::proxy {
 
-/** Requests above the cold-start limit that all VMs together may save up. Shares add up to one, or
- * to one and a half while one VM runs twice or the VMs know different members, and operators
+/** Requests above the cold-start limit that the holder of a share of one may save up. Shares add up
+ * to one, or to one and a half while one VM runs twice or VMs are out of contact, and operators
  * tolerate eight requests and half of the limit above it in one second. A VM whose part is less
- * than one request sends none, so no more than this number of VMs may hold shares. */
+ * than one request sends none. */
 inline constexpr int coldBurst = 5;
 
 /** Parameters of the rate limits that upstreams name. */
@@ -75,6 +75,7 @@
     double pool = 1;  ///< Total of the VMs that report their use to each other, this one included.
     int poolSize = 1; ///< Number of these VMs.
     double cold = 1;  ///< Own share of a cold-start limit.
+    double coldSaved = coldBurst; ///< Requests of it that this VM may save up.
 };
 
 /** What VMs report to each other of a limited upstream. */
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -434,11 +434,10 @@
         std::erase_if(
             peers, [&](const EntryMember &peer) { return !liveness_.isReporting(now, peer.id); });
         const double evenShare = 1 / static_cast<double>(std::max<std::size_t>(1, entries_.size()));
+        const ColdShare cold = entries_.coldShareOf(options_.self.id, std::nullopt);
         upstreams_.setLimitShares(
             entries_.upstreamLimitShares(options_.regionOfZone, options_.self, peers),
-            {.own = evenShare,
-             .pool = evenShare,
-             .cold = entries_.coldShareOf(options_.self.id, std::nullopt)});
+            {.own = evenShare, .pool = evenShare, .cold = cold.share, .coldSaved = cold.saved});
     }
 
     static double toSeconds(core::Micros time)
