Add: [Proxy] Test that a retry keeps to regions that were narrowed after the first attempt

Cause: only the queue was covered by a test, not the attempts after the first. Change: one case in proxy_flow_test; the soak's violations number configurations as its timeline does.

--- a/soak/ledger.cpp
+++ b/soak/ledger.cpp
@@ -84,7 +84,7 @@
     }
     broken("region",
            id + " of route " + origin.route + " and account " + account + " ran in " + zone.name
-               + ", allowed by no version from " + std::to_string(origin.oldestVersion) + " to "
+               + ", allowed by no version from " + std::to_string(origin.oldestVersion + 1) + " to "
                + std::to_string(homes_.size()));
 }
 
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -189,6 +189,33 @@
         ::close(fd);
 }
 
+TEST_CASE("a retry is sent to a region that the configuration has excluded since the first attempt")
+{
+    Gate release;
+    const auto failAfterRelease = [&](const RawRequest &request) {
+        release.wait();
+        return RawReply {okReply("", "X-Attempt: " + headerOf(request.head, "X-Attempt") + "\r\n",
+                                 "500 Broken")};
+    };
+    RawServer one("127.0.0.1", failAfterRelease);
+    RawServer other("127.0.0.2", failAfterRelease);
+    Configuration configuration = testConfiguration(core::Seconds(3));
+    FlowFixture fixture(configuration);
+    fixture.addUpstream("i-1", one);
+    fixture.addUpstream("i-2", other);
+    const int caller = fixture.connect();
+    standins::sendAll(caller, callerRequest("GET", "/read/", "a", "Connection: close\r\n"));
+    const auto attempts = [&] { return one.requests() + other.requests(); };
+    REQUIRE(eventually([&] { return attempts() == 1; }));
+    configuration.routes[0].allowedRegions = RegionSet::of({core::RegionId("east")});
+    fixture.onLoop(
+        [&] { fixture.flow().configure(std::make_shared<const RouteTable>(configuration)); });
+    release.open();
+    CHECK(statusOf(standins::readAll(caller)) == "502"); // The first attempt may have run.
+    CHECK(attempts() == 1);
+    ::close(caller);
+}
+
 TEST_CASE("a TRACE or CONNECT request gets no response")
 {
     RawServer upstream("127.0.0.1", [](const RawRequest &request) {
