Feature: [Placement] Bounds the request bodies that one upstream holds

Cause: an upstream crashes if the bodies that it holds exceed its memory. Nothing counted these bytes, so after its restart the VMs sent it as much again. Change: UpstreamByteLimiter counts the bodies of this VM at each upstream. A request beyond the bound goes to another upstream or waits; long bodies have queues of their own, so that small requests do not wait behind them. Only where the contracts contain pressure.

--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -396,7 +396,7 @@
         const auto queues = queues_.find(request.service);
         if (queues == queues_.end())
             return nullptr;
-        const auto queue = queues->second.byRegions.find(request.allowedRegions);
+        const auto queue = queues->second.byRegions.find(queueKeyOf(request));
         return queue == queues->second.byRegions.end() ? nullptr : &queue->second;
     }
 
@@ -411,7 +411,8 @@
                 .elapsed = now - request.arrivedAt,
                 .timeLeft = request.deadline - now,
                 .tried = request.tried,
-                .allowedRegions = request.allowedRegions};
+                .allowedRegions = request.allowedRegions,
+                .bodyBytes = request.bodyBytes};
     }
 
     WaitRequest waitRequest(WaitTicket ticket, const DispatchRequest &request) const
@@ -461,7 +462,7 @@
     RegionQueue &queueOf(const DispatchRequest &request)
     {
         return queues_[request.service]
-            .byRegions.try_emplace(request.allowedRegions, options_)
+            .byRegions.try_emplace(queueKeyOf(request), options_)
             .first->second;
     }
 
--- a/src/placement/dispatcher_type.h
+++ b/src/placement/dispatcher_type.h
@@ -86,7 +86,8 @@
     const Route *route = nullptr;  ///< Must outlive the request.
     core::ClientAccountId account; ///< Empty on public routes.
     int accountPriority = 0;
-    RegionSet allowedRegions; ///< Common to the route and the account.
+    RegionSet allowedRegions;  ///< Common to the route and the account.
+    std::size_t bodyBytes = 0; ///< Counts toward the bounds in bytes of the upstreams.
     core::MonoTime arrivedAt {};
     core::MonoTime deadline {};
     std::vector<core::UpstreamId> tried;   ///< Upstreams of all finished attempts.
--- a/src/placement/placement_explanation_type.h
+++ b/src/placement/placement_explanation_type.h
@@ -18,6 +18,7 @@
     HoldingOff,  ///< It asked for no requests until a time.
     NamedLimit,  ///< The request rate that it names is used up.
     ColdLimit,   ///< Its cold-start limit is used up.
+    ByteLimit,   ///< The body is longer than what it may hold.
     Full,        ///< It has as many requests as it may have at once.
 };
 
--- a/src/placement/service_queues_base.h
+++ b/src/placement/service_queues_base.h
@@ -5,6 +5,7 @@
 #include "placement/dispatcher_type.h"
 
 #include <map>
+#include <utility>
 
 namespace teaselreach::proxy {
 
@@ -23,10 +24,23 @@
     bool isBlocked = false; ///< All upstreams of its regions are busy, until unblock().
 };
 
+/** Body in bytes from which requests have a queue of their own: they may wait for the bound in
+ * bytes of the upstreams, for which small requests need not wait. */
+inline constexpr std::size_t longBodyBytes = std::size_t {64} * 1024;
+
+/** The allowed regions of queued requests, and whether their bodies are long. */
+using QueueKey = std::pair<RegionSet, bool>;
+
+/** @return The key of the queue of a request. */
+inline QueueKey queueKeyOf(const DispatchRequest &request)
+{
+    return {request.allowedRegions, request.bodyBytes >= longBodyBytes};
+}
+
 /**
- * The queues of one service, one for each set of allowed regions, so that requests whose
- * regions are busy do not block others. Stride scheduling among the queues keeps the priorities
- * where their regions overlap.
+ * The queues of one service, one for each set of allowed regions and for long bodies apart, so that
+ * requests whose upstreams are busy do not block others. Stride scheduling among the queues keeps
+ * the priorities where their regions overlap.
  */
 struct ServiceQueues
 {
@@ -50,7 +64,7 @@
         return best;
     }
 
-    std::map<RegionSet, RegionQueue> byRegions;
+    std::map<QueueKey, RegionQueue> byRegions;
     double servedPass = 0; ///< Pass of the last queue served; lower bound for others.
 };
 
--- a/src/placement/upstream_table.cpp
+++ b/src/placement/upstream_table.cpp
@@ -11,6 +11,7 @@
     , evacuations_(options_.evacuations)
     , random_(seed)
     , limiter_(options_.limits, seed)
+    , bytes_(options_.bytes)
     , coverage_(options_.coverage)
 { }
 
@@ -21,6 +22,8 @@
     const bool restarted = upstream.entry.startedAt != entry.startedAt;
     const bool moved = upstream.entry.address != entry.address || upstream.entry.port != entry.port;
     if (upstream.entry.id.empty() || restarted || moved) {
+        if (restarted)
+            bytes_.ended(now, upstream.entry, UpstreamEnd::Restarted, limitShareOf(upstream).own);
         limiter_.restarted(entry.id);
         auto inFlight = std::move(upstream.inFlight);
         upstream = {.warmAt = now + entry.warmupLeft, .inFlight = std::move(inFlight)};
@@ -40,6 +43,8 @@
     if (found == upstreams_.end())
         return;
     removeFromService(found->second);
+    bytes_.ended(latestAt_, found->second.entry, UpstreamEnd::EntryRemoved,
+                 limitShareOf(found->second).own);
     limiter_.remove(id);
     upstreams_.erase(found);
 }
@@ -87,6 +92,7 @@
     PlacementFailure reason = request.allowedRegions.isAny() ? PlacementFailure::NoUpstream
                                                              : PlacementFailure::NoAllowedRegion;
     const auto service = byService_.find(request.service);
+    latestAt_ = now;
     if (service == byService_.end())
         return {.placement = std::nullopt, .reason = reason};
     if (coverage_.isCountDue(now, request.service))
@@ -128,7 +134,9 @@
     // retried waits for a healthy upstream instead.
     if (!request.idempotent && healthyIsBusy && !bestEstimate.isAcceptable)
         return {.placement = std::nullopt, .reason = PlacementFailure::AllBusy};
-    return {.placement = makePlacement(*best, bestEstimate)};
+    Placement placement = makePlacement(*best, bestEstimate);
+    placement.bodyBytes = request.bodyBytes;
+    return {.placement = std::move(placement)};
 }
 
 UpstreamTable::Estimate UpstreamTable::evaluate(core::MonoTime now, const Upstream &upstream,
@@ -171,6 +179,7 @@
         overdueMinimum,
         std::chrono::duration_cast<core::Micros>(overdueFactor * placement.expectedDuration));
     limiter_.started(now, placement.upstream, limitShareOf(found->second));
+    bytes_.started(now, placement.upstream, placement.attempt, placement.bodyBytes);
     found->second.lastTriedAt = now;
     found->second.inFlight.push_back(
         {.number = placement.attempt, .overdueAt = now + overdueAfter});
@@ -187,6 +196,8 @@
         [&](const InFlightAttempt &attempt) { return attempt.number == record.attempt; });
     if (ended != upstream.inFlight.end())
         upstream.inFlight.erase(ended);
+    bytes_.finished(record.endedAt, upstream.entry, record.attempt, record.end,
+                    limitShareOf(upstream).own);
     updateLoad(record, upstream);
     updateLimit(record, upstream);
     notices_.responded(record.endedAt, upstream.entry, record.status);
--- a/src/placement/upstream_table_base.h
+++ b/src/placement/upstream_table_base.h
@@ -3,6 +3,7 @@
 
 #include "placement/placement_explanation_type.h"
 #include "placement/placement_type.h"
+#include "placement/upstream_byte_limiter_base.h"
 #include "placement/upstream_coverage_base.h"
 #include "placement/upstream_notices_base.h"
 #include "placement/upstream_rate_limiter_base.h"
@@ -23,6 +24,7 @@
     core::Location self; ///< Location of this VM.
     std::map<core::AvailabilityZoneId, core::RegionId> regionOfZone;
     UpstreamRateLimiterOptions limits;
+    UpstreamByteLimiterOptions bytes;
     UpstreamCoverageOptions coverage;
     ZoneEvacuationOptions evacuations;
     /** Loss from the traffic cost of sending a request to another zone of the region. */
@@ -91,6 +93,7 @@
     std::vector<core::UpstreamId> tried; ///< Upstreams to exclude.
     RegionSet allowedRegions;            ///< Upstreams of other regions are excluded.
     bool freeSlotOnly = false;           ///< Only an upstream with a free slot will do.
+    std::size_t bodyBytes = 0;           ///< Size of the request's body.
 };
 
 /** The upstream selected for a request. */
@@ -104,6 +107,7 @@
     double failureEstimate = 0; ///< Probability that the attempt fails.
     bool isTrial = false;       ///< Whether the upstream is believed to be failing.
     std::uint64_t attempt = 0;  ///< Number of the attempt; set by attemptStarted().
+    std::size_t bodyBytes = 0;  ///< PlacementRequest::bodyBytes.
 };
 
 /** Result of a selection. */
@@ -200,8 +204,15 @@
      * number of reports on limited upstreams for other VMs. */
     std::vector<UpstreamLimitReport> takeLimitReports(core::MonoTime now, std::size_t maxReports)
     {
+        latestAt_ = now;
         return limiter_.takeReports(now, maxReports);
     }
+    /** @return The bound of the request bodies at each upstream of a service over all VMs in bytes,
+     * if there is one. */
+    std::optional<double> byteBoundOf(core::MonoTime now, const core::ServiceId &service) const
+    {
+        return bytes_.boundOf(now, service);
+    }
     /** @return Number of upstreams that name a limit. */
     std::size_t limitedCount() const { return limiter_.size(); }
     /** Sets the VMs that take callers in this VM's zone. They make the trials at its upstreams in
@@ -327,6 +338,7 @@
     std::unordered_map<core::RouteId, double, core::StrongHash> processingSeconds_;
     UpstreamNotices notices_;
     UpstreamRateLimiter limiter_;
+    UpstreamByteLimiter bytes_;
     UpstreamCoverage coverage_;
     std::map<core::AvailabilityZoneId, UpstreamLimitShare> limitShares_;
     UpstreamLimitShare unknownZoneShare_; ///< For zones that limitShares_ does not list.
@@ -336,6 +348,7 @@
     std::vector<core::VmId> trialPeers_; ///< Other VMs of the zone that take callers.
     std::vector<OutcomeReport> reports_;
     std::uint64_t lastAttempt_ = 0;
+    core::MonoTime latestAt_ {}; ///< Latest known time; remove() is not given one.
 };
 
 } // namespace teaselreach::proxy
--- a/src/placement/upstream_table_explain.cpp
+++ b/src/placement/upstream_table_explain.cpp
@@ -24,6 +24,8 @@
         return "limit";
     case Exclusion::ColdLimit:
         return "cold limit";
+    case Exclusion::ByteLimit:
+        return "body too long";
     case Exclusion::Full:
         return "full";
     }
--- a/src/placement/upstream_table_query.cpp
+++ b/src/placement/upstream_table_query.cpp
@@ -42,6 +42,8 @@
         return Exclusion::HoldingOff;
     if (!limiter_.mayStart(now, upstream.entry.id, limitShareOf(upstream)))
         return hasColdLimit(now, upstream) ? Exclusion::ColdLimit : Exclusion::NamedLimit;
+    if (!bytes_.canEverHold(now, request.service, request.bodyBytes, limitShareOf(upstream).own))
+        return Exclusion::ByteLimit;
     if (!hasRoom(now, upstream, request, isRampingUp))
         return Exclusion::Full;
     return std::nullopt;
@@ -59,7 +61,8 @@
     const double maxOccupancy = request.freeSlotOnly ? 1 : options_.maxOccupancy;
     const double room = std::max(1, upstream.entry.slots) * maxOccupancy;
     const double occupancy = occupancyOf(now, upstream) + 1;
-    if (occupancy > room)
+    if (occupancy > room
+        || !bytes_.hasRoom(now, upstream.entry, request.bodyBytes, limitShareOf(upstream).own))
         return false;
     if (!isRampingUp || upstream.inFlight.empty())
         return true;
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -30,7 +30,9 @@
         : context_(context)
         , directory_(directory)
         , options_(std::move(options))
-        , upstreams_({.self = options_.self.location, .regionOfZone = options_.regionOfZone},
+        , upstreams_({.self = options_.self.location,
+                      .regionOfZone = options_.regionOfZone,
+                      .bytes = options_.flow.upstreamBytes},
                      options_.seed)
         , shares_(options_.shares)
         , usageCoverage_(options_.shares.window, core::MonoClock::now(), options_.firstStart)
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -75,6 +75,8 @@
         job.request.accountPriority = job.account->priority;
     }
     job.request.service = splits_.select(route);
+    if (options_.upstreamBytes.enabled)
+        job.request.bodyBytes = exchange.request.body().size();
     dispatcher_.requestArrived(now, job.request.service);
     co_return true;
 }
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -25,6 +25,8 @@
     /** Reads what an upstream says of itself in a response; may be empty. */
     std::function<UpstreamStatus(const HttpResponse &)> readStatus;
     DispatcherOptions dispatch;
+    /** Bounds the request bodies at each upstream; the same as of the upstream table. */
+    UpstreamByteLimiterOptions upstreamBytes;
     /** Bounds the memory of response bodies; nullptr for no bound. */
     std::shared_ptr<BodyBudget> bodies = std::make_shared<BodyBudget>();
     /** Longest idle time of a connection that is reused for a non-idempotent request: an upstream
--- a/src/proxy/request_flow_explain.cpp
+++ b/src/proxy/request_flow_explain.cpp
@@ -37,6 +37,7 @@
     answer.allowedRegions = route->allowedRegions;
     DispatchRequest request {.route = route,
                              .allowedRegions = route->allowedRegions,
+                             .bodyBytes = query.bodyBytes,
                              .arrivedAt = now,
                              .deadline = now + route->timeout};
     if (query.account) {
--- a/src/proxy/request_flow_report.cpp
+++ b/src/proxy/request_flow_report.cpp
@@ -33,6 +33,11 @@
                                      static_cast<double>(waiting));
             parts_.registry.setGauge("teaselreach_queue_departures_per_second", labels, perSecond);
         });
+    for (const core::ServiceId &service : parts_.upstreams.services()) {
+        if (const auto bound = parts_.upstreams.byteBoundOf(now, service))
+            parts_.registry.setGauge("teaselreach_upstream_byte_limit",
+                                     {{"service", service.str()}}, *bound);
+    }
     if (options_.bodies)
         bodyGauges_.publish(*options_.bodies, parts_.registry);
 }
--- a/tests/cmake/proxy.cmake
+++ b/tests/cmake/proxy.cmake
@@ -17,6 +17,7 @@
 teaselreach_test(proxy_endless_response_test SOURCES proxy/endless_response_test.cpp LIBS tr_fleet)
 teaselreach_test(proxy_body_budget_test SOURCES proxy/body_budget_test.cpp LIBS tr_fleet)
 teaselreach_test(proxy_body_shares_test SOURCES proxy/body_shares_test.cpp LIBS tr_fleet)
+teaselreach_test(proxy_upstream_bytes_test SOURCES proxy/upstream_bytes_test.cpp LIBS tr_placement)
 teaselreach_test(proxy_message_limits_test SOURCES proxy/message_limits_test.cpp LIBS tr_fleet)
 teaselreach_test(proxy_message_reader_test SOURCES proxy/message_reader_test.cpp LIBS tr_fleet)
 teaselreach_test(platform_test SOURCES proxy/platform_test.cpp LIBS tr_platform)
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -118,7 +118,9 @@
     const auto hasShares = [](const std::string &contracts) {
         std::string text = settingsText;
         text.insert(1, contracts);
-        return parsePlatformSettings(text).daemon.flow.bodies->sharesByAccount();
+        const proxy::RequestFlowOptions flow = parsePlatformSettings(text).daemon.flow;
+        CHECK(flow.upstreamBytes.enabled == flow.bodies->sharesByAccount());
+        return flow.bodies->sharesByAccount();
     };
     CHECK(!hasShares(""));
     CHECK(!hasShares(R"("contracts": ["regions"], )"));
