Feature: [Settings] Setting upstream.hedge_percent of the product's own daemon

Cause: the own daemon had no setting for hedges. Change: upstream.hedge_percent, a number from 0 to 20 with or without a fraction, default 0.

--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -94,6 +94,8 @@
         secondsOr(section, "idle_connection_s", idleSecondsRange, upstream.idleConnectionTimeout);
     upstream.maxIdleConnections = static_cast<int>(
         section.readIntegerOr("max_idle_connections", {0, 350}, upstream.maxIdleConnections));
+    upstream.hedgePercent =
+        section.readNumberOr("hedge_percent", 0, maxHedgePercent, upstream.hedgePercent);
     section.rejectUnknownKeys();
     return upstream;
 }
--- a/src/settings/settings_section.cpp
+++ b/src/settings/settings_section.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <limits>
 #include <numeric>
+#include <sstream>
 
 namespace teaselreach::settings::detail {
 
@@ -106,6 +107,23 @@
     return node.IsDefined() ? parseIntegerInRange(key, node, range) : fallback;
 }
 
+double Section::readNumberOr(const std::string &key, double min, double max, double fallback)
+{
+    const YAML::Node node = child(key);
+    if (!node.IsDefined())
+        return fallback;
+    const std::string text = scalarValue(key, node);
+    double value = 0;
+    const char *end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, value);
+    // The comparison is written so that it is false for NaN.
+    if (error == std::errc() && stop == end && value >= min && value <= max)
+        return value;
+    std::ostringstream bounds;
+    bounds << "a number from " << min << " to " << max;
+    fail(key, "'" + text + "' must be " + bounds.str() + " without a unit");
+}
+
 std::string Section::readAddress(const std::string &key)
 {
     std::string value = readString(key);
--- a/src/settings/settings_section_internal.h
+++ b/src/settings/settings_section_internal.h
@@ -44,6 +44,8 @@
     std::int64_t readInteger(const std::string &key, Range range);
     /** @return An optional integer within the range, or the fallback. */
     std::int64_t readIntegerOr(const std::string &key, Range range, std::int64_t fallback);
+    /** @return An optional number from min to max, with or without a fraction, or the fallback. */
+    double readNumberOr(const std::string &key, double min, double max, double fallback);
     /** @return A required IPv4 address. */
     std::string readAddress(const std::string &key);
     /** @return A required ADDRESS:PORT. */
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -13,6 +13,8 @@
 
 namespace teaselreach::settings {
 
+/** Largest UpstreamSettings::hedgePercent. */
+inline constexpr double maxHedgePercent = 20;
 /** Exit code of a program with invalid settings (EX_CONFIG of sysexits.h). */
 inline constexpr int settingsErrorExitCode = 78;
 
@@ -88,6 +90,9 @@
     core::Millis connectTimeout {500};
     core::Seconds idleConnectionTimeout {30}; ///< Longer idle connections are not reused.
     int maxIdleConnections = 8;               ///< Per upstream.
+    /** Largest number of hedges per 100 requests of a service in 10 s over all VMs, 0 to
+     * maxHedgePercent; 0 disables hedging. */
+    double hedgePercent = 0;
 };
 
 /** Rate limits of client accounts. */
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -55,6 +55,13 @@
         {"store:\n", "keys:\n  max_staleness_s: 3\nstore:\n", 10, "at least 11"},
         {"  id: e1\n", "", 2, "'vm.id': is missing"},
         {"store:\n", "store: [\n", 11, "not valid YAML"},
+        {"store:\n", "upstream:\n  hedge_percent: 20.5\nstore:\n", 10, "a number from 0 to 20"},
+        {"store:\n", "upstream:\n  hedge_percent: -0.1\nstore:\n", 10, "a number from 0 to 20"},
+        {"store:\n", "upstream:\n  hedge_percent: nan\nstore:\n", 10, "a number from 0 to 20"},
+        {"store:\n", "upstream:\n  hedge_percent: 5%\nstore:\n", 10, "without a unit"},
+        {"store:\n", "upstream:\n  hedge_percent:\nstore:\n", 10, "must be a scalar"},
+        {"store:\n", "upstream:\n  hedge_percent: [5]\nstore:\n", 10, "must be a scalar"},
+        {"store:\n", "upstream:\n  hedge_pct: 5\nstore:\n", 10, "unknown key 'upstream.hedge_pct'"},
     };
     REQUIRE_NOTHROW(settings::parseSettings(validSettings, "s.yaml"));
     for (const InvalidSetting &invalid : invalidSettings) {
@@ -69,3 +76,16 @@
         }
     }
 }
+
+TEST_CASE("hedging is on without a setting, or the setting loses its fraction")
+{
+    CHECK(settings::parseSettings(validSettings, "s.yaml").upstream.hedgePercent == 0);
+    const auto percent = [](const std::string &value) {
+        return settings::parseSettings(
+                   validSettings + "upstream:\n  hedge_percent: " + value + "\n", "s.yaml")
+            .upstream.hedgePercent;
+    };
+    CHECK(percent("0") == 0);
+    CHECK(percent("2.5") == 2.5);
+    CHECK(percent("20") == 20);
+}
