Feature: [Upstream] Slots, upstreams and retry budget for hedges

Cause: a hedge in the own daemon needs a slot without waiting, another upstream and a retry, none of which could be taken while an attempt is in flight. Change: DispatchGate::tryAcquire() takes a slot that is free now and that no queued request wants. ServiceState::chooseHedge() chooses another upstream, never as a trial, and leaves half of the retry bucket for refused and failed requests. The outcome Superseded of an attempt is no evidence; after 3 in a row at an upstream the next attempt there gets no hedge, since hedges would otherwise hide an upstream that answers nothing. Tests: the loop over all outcomes in upstream_unit_test now ends with Superseded, which is the last one.

--- a/src/queue/dispatch_gate.cpp
+++ b/src/queue/dispatch_gate.cpp
@@ -70,6 +70,17 @@
     return decision.get();
 }
 
+SlotResult DispatchGate::tryAcquire()
+{
+    const std::lock_guard lock(mutex_);
+    if (queue_.size() > 0)
+        return SlotResult::Queued;
+    if (inFlight_ >= limit_.current())
+        return SlotResult::NoneFree;
+    ++inFlight_;
+    return SlotResult::Granted;
+}
+
 void DispatchGate::release(GateOutcome outcome)
 {
     DueCallbacks decided;
--- a/src/queue/dispatch_gate_base.h
+++ b/src/queue/dispatch_gate_base.h
@@ -69,6 +69,11 @@
      * its deadline.
      */
     GateResult acquire(const GateRequest &request);
+    /**
+     * Takes a slot only if one is free now and no request waits. The caller must call release()
+     * once for each Granted.
+     */
+    SlotResult tryAcquire();
     /** Ends a granted request, adjusts the limit and grants the next requests. */
     void release(GateOutcome outcome);
     /** @param slots Slots of all upstreams that are in use. */
--- a/src/queue/queue_type.h
+++ b/src/queue/queue_type.h
@@ -37,4 +37,11 @@
     DeadlineTooClose, ///< Refused: the expected service time exceeds the time left.
 };
 
+/** Result of DispatchGate::tryAcquire(). */
+enum class SlotResult : std::uint8_t {
+    Granted,
+    Queued,   ///< Requests wait, which come first.
+    NoneFree, ///< The concurrency limit is reached.
+};
+
 } // namespace teaselreach::queue
--- a/src/upstream/evidence.cpp
+++ b/src/upstream/evidence.cpp
@@ -89,6 +89,7 @@
     switch (outcome) {
     case Outcome::Shed:
     case Outcome::Cancelled:
+    case Outcome::Superseded:
         return;
     case Outcome::Success:
         if (result.duration <= overdueAfter) {
--- a/src/upstream/retry.cpp
+++ b/src/upstream/retry.cpp
@@ -19,6 +19,7 @@
     case Outcome::Truncated:
     case Outcome::TimedOut:
     case Outcome::Cancelled:
+    case Outcome::Superseded:
         return table::Execution::Unknown;
     }
     return table::Execution::Unknown;
@@ -39,6 +40,11 @@
     return true;
 }
 
+bool RetryBudget::tryTakeOptional(core::MonoTime now)
+{
+    return available(now) >= 1 + maxTokens / 2 && tryTake(now);
+}
+
 double RetryBudget::available(core::MonoTime now) const
 {
     const double elapsed = std::chrono::duration<double>(now - refilledAt_).count();
@@ -53,7 +59,8 @@
 
 RetryDecision decideRetry(core::MonoTime now, const RetryRequest &request, RetryBudget &budget)
 {
-    if (request.outcome == Outcome::Success || request.outcome == Outcome::Cancelled)
+    if (request.outcome == Outcome::Success || request.outcome == Outcome::Cancelled
+        || request.outcome == Outcome::Superseded)
         return RetryDecision::NotNeeded;
     const bool notRun =
         executionOf(request.outcome) == table::Execution::NotRun && !request.mayHaveRunBefore;
--- a/src/upstream/retry_base.h
+++ b/src/upstream/retry_base.h
@@ -23,6 +23,9 @@
     void requestStarted(core::MonoTime now);
     /** @return Whether the budget allows a retry; if so, a token is taken. */
     bool tryTake(core::MonoTime now);
+    /** @return Whether half of the budget stays for retries of refused and failed requests; if so,
+     * a token is taken for a hedge. */
+    bool tryTakeOptional(core::MonoTime now);
     /** @return Tokens available at a time; each retry takes one. */
     double available(core::MonoTime now) const;
 
--- a/src/upstream/service_state.cpp
+++ b/src/upstream/service_state.cpp
@@ -29,6 +29,8 @@
     std::copy_if(list.upstreams.begin(), list.upstreams.end(), std::back_inserter(list_.upstreams),
                  [&](const core::UpstreamVm &vm) { return vm.service == options_.service.id; });
     health_.applyVmList(now, list_.upstreams, list_.entryVms);
+    std::erase_if(supersededInRow_,
+                  [this](const auto &entry) { return !health_.find(entry.first); });
     updateChooser();
 }
 
@@ -63,6 +65,23 @@
     return makeChoice(*index);
 }
 
+HedgeChoice ServiceState::chooseHedge(core::MonoTime now, const HedgeRequest &request,
+                                      Random &random)
+{
+    const auto superseded = supersededInRow_.find(request.first);
+    if (superseded != supersededInRow_.end() && superseded->second >= maxSupersededInRow)
+        return {.refusal = HedgeRefusal::NeedsResult};
+    if (request.timeLeft <= std::max(core::Micros(0), health_.durations().median()))
+        return {.refusal = HedgeRefusal::DeadlineTooClose};
+    std::optional<Choice> choice = choose(
+        now, {.idempotent = true, .firstAttempt = false, .exclude = {request.first}}, random);
+    if (!choice)
+        return {.refusal = HedgeRefusal::NoUpstream};
+    if (!budget_.tryTakeOptional(now))
+        return {.refusal = HedgeRefusal::BudgetExhausted};
+    return {.choice = std::move(choice)};
+}
+
 std::optional<std::size_t> ServiceState::upstreamToTest(core::MonoTime now,
                                                         const std::vector<UpstreamView> &views)
 {
@@ -109,6 +128,10 @@
                                  const Completion &completion)
 {
     health_.finishAttempt(now, attemptId, completion);
+    if (completion.outcome == Outcome::Superseded)
+        ++supersededInRow_[attemptId.upstream];
+    else if (completion.outcome != Outcome::Cancelled)
+        supersededInRow_.erase(attemptId.upstream);
     const auto index = health_.find(attemptId.upstream);
     if (!index || !completion.hasLoad)
         return;
--- a/src/upstream/service_state_base.h
+++ b/src/upstream/service_state_base.h
@@ -6,6 +6,7 @@
 #include "upstream/health_table_base.h"
 #include "upstream/retry_base.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -31,6 +32,26 @@
     std::vector<core::UpstreamId> exclude; ///< Upstreams already tried for the request.
 };
 
+/** Input of chooseHedge(): a request whose first attempt is in flight. */
+struct HedgeRequest
+{
+    core::UpstreamId first;    ///< Upstream of the first attempt.
+    core::Micros timeLeft {0}; ///< Until the deadline.
+};
+
+/** Why a request gets no hedge. */
+enum class HedgeRefusal : std::uint8_t {
+    NeedsResult, ///< Hedges have cancelled all of the upstream's latest attempts.
+    DeadlineTooClose,
+    NoUpstream, ///< No other upstream is usable.
+    BudgetExhausted,
+};
+
+/** Hedges that may cancel attempts at an upstream in a row. The next attempt runs to its end:
+ * hedges would otherwise hide an upstream that answers nothing, since a cancelled attempt is no
+ * evidence. */
+inline constexpr int maxSupersededInRow = 3;
+
 /** The upstream selected for an attempt. */
 struct Choice
 {
@@ -40,6 +61,13 @@
     bool trial = false; ///< The upstream is ejected and the attempt counts towards its readmission.
 };
 
+/** Result of chooseHedge(): exactly one of the members is set. */
+struct HedgeChoice
+{
+    std::optional<Choice> choice;
+    std::optional<HedgeRefusal> refusal;
+};
+
 /**
  * Ejection, selection, retries and drain of the upstreams of one service. Not thread-safe: the
  * daemon guards each ServiceState with a lock of its own.
@@ -59,6 +87,11 @@
      * called startAttempt().
      */
     std::optional<Choice> choose(core::MonoTime now, const ChoiceRequest &request, Random &random);
+    /**
+     * Selects another upstream for a hedge and takes a token from the retry budget. Never a trial.
+     * As with choose(), the caller must hold the lock until it has called startAttempt().
+     */
+    HedgeChoice chooseHedge(core::MonoTime now, const HedgeRequest &request, Random &random);
     /** Records that the attempt is about to be sent. @return The id for finishAttempt(). */
     AttemptId startAttempt(core::MonoTime now, const Choice &choice);
     /** Records the end of an attempt. */
@@ -116,6 +149,8 @@
     Chooser chooser_;
     PowerOfTwoChoices strategy_;
     RetryBudget budget_;
+    /** Attempts that hedges have cancelled since the latest other result, by upstream. */
+    std::map<core::UpstreamId, int> supersededInRow_;
 };
 
 } // namespace teaselreach::upstream
--- a/src/upstream/upstream_type.h
+++ b/src/upstream/upstream_type.h
@@ -24,7 +24,8 @@
     TimedOut,      ///< No complete response before the deadline.
     ConnectFailed, ///< No connection, so nothing was sent.
     Shed,          ///< Rejected with X-Not-Run because of load shedding or draining.
-    Cancelled,     ///< The caller disconnected.
+    Cancelled,     ///< The caller disconnected, or the attempt was a hedge that was not needed.
+    Superseded,    ///< Cancelled because the hedge of the request was faster.
 };
 
 /** Load that an upstream reported about itself. */
--- a/tests/unit/dispatch_gate_test.cpp
+++ b/tests/unit/dispatch_gate_test.cpp
@@ -91,3 +91,19 @@
         limit.recordAnswered();
     CHECK(limit.current() == 40);
 }
+
+TEST_CASE("tryAcquire() takes a slot beyond the limit, or before a request that waits")
+{
+    queue::DispatchGate gate({}, {.minimum = 1, .maximum = 2});
+    CHECK(gate.tryAcquire() == queue::SlotResult::Granted);
+    CHECK(gate.tryAcquire() == queue::SlotResult::Granted);
+    CHECK(gate.tryAcquire() == queue::SlotResult::NoneFree);
+    const auto waiting = gate.acquireAsync(makeRequest("a", core::Millis(60000)), [](auto) {});
+    CHECK(!waiting.result);
+    CHECK(gate.tryAcquire() == queue::SlotResult::Queued);
+    CHECK(gate.inFlight() == 2);
+    REQUIRE(gate.cancel(waiting.ticket));
+    gate.release(GateOutcome::Failed);
+    CHECK(gate.tryAcquire() == queue::SlotResult::Granted);
+    CHECK(gate.inFlight() == 2);
+}
--- a/tests/unit/upstream_unit_test.cpp
+++ b/tests/unit/upstream_unit_test.cpp
@@ -2,6 +2,7 @@
 #include "upstream/digest_json_func.h"
 #include "upstream/floor_func.h"
 #include "upstream/retry_base.h"
+#include "upstream/service_state_base.h"
 #include "upstream/subset_func.h"
 
 #include <doctest/doctest.h>
@@ -37,7 +38,7 @@
 
 TEST_CASE("a retry is never granted for a request that is not idempotent and may have run")
 {
-    for (int outcome = 0; outcome <= static_cast<int>(Outcome::Cancelled); ++outcome) {
+    for (int outcome = 0; outcome <= static_cast<int>(Outcome::Superseded); ++outcome) {
         for (const bool ranBefore : {false, true}) {
             RetryBudget budget;
             RetryRequest request {.outcome = static_cast<Outcome>(outcome),
@@ -106,3 +107,82 @@
     json.erase(json.size() - 1);
     CHECK_THROWS_AS(digestFromJson(json), InvalidDigest);
 }
+
+namespace {
+
+/** A service with two upstreams, of which "first" has the first attempt of a request. */
+struct HedgedService
+{
+    explicit HedgedService(int upstreams = 2)
+        : state({.service = {.id = core::ServiceId("s")}})
+    {
+        core::VmList list;
+        for (const char *id : {"first", "second"}) {
+            if (static_cast<int>(list.upstreams.size()) < upstreams)
+                list.upstreams.push_back({.id = core::UpstreamId(id),
+                                          .service = core::ServiceId("s"),
+                                          .address = "127.0.0.1",
+                                          .port = 1});
+        }
+        state.applyVmList(start, list);
+    }
+
+    HedgeChoice hedge(core::Micros timeLeft = core::Seconds(60))
+    {
+        return state.chooseHedge(start, {.first = core::UpstreamId("first"), .timeLeft = timeLeft},
+                                 random);
+    }
+    void finishFirst(Outcome outcome)
+    {
+        const AttemptId attempt =
+            state.startAttempt(start, {.upstream = core::UpstreamId("first")});
+        state.finishAttempt(start, attempt, {.outcome = outcome});
+    }
+
+    ServiceState state;
+    Random random {1};
+};
+
+} // namespace
+
+TEST_CASE("a hedge goes to the upstream of the first attempt, comes too late, or is a trial")
+{
+    HedgedService two;
+    const HedgeChoice hedge = two.hedge();
+    REQUIRE(hedge.choice);
+    CHECK(hedge.choice->upstream == core::UpstreamId("second"));
+    CHECK(!hedge.choice->trial);
+    CHECK(two.hedge(core::Micros(0)).refusal == HedgeRefusal::DeadlineTooClose);
+    HedgedService one(1);
+    CHECK(one.hedge().refusal == HedgeRefusal::NoUpstream);
+}
+
+TEST_CASE("hedges use up the budget that retries of refused and failed requests need")
+{
+    HedgedService service;
+    int hedges = 0;
+    while (hedges < 100 && service.hedge().choice)
+        ++hedges;
+    CHECK(service.hedge().refusal == HedgeRefusal::BudgetExhausted);
+    CHECK(hedges == 5);
+    int retries = 0;
+    while (retries < 100
+           && service.state.decideRetry(start,
+                                        {.outcome = Outcome::Shed, .timeLeft = core::Seconds(1)})
+               == RetryDecision::Retry)
+        ++retries;
+    CHECK(retries == 5);
+}
+
+TEST_CASE("hedges hide an upstream that answers nothing")
+{
+    // A cancelled attempt is no evidence, so attempts at the upstream must also run to their end.
+    HedgedService service;
+    for (int i = 0; i < maxSupersededInRow; ++i) {
+        service.finishFirst(Outcome::Superseded);
+        service.finishFirst(Outcome::Cancelled); // Does not count.
+    }
+    CHECK(service.hedge().refusal == HedgeRefusal::NeedsResult);
+    service.finishFirst(Outcome::Success);
+    CHECK(service.hedge().choice);
+}
