Feature: [Daemon] Hedged requests in the product's own daemon

Cause: the own daemon sent no hedges, because its gate, retry rule and chooser are behind other interfaces than those of the platform's daemon. Change: RequestPipeline models HedgingPolicy. RequestHedges applies the same HedgePolicy, takes a free slot of the gate and a retry for each hedge, and has the log lines and metrics of the platform's daemon. A request whose key was withdrawn during the first attempt gets no hedge. Load fields are read from the response itself, since a raced result is not moved from.

--- a/src/daemon/attempt.cpp
+++ b/src/daemon/attempt.cpp
@@ -12,20 +12,18 @@
 constexpr unsigned firstServerError = 500;
 constexpr int serviceUnavailable = 503;
 
-bool isSet(const http::Headers &headers, std::string_view name)
+bool isSet(const proxy::HttpResponse &response, std::string_view name)
 {
-    const std::string *value = http::findHeader(headers, name);
-    return value != nullptr && *value == "1";
+    const auto value = response[{name.data(), name.size()}];
+    return std::string_view(value.data(), value.size()) == "1";
 }
 
-std::optional<int> readNumber(const http::Headers &headers, std::string_view name)
+std::optional<int> readNumber(const proxy::HttpResponse &response, std::string_view name)
 {
-    const std::string *value = http::findHeader(headers, name);
-    if (value == nullptr)
-        return std::nullopt;
+    const auto value = response[{name.data(), name.size()}];
     int number = 0;
-    const char *end = value->data() + value->size();
-    const auto [stop, error] = std::from_chars(value->data(), end, number);
+    const char *end = value.data() + value.size();
+    const auto [stop, error] = std::from_chars(value.data(), end, number);
     if (error != std::errc() || stop != end || number < 0)
         return std::nullopt;
     return number;
@@ -90,11 +88,11 @@
         == table::executionName(table::Execution::NotRun);
 }
 
-void readLoadReport(const http::Headers &headers, AttemptReport &report)
+void readLoadReport(const proxy::HttpResponse &response, AttemptReport &report)
 {
-    report.loadBusy = readNumber(headers, "X-Load-Busy");
-    report.loadSlots = readNumber(headers, "X-Load-Slots");
-    report.draining = isSet(headers, "X-Draining");
+    report.loadBusy = readNumber(response, "X-Load-Busy");
+    report.loadSlots = readNumber(response, "X-Load-Slots");
+    report.draining = isSet(response, "X-Draining");
 }
 
 table::Refusal refusalOf(proxy::AttemptEnd end)
--- a/src/daemon/attempt_func.h
+++ b/src/daemon/attempt_func.h
@@ -32,7 +32,7 @@
 bool statesNotExecuted(const proxy::HttpResponse &response);
 
 /** Reads the load and drain fields of an upstream's response into `report`. */
-void readLoadReport(const http::Headers &headers, AttemptReport &report);
+void readLoadReport(const proxy::HttpResponse &response, AttemptReport &report);
 
 /** @return The refusal that the caller gets if an attempt ended like this and is not retried. */
 table::Refusal refusalOf(proxy::AttemptEnd end);
--- a/src/daemon/collaborator_type.h
+++ b/src/daemon/collaborator_type.h
@@ -6,6 +6,7 @@
 #include "core/id_type.h"
 #include "http/http_type.h"
 #include "limit/limit_type.h"
+#include "placement/hedge_policy_base.h"
 #include "placement/placement_type.h"
 #include "queue/queue_type.h"
 #include "record/record_type.h"
@@ -98,8 +99,10 @@
 
 /**
  * Queues requests for the slots of their service. Every Granted must be followed by exactly one
- * releaseSlot(), which is told whether an upstream shed the request. `wake` is called on any thread
- * with the verdict of a request that had to wait, unless cancel() has returned true before.
+ * releaseSlot(), which is told whether an upstream shed the request. tryAcquireSlot() takes a slot
+ * for a hedge only if one is free now; releaseHedgeSlot() follows once for each that it grants.
+ * `wake` is called on any thread with the verdict of a request that had to wait, unless cancel()
+ * has returned true before.
  */
 template <typename T>
 concept RequestGate = requires(T &gate, const GateRequest &request, bool shed,
@@ -114,6 +117,12 @@
     {
         gate.releaseSlot(request.service, shed)
         } -> std::same_as<void>;
+    {
+        gate.tryAcquireSlot(request.service)
+        } -> std::same_as<queue::SlotResult>;
+    {
+        gate.releaseHedgeSlot(request.service, shed)
+        } -> std::same_as<void>;
 };
 
 /** The upstream selected for an attempt. */
@@ -141,6 +150,7 @@
     proxy::AttemptEnd end = proxy::AttemptEnd::Answered;
     core::MonoTime startedAt;
     core::MonoTime endedAt;
+    bool isHedge = false;
     std::optional<int> loadBusy;  ///< X-Load-Busy of the response.
     std::optional<int> loadSlots; ///< X-Load-Slots of the response.
     bool draining = false;        ///< Whether the response has X-Draining: 1.
@@ -157,15 +167,31 @@
     core::Micros timeLeft {0};     ///< Time until the deadline.
 };
 
+/** A request whose first attempt is in flight and may get a hedge. */
+struct HedgeQuery
+{
+    core::ServiceId service;
+    core::UpstreamId first;    ///< Upstream of the first attempt.
+    core::Micros timeLeft {0}; ///< Time until the deadline.
+};
+
+/** Result of chooseHedge(): exactly one of the members is set. */
+struct HedgeDecision
+{
+    std::optional<ChosenUpstream> upstream;
+    std::optional<proxy::HedgeDenial> denial;
+};
+
 /**
- * Selects upstreams and decides on retries. Every upstream that choose() returns must be followed
- * by exactly one report(). tryTakeRetry() takes one retry from the service's retry budget if it
- * returns true.
+ * Selects upstreams and decides on retries. Every upstream that choose() or chooseHedge() returns
+ * must be followed by exactly one report(). For each upstream that it returns, chooseHedge() takes
+ * one retry from the service's retry budget, of which it leaves half for retries. tryTakeRetry()
+ * takes one retry from the service's retry budget if it returns true.
  */
 template <typename T>
 concept UpstreamChooser = requires(T &chooser, const UpstreamQuery &query,
                                    const AttemptReport &attempt, const RetryQuery &retry,
-                                   core::MonoTime now)
+                                   const HedgeQuery &hedge, core::MonoTime now)
 {
     {
         chooser.choose(query, now)
@@ -176,6 +202,9 @@
     {
         chooser.tryTakeRetry(retry, now)
         } -> std::same_as<bool>;
+    {
+        chooser.chooseHedge(hedge, now)
+        } -> std::same_as<HedgeDecision>;
 };
 
 } // namespace teaselreach::daemon
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 
 #include <condition_variable>
 #include <future>
+#include <sstream>
 
 namespace teaselreach::daemon {
 
@@ -31,6 +32,16 @@
     return core::Incarnation(std::stoull(core::randomHex(bytes), nullptr, 16));
 }
 
+static_assert(settings::maxHedgePercent == 100 * proxy::maxHedgeRatio);
+
+/** @return A number with as many digits as it needs, up to six. */
+std::string numberText(double number)
+{
+    std::ostringstream text;
+    text << number;
+    return text.str();
+}
+
 /** Blocks the thread for the whole time; spurious wakeups do not shorten it. */
 void sleepFor(core::Micros time)
 {
@@ -66,7 +77,8 @@
                 {.connectTimeout = settings_.upstream.connectTimeout,
                  .idleConnection = settings_.upstream.idleConnectionTimeout,
                  .connectionPool = {.maxIdlePerServer = static_cast<std::size_t>(
-                                        settings_.upstream.maxIdleConnections)}})
+                                        settings_.upstream.maxIdleConnections)},
+                 .hedges = {.limitRatio = settings_.upstream.hedgePercent / 100}})
     , callerServer_(context_, settings_.vm.address, settings_.listen.callerPort, callerHandlers())
     , control_({.settings = settings_,
                 .lifecycle = lifecycle_,
@@ -80,7 +92,9 @@
     proxy::spawn(context_, "close_stale_connections",
                  [this]() { return closeStaleConnectionsRegularly(); });
     core::logEvent(core::LogLevel::Info, "daemon_started",
-                   {{"vm", settings_.vm.id.str()}, {"address", settings_.vm.address}});
+                   {{"vm", settings_.vm.id.str()},
+                    {"address", settings_.vm.address},
+                    {"hedge_percent", numberText(settings_.upstream.hedgePercent)}});
 }
 
 Daemon::~Daemon()
@@ -209,6 +223,7 @@
             const core::MonoTime now = core::MonoClock::now();
             callerServer_.closeStale(now);
             pipeline_.closeStaleUpstreamConnections(now);
+            pipeline_.publishHedgeShare(now);
         });
     }
 }
--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -47,6 +47,17 @@
     gateOf(service).release(shed ? queue::GateOutcome::Shed : queue::GateOutcome::Answered);
 }
 
+queue::SlotResult GateService::tryAcquireSlot(const core::ServiceId &service)
+{
+    return gateOf(service).tryAcquire();
+}
+
+void GateService::releaseHedgeSlot(const core::ServiceId &service, bool shed)
+{
+    // The request's own slot tells the limit of an answer; a second one would raise it twice.
+    gateOf(service).release(shed ? queue::GateOutcome::Shed : queue::GateOutcome::Failed);
+}
+
 void GateService::setSlots(const core::ServiceId &service, int slots)
 {
     gateOf(service).setSlots(slots);
--- a/src/daemon/gate_service_base.h
+++ b/src/daemon/gate_service_base.h
@@ -23,6 +23,10 @@
     bool cancel(const core::ServiceId &service, queue::Ticket ticket);
     /** Releases the slot of a granted request. @param shed Whether an upstream shed it. */
     void releaseSlot(const core::ServiceId &service, bool shed);
+    /** Takes a slot for a hedge if one is free now and no request waits. */
+    queue::SlotResult tryAcquireSlot(const core::ServiceId &service);
+    /** Releases the slot of a hedge. @param shed Whether an upstream shed the attempt. */
+    void releaseHedgeSlot(const core::ServiceId &service, bool shed);
     /** Sets the capacity of a gate. @param slots Slots of the service's upstreams in use. */
     void setSlots(const core::ServiceId &service, int slots);
 
--- a/src/daemon/request_observer.cpp
+++ b/src/daemon/request_observer.cpp
@@ -28,17 +28,19 @@
 void RequestObserver::recordRequest(const RequestSummary &request)
 {
     const core::MonoTime now = core::MonoClock::now();
-    core::logEvent(core::LogLevel::Info, "request_done",
-                   {{"request_id", request.id.str()},
-                    {"account", request.account.str()},
-                    {"route", request.route.str()},
-                    {"upstream", request.upstream.str()},
-                    {"attempts", std::int64_t {request.attempts}},
-                    {"status", std::int64_t {request.status}},
-                    {"outcome", request.outcome},
-                    {"reason", request.reason},
-                    {"duration_us", std::int64_t {request.duration.count()}},
-                    {"proof", proxy::executionProofName(request.proof)}});
+    std::vector<core::LogField> fields {{"request_id", request.id.str()},
+                                        {"account", request.account.str()},
+                                        {"route", request.route.str()},
+                                        {"upstream", request.upstream.str()},
+                                        {"attempts", std::int64_t {request.attempts}},
+                                        {"status", std::int64_t {request.status}},
+                                        {"outcome", request.outcome},
+                                        {"reason", request.reason},
+                                        {"duration_us", std::int64_t {request.duration.count()}},
+                                        {"proof", proxy::executionProofName(request.proof)}};
+    if (!request.hedge.empty())
+        fields.emplace_back("hedge", request.hedge);
+    core::logEvent(core::LogLevel::Info, "request_done", fields);
     registry_.countRequest(
         {.service = request.service, .account = request.account, .outcome = request.outcome},
         request.duration, now);
--- a/src/daemon/request_observer_base.h
+++ b/src/daemon/request_observer_base.h
@@ -34,6 +34,7 @@
     int status = 0;
     std::string outcome; ///< answeredOutcome, callerLeftOutcome or a refusal code.
     std::string reason;  ///< Detail of a refusal.
+    std::string hedge;   ///< Outcome of the hedge; empty without one.
     core::Micros duration {0};
     proxy::ExecutionProof proof = proxy::ExecutionProof::NothingSent;
 };
--- a/src/daemon/request_pipeline_base.h
+++ b/src/daemon/request_pipeline_base.h
@@ -7,6 +7,7 @@
 #include "daemon/lifecycle_base.h"
 #include "daemon/refusal_func.h"
 #include "daemon/request_check_func.h"
+#include "daemon/request_hedges_base.h"
 #include "daemon/request_observer_base.h"
 #include "proxy/request_loop_base.h"
 
@@ -28,11 +29,12 @@
      * connection, and a request sent at that moment may or may not have run. */
     core::Micros idleForNonIdempotent {core::Seconds(3)};
     proxy::ConnectionPoolOptions connectionPool;
+    proxy::HedgeOptions hedges;
 };
 
 /**
  * Finds the route, checks the key, applies the rate limit, waits for a slot and chooses upstreams.
- * Models proxy::RequestPolicy. Runs on the event loop; other threads may call the collaborators at
+ * Models proxy::HedgingPolicy. Runs on the event loop; other threads may call the collaborators at
  * the same time.
  */
 template <ConfigSource Config, RateLimiter Limits, RequestGate Gate, UpstreamChooser Chooser>
@@ -65,6 +67,7 @@
         std::optional<table::Refusal> unknownOutcomeRefusal;
         bool holdsSlot = false;
         bool shed = false; ///< Whether an upstream shed any attempt.
+        HedgeState hedge;
         std::string outcome;
         std::string reason;
 
@@ -76,11 +79,17 @@
     };
 
     using Place = ChosenUpstream;
+    static constexpr bool mayHedge = true; ///< See proxy::HedgingPolicy.
 
     /** @param parts Collaborators. @param options Timeouts and limits. */
     RequestPipeline(Parts parts, PipelineOptions options)
         : parts_(parts)
         , options_(options)
+        , hedges_({.gate = parts.gate,
+                   .chooser = parts.chooser,
+                   .lifecycle = parts.lifecycle,
+                   .observer = parts.observer},
+                  options.hedges)
         , loop_(parts.context, *this, options.connectionPool)
     { }
 
@@ -92,7 +101,14 @@
     /** Closes pooled upstream connections that will not be used again. */
     void closeStaleUpstreamConnections(core::MonoTime now) { loop_.closeStaleConnections(now); }
 
-    // Called by the loop; see proxy::RequestPolicy.
+    /** Sets the gauge of the extra load by hedges; for regular calls on the event loop. */
+    void publishHedgeShare(core::MonoTime now)
+    {
+        if (const auto snapshot = parts_.config.current())
+            hedges_.publishShare(now, snapshot->records().services);
+    }
+
+    // Called by the loop; see proxy::HedgingPolicy.
 
     Job createJob(const std::shared_ptr<proxy::CallerExchange> &exchange) const
     {
@@ -109,6 +125,7 @@
             job.deadline = requestDeadline(job.request, *job.authorization.route);
             const AdmissionVerdict verdict = co_await waitForToken(job);
             checkAdmitted(verdict);
+            hedges_.requestArrived(core::MonoClock::now(), job.authorization.route->service);
             const GateVerdict gateVerdict = co_await waitForSlot(job);
             checkGranted(gateVerdict);
             job.holdsSlot = true;
@@ -162,24 +179,78 @@
 
     bool finishAttempt(Job &job, const ChosenUpstream &chosen, core::MonoTime startedAt,
                        proxy::ExchangeResult exchangeResult)
+    {
+        recordAttempt(job, chosen, startedAt, exchangeResult);
+        return settleRequest(job, std::move(exchangeResult));
+    }
+
+    /** Records the result of an attempt. */
+    void recordAttempt(Job &job, const ChosenUpstream &chosen, core::MonoTime startedAt,
+                       const proxy::ExchangeResult &result)
+    {
+        const proxy::AttemptEnd end = judgeAttempt(result).end;
+        const AttemptReport report = reportAttempt(job, chosen, result, end, startedAt);
+        job.shed = job.shed || end == proxy::AttemptEnd::NotExecuted;
+        // The request of a superseded attempt has a response.
+        const bool hasResponse = end == proxy::AttemptEnd::Answered
+            || end == proxy::AttemptEnd::ServerError || end == proxy::AttemptEnd::Superseded;
+        if (!hasResponse && !proxy::certainlyNotExecuted(end))
+            job.unknownOutcomeRefusal = refusalOf(end);
+        hedges_.attemptFinished(hedgeSubject(job), job.hedge, report);
+    }
+
+    /** Decides on a request by the result of a recorded attempt. @return Whether another follows.
+     */
+    bool settleRequest(Job &job, proxy::ExchangeResult exchangeResult)
     {
         const proxy::AttemptEnd end = judgeAttempt(exchangeResult).end;
         http::Result result = toHttpResult(std::move(exchangeResult));
-        reportAttempt(job, chosen, result, end, startedAt);
-        job.shed = job.shed || end == proxy::AttemptEnd::NotExecuted;
         if (end == proxy::AttemptEnd::Answered || end == proxy::AttemptEnd::ServerError) {
             job.outcome = answeredOutcome;
             setResponse(makeCallerResponse(std::move(result), job.id), *job.exchange);
             return false;
         }
-        if (!proxy::certainlyNotExecuted(end))
-            job.unknownOutcomeRefusal = refusalOf(end);
         if (end != proxy::AttemptEnd::CallerLeft && requestRetry(job, end))
             return true;
         refuse(job, refusalOf(end), result.detail);
         return false;
     }
 
+    core::Micros hedgeDelay(const Job &job, core::MonoTime now)
+    {
+        return hedges_.delay(now, hedgeSubject(job), job.tried.size());
+    }
+
+    std::optional<ChosenUpstream> placeHedge(Job &job, const ChosenUpstream &first,
+                                             core::MonoTime startedAt, const proxy::HttpRequest &)
+    {
+        const core::MonoTime now = core::MonoClock::now();
+        try {
+            recheckKey(job);
+        } catch (const RequestRefused &) {
+            hedges_.deny(now, hedgeSubject(job), first, startedAt, proxy::HedgeDenial::NotAllowed);
+            return std::nullopt;
+        }
+        const auto chosen = hedges_.place(now, hedgeSubject(job), job.hedge, first, startedAt);
+        if (chosen)
+            job.tried.push_back(chosen->id);
+        return chosen;
+    }
+
+    /** @return The plan of a hedge. Each plan has its own copy of the request's body. */
+    proxy::AttemptPlan planHedge(const Job &job, const ChosenUpstream &chosen, core::MonoTime now,
+                                 const proxy::HttpRequest &) const
+    {
+        return planAttempt(job, chosen, now);
+    }
+
+    void hedgeEnded(Job &job, proxy::HedgeOutcome outcome,
+                    const proxy::HedgedAttempt<ChosenUpstream> &first,
+                    const proxy::HedgedAttempt<ChosenUpstream> &second)
+    {
+        hedges_.ended(hedgeSubject(job), job.hedge, outcome, first, second);
+    }
+
     bool promisesNotExecuted(const Job &job) const
     {
         return statesNotExecuted(job.exchange->response);
@@ -342,17 +413,26 @@
         return *chosen;
     }
 
-    void reportAttempt(const Job &job, const ChosenUpstream &chosen, const http::Result &result,
-                       proxy::AttemptEnd end, core::MonoTime startedAt)
+    static HedgeSubject hedgeSubject(const Job &job)
+    {
+        return {.id = job.id, .route = *job.authorization.route, .deadline = job.deadline};
+    }
+
+    AttemptReport reportAttempt(const Job &job, const ChosenUpstream &chosen,
+                                const proxy::ExchangeResult &result, proxy::AttemptEnd end,
+                                core::MonoTime startedAt)
     {
         AttemptReport attempt {.upstream = chosen.id,
                                .attemptNumber = chosen.attemptNumber,
                                .service = job.authorization.route->service,
                                .end = end,
                                .startedAt = startedAt,
-                               .endedAt = core::MonoClock::now()};
-        readLoadReport(result.headers, attempt);
+                               .endedAt = core::MonoClock::now(),
+                               .isHedge = job.hedge.upstream == chosen.id};
+        if (result.failure == proxy::ExchangeFailure::None)
+            readLoadReport(result.response, attempt);
         parts_.chooser.report(attempt);
+        return attempt;
     }
 
     bool requestRetry(const Job &job, proxy::AttemptEnd end)
@@ -382,12 +462,14 @@
              .status = static_cast<int>(job.exchange->response.result_int()),
              .outcome = job.exchange->callerLeft ? std::string(callerLeftOutcome) : job.outcome,
              .reason = job.reason,
+             .hedge = std::string(job.hedge.outcome),
              .duration = core::MonoClock::now() - job.request.receivedAt,
              .proof = job.exchange->evidence.proof()});
     }
 
     Parts parts_;
     PipelineOptions options_;
+    RequestHedges<Gate, Chooser> hedges_;
     proxy::RequestLoop<RequestPipeline> loop_;
 };
 
--- a/src/daemon/upstream_service.cpp
+++ b/src/daemon/upstream_service.cpp
@@ -9,6 +9,22 @@
 
 namespace {
 
+/** @return The reason in logs and metrics. */
+proxy::HedgeDenial denialFor(upstream::HedgeRefusal refusal)
+{
+    switch (refusal) {
+    case upstream::HedgeRefusal::NeedsResult:
+        return proxy::HedgeDenial::NeedsResult;
+    case upstream::HedgeRefusal::DeadlineTooClose:
+        return proxy::HedgeDenial::TooLate;
+    case upstream::HedgeRefusal::NoUpstream:
+        return proxy::HedgeDenial::NoUpstream;
+    case upstream::HedgeRefusal::BudgetExhausted:
+        return proxy::HedgeDenial::NoBudget;
+    }
+    return proxy::HedgeDenial::NoUpstream;
+}
+
 /** @return The outcome for outlier ejection. */
 upstream::Outcome outcomeFor(proxy::AttemptEnd end)
 {
@@ -28,8 +44,9 @@
     case proxy::AttemptEnd::Broken:
         return upstream::Outcome::Truncated;
     case proxy::AttemptEnd::CallerLeft:
-    case proxy::AttemptEnd::Superseded:
         return upstream::Outcome::Cancelled;
+    case proxy::AttemptEnd::Superseded:
+        return upstream::Outcome::Superseded;
     }
     return upstream::Outcome::Failed;
 }
@@ -75,10 +92,30 @@
                                               service->random);
     if (!choice)
         return std::nullopt;
-    const upstream::AttemptId attemptId = service->state.startAttempt(now, *choice);
-    return ChosenUpstream {.id = choice->upstream,
-                           .target = {.address = choice->address, .port = choice->port},
-                           .attemptNumber = attemptId.number};
+    return start(*service, *choice, now);
+}
+
+HedgeDecision UpstreamService::chooseHedge(const HedgeQuery &query, core::MonoTime now)
+{
+    const std::shared_ptr<Service> service = findService(query.service);
+    if (!service)
+        return {.upstream = std::nullopt, .denial = proxy::HedgeDenial::NoUpstream};
+    const std::lock_guard lock(service->mutex);
+    const upstream::HedgeChoice hedge = service->state.chooseHedge(
+        now, {.first = query.first, .timeLeft = query.timeLeft}, service->random);
+    if (!hedge.choice)
+        return {.upstream = std::nullopt, .denial = denialFor(*hedge.refusal)};
+    return {.upstream = start(*service, *hedge.choice, now), .denial = std::nullopt};
+}
+
+/** Records the start of an attempt. Requires the service's lock. */
+ChosenUpstream UpstreamService::start(Service &service, const upstream::Choice &choice,
+                                      core::MonoTime now)
+{
+    const upstream::AttemptId attemptId = service.state.startAttempt(now, choice);
+    return {.id = choice.upstream,
+            .target = {.address = choice.address, .port = choice.port},
+            .attemptNumber = attemptId.number};
 }
 
 void UpstreamService::report(const AttemptReport &attempt)
@@ -87,6 +124,9 @@
     if (!service)
         return;
     upstream::Completion completion {.outcome = outcomeFor(attempt.end)};
+    // A hedge that lost shows nothing: the first attempt had a start of the delay.
+    if (attempt.isHedge && attempt.end == proxy::AttemptEnd::Superseded)
+        completion.outcome = upstream::Outcome::Cancelled;
     completion.hasLoad = attempt.draining || (attempt.loadBusy && attempt.loadSlots);
     completion.load = {.busy = attempt.loadBusy.value_or(0),
                        .slots = attempt.loadSlots.value_or(0),
--- a/src/daemon/upstream_service_base.h
+++ b/src/daemon/upstream_service_base.h
@@ -53,6 +53,10 @@
     /** @return Whether to retry; if so, the retry has been taken from the retry budget. */
     bool tryTakeRetry(const RetryQuery &query, core::MonoTime now);
 
+    /** Chooses an upstream for a hedge, takes a retry for it from the retry budget and records the
+     * start of an attempt, or returns why there is no hedge. */
+    HedgeDecision chooseHedge(const HedgeQuery &query, core::MonoTime now);
+
     /** Adds, updates and removes services as the configuration says. */
     void onConfig(const config::ConfigSnapshot &snapshot);
     /** Applies a VM list. */
@@ -91,6 +95,8 @@
     std::shared_ptr<Service> findService(const core::ServiceId &id) const;
     Services currentServices() const;
     std::shared_ptr<Service> makeService(const record::Service &record) const;
+    static ChosenUpstream start(Service &service, const upstream::Choice &choice,
+                                core::MonoTime now);
     void tickAll();
     static void logEvents(const core::ServiceId &id, Service &service);
 
--- a/src/placement/hedge_policy.cpp
+++ b/src/placement/hedge_policy.cpp
@@ -69,6 +69,8 @@
         return "no_upstream";
     case HedgeDenial::NoBudget:
         return "no_retry_budget";
+    case HedgeDenial::NeedsResult:
+        return "needs_result";
     case HedgeDenial::NoMemory:
         return "no_memory";
     }
--- a/src/placement/hedge_policy_base.h
+++ b/src/placement/hedge_policy_base.h
@@ -50,7 +50,9 @@
     TooLate,    ///< The deadline leaves no time for it.
     NoUpstream, ///< No other healthy upstream has a free slot.
     NoBudget,   ///< The retry budget is used up.
-    NoMemory,   ///< The bodies that the process holds leave no room for a copy.
+    /** Hedges have cancelled the latest attempts at the upstream; this one shows its health. */
+    NeedsResult,
+    NoMemory, ///< The bodies that the process holds leave no room for a copy.
 };
 
 /** @return The name of a reason in logs and metrics; these names do not change. */
