Feature: [Placement] Zones that are short of slots send a part of their requests to zones with room

Cause: fixed losses for distance send a request to another zone only after the own upstreams queue, and the load of other zones was known only from responses to own attempts. Change: ZoneLoadTable keeps the demand and slots of the zones as VMs report them and assigns as many requests to other zones as bring both to the same utilization, by a draw that a request keeps; UpstreamTable measures the own zone and applies this where UpstreamTableOptions::zoneLoad is enabled. If all known zones are short, a request takes only a free slot of another zone. Without messages between zones the result equals that of fixed losses.

--- a/src/placement/upstream_table.cpp
+++ b/src/placement/upstream_table.cpp
@@ -13,7 +13,13 @@
     , limiter_(options_.limits, seed)
     , bytes_(options_.bytes)
     , coverage_(options_.coverage)
-{ }
+    , spillSeed_(seed)
+{
+    options_.zoneLoad.self = options_.self;
+    options_.zoneLoad.regionOfZone = options_.regionOfZone;
+    if (options_.zoneLoad.enabled)
+        zoneLoads_.emplace(options_.zoneLoad);
+}
 
 void UpstreamTable::update(core::MonoTime now, const UpstreamEntry &entry)
 {
@@ -99,6 +105,7 @@
         coverage_.counted(now, request.service, countsOf(now, request.service));
     const RegionFilter regions = regionIndex_.filterOf(request.allowedRegions);
     const bool isRampingUp = evacuations_.isRampingUp(now);
+    const std::optional<double> spillDraw = spillDrawOf(now, request);
     bool healthyIsBusy = false;
     const Upstream *best = nullptr;
     Estimate bestEstimate;
@@ -106,7 +113,8 @@
     for (const Upstream *upstream : service->second) {
         // The remaining upstreams are at least as far away, and their distance alone costs as much
         // as the whole expected loss of the best candidate.
-        if (best != nullptr && bestEstimate.isAcceptable && upstream->distance >= bestEstimate.loss)
+        if (!spillDraw && best != nullptr && bestEstimate.isAcceptable
+            && upstream->distance >= bestEstimate.loss)
             break;
         const std::optional<Exclusion> exclusion =
             exclusionOf(now, *upstream, request, regions, isRampingUp);
@@ -117,7 +125,7 @@
                     && failureProbability(now, *upstream) < options_.suspectThreshold);
             continue;
         }
-        Estimate estimate = evaluate(now, *upstream, request);
+        Estimate estimate = evaluate(now, *upstream, request, spillDraw);
         estimate.loss += tieBreak(random_);
         if (estimate.duration > request.timeLeft) {
             reason = PlacementFailure::TooLate;
@@ -140,7 +148,8 @@
 }
 
 UpstreamTable::Estimate UpstreamTable::evaluate(core::MonoTime now, const Upstream &upstream,
-                                                const PlacementRequest &request) const
+                                                const PlacementRequest &request,
+                                                std::optional<double> spillDraw) const
 {
     const core::Micros duration = expectedDuration(now, upstream, request);
     const double failure = failureProbability(now, upstream);
@@ -149,13 +158,18 @@
     // upstreams counted as well, those of another zone would get the requests that it may take.
     const core::Micros countedDuration =
         hasColdLimit(now, upstream) ? micros(seconds(duration) / options_.coldFactor) : duration;
+    const bool isSpilled = isSpilledTo(now, upstream, request, spillDraw);
+    // A tie goes to the zone that the request is assigned to.
+    const double spillGain = isSpilled ? upstream.distance + tieLoss : 0;
     const double loss =
-        isTrial ? upstream.distance : expectedLoss(upstream, request, countedDuration, failure);
+        (isTrial ? upstream.distance : expectedLoss(upstream, request, countedDuration, failure))
+        - spillGain;
     return {.duration = duration,
             .loss = loss,
             .failure = failure,
             .isAcceptable = isTrial || failure <= options_.avoidThreshold,
-            .isTrial = isTrial && isFailing(now, upstream)};
+            .isTrial = isTrial && isFailing(now, upstream),
+            .isSpilled = isSpilled};
 }
 
 Placement UpstreamTable::makePlacement(const Upstream &upstream, const Estimate &estimate)
@@ -166,12 +180,15 @@
             .expectedDuration = estimate.duration,
             .expectedLoss = estimate.loss,
             .failureEstimate = estimate.failure,
-            .isTrial = estimate.isTrial};
+            .isTrial = estimate.isTrial,
+            .isSpilled = estimate.isSpilled};
 }
 
 void UpstreamTable::attemptStarted(core::MonoTime now, Placement &placement)
 {
     placement.attempt = ++lastAttempt_;
+    if (placement.isSpilled && zoneLoads_)
+        zoneLoads_->requestSpilled();
     const auto found = upstreams_.find(placement.upstream);
     if (found == upstreams_.end())
         return;
@@ -206,6 +223,8 @@
     if (record.end == AttemptEnd::CallerLeft || record.end == AttemptEnd::Superseded)
         return;
     if (record.end == AttemptEnd::NotExecuted || record.end == AttemptEnd::Misdirected) {
+        if (zoneLoads_ && upstream.distance <= 0)
+            zoneLoads_->attemptRefused(record.endedAt, upstream.entry.service);
         // A refusal without a load report still shows that the upstream is full.
         if (!record.status.load) {
             upstream.othersLoad = options_.maxOccupancy * std::max(1, upstream.entry.slots);
--- a/src/placement/upstream_table_base.h
+++ b/src/placement/upstream_table_base.h
@@ -8,6 +8,7 @@
 #include "placement/upstream_notices_base.h"
 #include "placement/upstream_rate_limiter_base.h"
 #include "placement/zone_evacuations_base.h"
+#include "placement/zone_load_table_base.h"
 
 #include <map>
 #include <optional>
@@ -27,6 +28,7 @@
     UpstreamByteLimiterOptions bytes;
     UpstreamCoverageOptions coverage;
     ZoneEvacuationOptions evacuations;
+    ZoneLoadOptions zoneLoad; ///< Its location and zones are set from those above.
     /** Loss from the traffic cost of sending a request to another zone of the region. */
     double crossZoneLoss = 0.06;
     /** Loss from sending a request to another region: the traffic cost, 40 ms of network latency,
@@ -106,6 +108,7 @@
     double expectedLoss = 0;
     double failureEstimate = 0; ///< Probability that the attempt fails.
     bool isTrial = false;       ///< Whether the upstream is believed to be failing.
+    bool isSpilled = false;     ///< Whether the own zone is short of slots; see ZoneLoadTable.
     std::uint64_t attempt = 0;  ///< Number of the attempt; set by attemptStarted().
     std::size_t bodyBytes = 0;  ///< PlacementRequest::bodyBytes.
 };
@@ -222,6 +225,14 @@
         self_ = std::move(self);
         trialPeers_ = std::move(peers);
     }
+    /** Counts the arrival of a caller's request for the load of the zone.
+     * @param regions Regions in which it may be served. */
+    void requestArrived(core::MonoTime now, const core::ServiceId &service,
+                        const RegionSet &regions);
+    /** Measures the slots of the own zone. Call it several times a second. */
+    void measureZoneLoad(core::MonoTime now);
+    /** @return Load of the zones, or nullptr if zones do not share load. */
+    ZoneLoadTable *zoneLoads() { return zoneLoads_ ? &*zoneLoads_ : nullptr; }
     /** @return All services with at least one upstream. */
     std::vector<core::ServiceId> services() const;
     /** @return The upstreams of a service by the reason why they get no or few requests. */
@@ -266,7 +277,8 @@
         /** Whether a request that may not be retried is sent here rather than to wait: the upstream
          * is probably healthy, or due for a trial. */
         bool isAcceptable = false;
-        bool isTrial = false; ///< Whether the upstream is believed to be failing and due a trial.
+        bool isTrial = false;   ///< Whether the upstream is believed to be failing and due a trial.
+        bool isSpilled = false; ///< Whether the request is assigned to the upstream's zone.
     };
 
     /** @return Whether an upstream takes new requests. */
@@ -280,12 +292,19 @@
     std::optional<Exclusion> exclusionOf(core::MonoTime now, const Upstream &upstream,
                                          const PlacementRequest &request,
                                          const RegionFilter &regions, bool isRampingUp) const;
-    /** @return The estimate for an upstream. */
-    Estimate evaluate(core::MonoTime now, const Upstream &upstream,
-                      const PlacementRequest &request) const;
+    /** @param spillDraw See spillDrawOf(). @return The estimate for an upstream. */
+    Estimate evaluate(core::MonoTime now, const Upstream &upstream, const PlacementRequest &request,
+                      std::optional<double> spillDraw) const;
     CandidateExplanation explainCandidate(core::MonoTime now, const Upstream &upstream,
                                           const PlacementRequest &request,
                                           std::optional<Exclusion> exclusion) const;
+    /** @return The draw that assigns a request to a zone; nothing if its own zone serves all. */
+    std::optional<double> spillDrawOf(core::MonoTime now, const PlacementRequest &request) const;
+    bool isSpilledTo(core::MonoTime now, const Upstream &upstream, const PlacementRequest &request,
+                     std::optional<double> spillDraw) const;
+    bool takesFreeSlotOnly(core::MonoTime now, const Upstream &upstream,
+                           const PlacementRequest &request) const;
+    bool hasFreeSlotForGuest(core::MonoTime now, const Upstream &upstream) const;
     static Placement makePlacement(const Upstream &upstream, const Estimate &estimate);
     void addToService(Upstream &upstream);
     void removeFromService(const Upstream &upstream);
@@ -340,6 +359,8 @@
     UpstreamRateLimiter limiter_;
     UpstreamByteLimiter bytes_;
     UpstreamCoverage coverage_;
+    std::optional<ZoneLoadTable> zoneLoads_; ///< Set if zones share load.
+    std::uint64_t spillSeed_ = 0;            ///< Draws differ between VMs.
     std::map<core::AvailabilityZoneId, UpstreamLimitShare> limitShares_;
     UpstreamLimitShare unknownZoneShare_; ///< For zones that limitShares_ does not list.
     /** Requests per second at a cold upstream of each service that has a limit. */
--- a/src/placement/upstream_table_explain.cpp
+++ b/src/placement/upstream_table_explain.cpp
@@ -62,7 +62,8 @@
                                                      const PlacementRequest &request,
                                                      std::optional<Exclusion> exclusion) const
 {
-    const Estimate estimate = evaluate(now, upstream, request);
+    const Estimate estimate =
+        evaluate(now, upstream, request, spillDrawOf(now, request));
     CandidateExplanation candidate {.upstream = upstream.entry.id,
                                     .zone = upstream.entry.availabilityZone,
                                     .expectedDuration = estimate.duration,
--- a/tests/cmake/proxy.cmake
+++ b/tests/cmake/proxy.cmake
@@ -28,3 +28,4 @@
 add_dependencies(platform_main_test teaselreachd_platform)
 teaselreach_test(proxy_load_replay_test SOURCES proxy/load_replay_test.cpp LIBS tr_fleet)
 teaselreach_test(proxy_upstream_coverage_test SOURCES proxy/upstream_coverage_test.cpp LIBS tr_placement)
+teaselreach_test(proxy_zone_load_test SOURCES proxy/zone_load_test.cpp LIBS tr_placement)
