Feature: [Fleet] Peer messages carry the load of zones

Cause: VMs need the demand and slots of other zones to share load. Change: PeerMessage::zoneLoads, at most 12 reports, as the third element of the view, which earlier versions ignore; an element at the end would need a history that was not asked for, since earlier versions read it there. Result: proxy_zone_load_message_test, 5 cases; a message without reports is encoded as before.

--- a/src/fleet/peer_messenger.cpp
+++ b/src/fleet/peer_messenger.cpp
@@ -2,6 +2,7 @@
 #include "core/log_func.h"
 #include "fleet/message_pack_func.h"
 #include "fleet/peer_messenger_base.h"
+#include "fleet/zone_load_message_func.h"
 #include "http/server_base.h"
 #include "proxy/event_loop_func.h"
 #include "proxy/http_connection_base.h"
@@ -138,6 +139,7 @@
     nlohmann::json body {message.sender.str(), std::move(outcomes), std::move(usage),
                          message.leaving, std::move(limits)};
     appendPoolState(message, body);
+    appendZoneLoads(message.zoneLoads, body);
     const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(body);
     return {bytes.begin(), bytes.end()};
 }
@@ -165,6 +167,8 @@
         if (body.size() > 5)
             message.view = PoolView {.digest = body.at(5).at(0).get<std::uint64_t>(),
                                      .asksHistory = body.at(5).at(1).get<bool>()};
+        if (body.size() > 5)
+            readZoneLoads(body.at(5), message);
         if (body.size() > 6)
             message.history = decodeHistory(body.at(6));
         return message;
--- a/src/fleet/peer_messenger_base.h
+++ b/src/fleet/peer_messenger_base.h
@@ -24,12 +24,16 @@
     std::vector<OutcomeReport> outcomes;
     std::vector<AccountUsage> usage;
     std::vector<UpstreamLimitReport> limits;
-    std::optional<PoolView> view;        ///< Only of VMs that pace accounts.
-    std::optional<UsageHistory> history; ///< For a receiver that has asked for it.
+    std::optional<PoolView> view;          ///< Only of VMs that pace accounts.
+    std::optional<UsageHistory> history;   ///< For a receiver that has asked for it.
+    std::vector<ZoneLoadReport> zoneLoads; ///< Only of VMs that share load between zones.
+    std::size_t malformedZoneLoads = 0;    ///< Reports of a datagram that could not be read.
 };
 
 /** Maximum entries of PeerMessage::limits. */
 inline constexpr std::size_t maxLimitReports = 40;
+/** Maximum entries of PeerMessage::zoneLoads. */
+inline constexpr std::size_t maxZoneLoadReports = 12;
 
 /** @return A message as a datagram (MessagePack). Each list is cut to a fixed length. */
 std::string encodeMessage(const PeerMessage &message);
