--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -5,6 +5,7 @@
 #include "fleet/peer_liveness_base.h"
 #include "fleet/peer_messenger_base.h"
 #include "fleet/pool_reports_base.h"
+#include "fleet/zone_load_exchange_base.h"
 #include "proxy/loop_daemon_type.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -32,7 +33,8 @@
         , options_(std::move(options))
         , upstreams_({.self = options_.self.location,
                       .regionOfZone = options_.regionOfZone,
-                      .bytes = options_.flow.upstreamBytes},
+                      .bytes = options_.flow.upstreamBytes,
+                      .zoneLoad = options_.zoneLoad},
                      options_.seed)
         , shares_(options_.shares)
         , usageCoverage_(options_.shares.window, core::MonoClock::now(), options_.firstStart)
@@ -280,8 +282,11 @@
         const bool dueToPool =
             due || (poolReports_ && now - poolMessageSentAt_ >= PoolReports::messageInterval);
         const bool hasOutcomes = !message.outcomes.empty();
-        if (due)
+        zoneLoads_.measure(now);
+        if (due) {
+            message.zoneLoads = zoneLoads_.reportsForRegion(now);
             messageSentAt_ = now;
+        }
         if (dueToPool)
             poolMessageSentAt_ = now;
         std::set<core::VmId> notified;
@@ -309,7 +314,8 @@
         std::erase_if(message.outcomes,
                       [](const OutcomeReport &report) { return !report.suspicionChanged; });
         message.limits.clear();
-        if (message.outcomes.empty())
+        message.zoneLoads = zoneLoads_.reportsForOtherRegions(now);
+        if (message.outcomes.empty() && message.zoneLoads.empty())
             return;
         for (const EntryMember &peer : entries_.activeInOtherRegions(options_.self.id))
             peers_.send(peer.peerAddress, message);
@@ -361,6 +367,7 @@
             upstreams_.peerOutcomeReported(now, report);
         for (const UpstreamLimitReport &report : message.limits)
             upstreams_.limitReported(now, report);
+        zoneLoads_.receive(now, message);
         if (!entries_.isActive(options_.self.id)) {
             usageCoverage_.membershipObserved(now, false);
             return;
@@ -477,6 +484,7 @@
             registry_.setGauge("teaselreach_usage_reports_rejected", {},
                                static_cast<double>(poolReports_->rejected()));
         }
+        zoneLoads_.publishMetrics(registry_);
         registry_.setGauge("teaselreach_members", {}, static_cast<double>(entries_.size()));
         registry_.setGauge("teaselreach_evacuated_zones", {},
                            static_cast<double>(upstreams_.evacuations().zones().size()));
@@ -522,6 +530,7 @@
     LoopDaemonOptions options_;
     metrics::Registry registry_;
     UpstreamTable upstreams_;
+    ZoneLoadExchange zoneLoads_ {upstreams_};
     AccountRateLimiter shares_;
     PoolUsageCoverage usageCoverage_;
     std::optional<PoolReports> poolReports_;         ///< Set if accounts are paced.
--- a/src/proxy/loop_daemon_type.h
+++ b/src/proxy/loop_daemon_type.h
@@ -41,6 +41,7 @@
     ListenAddress directory;
     ListenAddress peers; ///< TCP for other VMs and for metrics, UDP for peer messages.
     AccountRateLimiterOptions shares;
+    ZoneLoadOptions zoneLoad; ///< Its location and zones are set from those above.
     RequestFlowOptions flow;
     ShutdownOptions shutdown;
     /** Whether no process of the fleet ran before; otherwise one may have admitted requests. */
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -78,6 +78,7 @@
     if (options_.upstreamBytes.enabled)
         job.request.bodyBytes = exchange.request.body().size();
     dispatcher_.requestArrived(now, job.request.service);
+    parts_.upstreams.requestArrived(now, job.request.service, job.request.allowedRegions);
     co_return true;
 }
 
--- a/tests/proxy/loop_daemon_test.cpp
+++ b/tests/proxy/loop_daemon_test.cpp
@@ -38,8 +38,9 @@
 class DaemonFixture
 {
 public:
-    explicit DaemonFixture(ShutdownOptions shutdown = {}, PacingOptions pacing = {})
-        : daemon_(context_, store, directory_, options(shutdown, pacing))
+    explicit DaemonFixture(ShutdownOptions shutdown = {}, PacingOptions pacing = {},
+                           ZoneLoadOptions zoneLoad = {})
+        : daemon_(context_, store, directory_, options(shutdown, pacing, std::move(zoneLoad)))
     {
         store.configuration = testConfiguration();
         store.configuration.accounts.front().ratePerSecond = 10;
@@ -126,7 +127,8 @@
     const std::uint16_t internalPort = standins::freePort("127.0.0.1");
 
 private:
-    LoopDaemonOptions options(ShutdownOptions shutdown, PacingOptions pacing) const
+    LoopDaemonOptions options(ShutdownOptions shutdown, PacingOptions pacing,
+                              ZoneLoadOptions zoneLoad) const
     {
         LoopDaemonOptions options;
         options.shutdown = shutdown;
@@ -140,6 +142,9 @@
         options.flow.names = testHeaderNames();
         options.shares.window = limitWindow;
         options.shares.pacing = pacing;
+        options.zoneLoad = std::move(zoneLoad);
+        if (options.zoneLoad.enabled)
+            options.regionOfZone = {{core::AvailabilityZoneId("here"), core::RegionId("west")}};
         options.seed = 1;
         return options;
     }
@@ -248,6 +253,50 @@
     REQUIRE(eventually([&] { return report(7) == 0; })); // It hears other VMs.
 }
 
+TEST_CASE("a VM reports the load of its zone to its pool only if zones share load")
+{
+    // Guards against a daemon that does not pass reports on, or sends them without the setting.
+    for (const bool enabled : {true, false}) {
+        CAPTURE(enabled);
+        RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+            return RawReply {sealedReply(request, "fine")};
+        });
+        DaemonFixture fixture({}, {}, {.enabled = enabled});
+        asio::io_context peerContext;
+        const std::uint16_t peerPort = standins::freePort("127.0.0.1");
+        std::vector<PeerMessage> received;
+        const PeerMessenger peer(peerContext, "127.0.0.1", peerPort,
+                                 [&](const PeerMessage &message) { received.push_back(message); });
+        fixture.store.peerAddress = "127.0.0.1:" + std::to_string(peerPort);
+        for (const char *id : {"me", "b"})
+            fixture.store.items.push_back(
+                {.kind = FleetItemKind::Member, .id = id, .value = "registered"});
+        fixture.addUpstream(upstream);
+        fixture.start();
+        const auto hasReports = [&] {
+            peerContext.poll();
+            return std::any_of(received.begin(), received.end(), [](const PeerMessage &message) {
+                return !message.zoneLoads.empty();
+            });
+        };
+        fixture.sendPeerMessage({.sender = core::VmId("b"),
+                                 .zoneLoads = {{.service = core::ServiceId("desk"),
+                                                .zone = core::AvailabilityZoneId("unknown")}}});
+        if (enabled) {
+            CHECK(eventually([&] {
+                return hasReports() && fixture.metric("teaselreach_zone_reports_rejected") == 1;
+            }));
+            continue;
+        }
+        CHECK(eventually([&] {
+            peerContext.poll();
+            return received.size() >= 3;
+        }));
+        CHECK(!hasReports());
+        CHECK(fixture.metric("teaselreach_zone_reports_rejected") == -1);
+    }
+}
+
 TEST_CASE("a VM refuses requests until it has a configuration, then is ready and lists itself")
 {
     DaemonFixture fixture;
