Fix: [Placement] Requests that other regions have to serve are drawn for zones of the own region

Cause: they are no part of the own zone's demand, but were drawn like its requests, so more left than intended. Change: they get no draw. A test covers that a request does not queue at another zone's upstream while all zones are short.

--- a/src/placement/upstream_table_zones.cpp
+++ b/src/placement/upstream_table_zones.cpp
@@ -61,6 +61,9 @@
 {
     if (!zoneLoads_ || request.freeSlotOnly || !zoneLoads_->isSpilling(request.service))
         return std::nullopt;
+    // Requests that other regions have to serve are no part of the own zone's demand.
+    if (!request.allowedRegions.allows(options_.self.region))
+        return std::nullopt;
     const core::MonoTime arrivedAt = now - request.elapsed;
     const auto micros = static_cast<std::uint64_t>(arrivedAt.time_since_epoch().count());
     return drawOf(spillSeed_ ^ micros);
--- a/tests/proxy/zone_load_test.cpp
+++ b/tests/proxy/zone_load_test.cpp
@@ -226,9 +226,59 @@
     const auto before = placed(false);
     CHECK(before.at("w") == 1000);
     CHECK(table.zoneLoads()->isSpilling(desk));
+    CHECK(table.zoneLoads()->takeSpilled() > 0);
     CHECK(placed(true).empty());
 }
 
+TEST_CASE("while all zones are short a request waits rather than queue at another zone's upstream")
+{
+    const ZoneLoadOptions zones = tableOptions();
+    /** @return Requests at the upstream of the other zone, which has one slot. */
+    const auto guests = [&](bool enabled, const core::AvailabilityZoneId &ownUpstream) {
+        UpstreamTable table({.self = zones.self,
+                             .regionOfZone = zones.regionOfZone,
+                             .zoneLoad = {.enabled = enabled}},
+                            1);
+        for (const auto &[id, zone] : {std::pair("own", ownUpstream), std::pair("w", west)})
+            table.update(start,
+                         {.id = core::UpstreamId(id),
+                          .service = desk,
+                          .availabilityZone = zone,
+                          .slots = 1});
+        int count = 0;
+        core::MonoTime now = start;
+        for (int round = 0; round < 50; ++round) {
+            const core::MonoTime begin = now;
+            std::vector<Placement> placements;
+            const PlacementRequest request {
+                .service = desk, .targetLatency = core::Millis(400), .timeLeft = core::Seconds(9)};
+            for (PlacementResult result = table.choose(now, request); result.placement;
+                 result = table.choose(now, request)) {
+                table.attemptStarted(now, *result.placement);
+                placements.push_back(*result.placement);
+            }
+            for (int i = 0; i < 4; ++i, now += core::Millis(50)) {
+                table.requestArrived(now, desk, {});
+                if (enabled)
+                    table.zoneLoads()->reported(now, reportOf(west, 20, 1, 0));
+                table.measureZoneLoad(now);
+            }
+            count = 0;
+            for (const Placement &placement : placements) {
+                count += placement.upstream == core::UpstreamId("w") ? 1 : 0;
+                table.attemptFinished({.upstream = placement.upstream,
+                                       .attempt = placement.attempt,
+                                       .startedAt = begin,
+                                       .endedAt = now});
+            }
+        }
+        return count;
+    };
+    CHECK(guests(false, east) == 2); // Twice its slots.
+    CHECK(guests(true, east) == 1);
+    CHECK(guests(true, west) == 2); // Without upstreams in the own zone there is no other place.
+}
+
 TEST_CASE("demand in waves: sharing costs callers less than the fixed losses and an equal spread")
 {
     const ZoneFleetOptions options {.utilization = 0.85, .amplitude = 0.55};
