Feature: [Placement] Age of the last success counts for requests that may not be retried

Cause: whoever sends the next request to an upstream that has begun to fail pays for the detection, and upstreams without failures are treated alike however long ago their last success was.

OnsetRate measures how often upstreams begin to fail; ServedShare turns the preference off while requests are not served. Successes of requests sent before the last failure no longer count as a recovery while sound upstreams have room.

--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -412,7 +412,18 @@
                 .timeLeft = request.deadline - now,
                 .tried = request.tried,
                 .allowedRegions = request.allowedRegions,
-                .bodyBytes = request.bodyBytes};
+                .bodyBytes = request.bodyBytes,
+                .prefersOldSuccess = prefersOldSuccess(now, request)};
+    }
+
+    /** @return Whether a request is to detect upstreams that have begun to fail. */
+    bool prefersOldSuccess(core::MonoTime now, const DispatchRequest &request) const
+    {
+        constexpr double leastBudgetLeft = 0.5;
+        if (!options_.prefersRecentSuccess || !request.route->idempotent)
+            return false;
+        const auto budget = budgets_.find(request.service);
+        return budget != budgets_.end() && budget->second.left(now, fleetShare_) > leastBudgetLeft;
     }
 
     WaitRequest waitRequest(WaitTicket ticket, const DispatchRequest &request) const
--- a/src/placement/dispatcher_type.h
+++ b/src/placement/dispatcher_type.h
@@ -67,6 +67,9 @@
     /** Number of failed connections after which a request is refused instead of retried. */
     int maxConnectFailures = 3;
     HedgeOptions hedges;
+    /** Whether requests that may be retried prefer the upstreams with the oldest successes while
+     * more than half of the retry budget is left; see RecentSuccessPreference. */
+    bool prefersRecentSuccess = false;
 
     /** @return The options of a deployment whose settings do not name a window of the retry budget:
      * queues admit by slots, and neither retries nor trials are restricted by their purpose. */
--- a/src/placement/upstream_table.cpp
+++ b/src/placement/upstream_table.cpp
@@ -13,6 +13,7 @@
     , limiter_(options_.limits, seed)
     , bytes_(options_.bytes)
     , coverage_(options_.coverage)
+    , recentSuccess_(options_.recentSuccess)
     , spillSeed_(seed)
 {
     options_.zoneLoad.self = options_.self;
@@ -32,7 +33,9 @@
             bytes_.ended(now, upstream.entry, UpstreamEnd::Restarted, limitShareOf(upstream).own);
         limiter_.restarted(entry.id);
         auto inFlight = std::move(upstream.inFlight);
-        upstream = {.warmAt = now + entry.warmupLeft, .inFlight = std::move(inFlight)};
+        upstream = {.warmAt = now + entry.warmupLeft,
+                    .inFlight = std::move(inFlight),
+                    .lastSuccessAt = now};
     }
     upstream.entry = entry;
     upstream.distance = distanceLoss(entry.availabilityZone);
@@ -51,6 +54,7 @@
     removeFromService(found->second);
     bytes_.ended(latestAt_, found->second.entry, UpstreamEnd::EntryRemoved,
                  limitShareOf(found->second).own);
+    recentSuccess_.remove(found->second.entry.service, id);
     limiter_.remove(id);
     upstreams_.erase(found);
 }
@@ -106,9 +110,14 @@
     const RegionFilter regions = regionIndex_.filterOf(request.allowedRegions);
     const bool isRampingUp = evacuations_.isRampingUp(now);
     const std::optional<double> spillDraw = spillDrawOf(now, request);
+    const double onsetRate =
+        options_.prefersRecentSuccess ? recentSuccess_.ratePerSecond(now, request.service) : 0;
     bool healthyIsBusy = false;
     const Upstream *best = nullptr;
     Estimate bestEstimate;
+    // The best upstream with a free slot, if the age of the last success counts.
+    const Upstream *aged = nullptr;
+    Estimate agedEstimate;
     std::uniform_real_distribution<double> tieBreak(0, tieLoss);
     for (const Upstream *upstream : service->second) {
         // The remaining upstreams are at least as far away, and their distance alone costs as much
@@ -126,7 +135,9 @@
             continue;
         }
         Estimate estimate = evaluate(now, *upstream, request, spillDraw);
-        estimate.loss += tieBreak(random_);
+        const double tie = tieBreak(random_);
+        estimate.agedLoss = agedLossOf(now, *upstream, request, estimate, onsetRate, tie);
+        estimate.loss += tie;
         if (estimate.duration > request.timeLeft) {
             reason = PlacementFailure::TooLate;
             continue;
@@ -135,9 +146,21 @@
             best = upstream;
             bestEstimate = estimate;
         }
+        if (onsetRate > 0 && (aged == nullptr || estimate.agedLoss < agedEstimate.agedLoss)
+            && hasFreeSlot(now, *upstream)) {
+            aged = upstream;
+            agedEstimate = estimate;
+        }
     }
+    if (options_.prefersRecentSuccess && healthyIsBusy
+        && (best == nullptr || bestEstimate.failure >= options_.suspectThreshold))
+        recentSuccess_.soundUpstreamsFull(now, request.service);
     if (best == nullptr)
         return {.placement = std::nullopt, .reason = reason};
+    if (aged != nullptr && agedEstimate.agedLoss < bestEstimate.agedLoss) {
+        best = aged;
+        bestEstimate = agedEstimate;
+    }
     // An unhealthy upstream fails fast and so always has free slots. A request that may not be
     // retried waits for a healthy upstream instead.
     if (!request.idempotent && healthyIsBusy && !bestEstimate.isAcceptable)
@@ -168,10 +191,33 @@
             .loss = loss,
             .failure = failure,
             .isAcceptable = isTrial || failure <= options_.avoidThreshold,
+            .isTrialDue = isTrial,
             .isTrial = isTrial && isFailing(now, upstream),
             .isSpilled = isSpilled};
 }
 
+/** @param tie Random tie-breaker. @return The loss of an estimate with the tie-breaker and, if the
+ * rate is not 0, with the age of the last success. */
+double UpstreamTable::agedLossOf(core::MonoTime now, const Upstream &upstream,
+                                 const PlacementRequest &request, const Estimate &estimate,
+                                 double onsetRate, double tie) const
+{
+    const double loss = estimate.loss + tie;
+    if (onsetRate <= 0 || estimate.isTrialDue)
+        return loss;
+    const double onset = std::min(options_.suspectThreshold,
+                                  onsetProbability(now - upstream.lastSuccessAt, onsetRate));
+    if (!request.idempotent)
+        return loss + (1 - estimate.failure) * onset;
+    return request.prefersOldSuccess ? loss - tie * onset : loss;
+}
+
+/** @return Whether one more request would not wait at an upstream. */
+bool UpstreamTable::hasFreeSlot(core::MonoTime now, const Upstream &upstream) const
+{
+    return occupancyOf(now, upstream) + 1 <= std::max(1, upstream.entry.slots);
+}
+
 Placement UpstreamTable::makePlacement(const Upstream &upstream, const Estimate &estimate)
 {
     return {.upstream = upstream.entry.id,
@@ -233,6 +279,10 @@
         return;
     }
     const bool failed = countsAsFailure(record.end);
+    if (!failed && isLateSuccess(record, upstream)) {
+        updateProcessingTime(record, upstream);
+        return;
+    }
     // A failed connection may be caused by this VM's network path alone. A success is reported only
     // if the upstream was avoided, which others probably do too.
     const bool wasSuspected =
@@ -241,6 +291,7 @@
         ? record.end != AttemptEnd::NotSent
         : isFailing(record.endedAt, upstream) || isSlow(record.endedAt, upstream);
     updateHealth(record.endedAt, upstream, failed, options_.healthyFailureRate);
+    recordOutcome(record.endedAt, upstream, failed);
     const bool isSuspected =
         failureProbability(record.endedAt, upstream) > options_.suspectThreshold;
     if (shouldReport)
@@ -258,6 +309,22 @@
         return;
     found->second.lastTriedAt = now;
     updateHealth(now, found->second, report.failed, options_.reportedHealthyFailureRate);
+    recordOutcome(now, found->second, report.failed);
+}
+
+/** @return Whether a success says nothing of the time after the last failure: its request was sent
+ * before that. Failures often take less time than successes. */
+bool UpstreamTable::isLateSuccess(const AttemptRecord &record, const Upstream &upstream) const
+{
+    return options_.prefersRecentSuccess && record.startedAt < upstream.lastFailureAt
+        && recentSuccess_.ignoresLateSuccesses(record.endedAt, upstream.entry.service);
+}
+
+void UpstreamTable::recordOutcome(core::MonoTime now, Upstream &upstream, bool failed)
+{
+    (failed ? upstream.lastFailureAt : upstream.lastSuccessAt) = now;
+    if (options_.prefersRecentSuccess)
+        recentSuccess_.outcome(now, upstream.entry.service, upstream.entry.id, failed);
 }
 
 /** Updates the probability that the upstream is unhealthy by Bayes' rule with one more outcome.
--- a/src/placement/upstream_table_base.h
+++ b/src/placement/upstream_table_base.h
@@ -3,6 +3,7 @@
 
 #include "placement/placement_explanation_type.h"
 #include "placement/placement_type.h"
+#include "placement/recent_success_base.h"
 #include "placement/upstream_byte_limiter_base.h"
 #include "placement/upstream_coverage_base.h"
 #include "placement/upstream_notices_base.h"
@@ -72,6 +73,9 @@
     double durationGain = 0.1;
     /** Factor on the expected processing time of an upstream that is still warming up. */
     double coldFactor = 2.0;
+    /** Whether the age of the last success counts; see RecentSuccessPreference. */
+    bool prefersRecentSuccess = false;
+    RecentSuccessOptions recentSuccess;
 };
 
 /** Which requests that may be retried are sent as trials to an upstream that is believed to be
@@ -96,6 +100,8 @@
     RegionSet allowedRegions;            ///< Upstreams of other regions are excluded.
     bool freeSlotOnly = false;           ///< Only an upstream with a free slot will do.
     std::size_t bodyBytes = 0;           ///< Size of the request's body.
+    /** Whether a request that may be retried prefers the upstreams with the oldest successes. */
+    bool prefersOldSuccess = false;
 };
 
 /** The upstream selected for a request. */
@@ -172,6 +178,14 @@
     void attemptFinished(const AttemptRecord &record);
     /** Updates the health estimate of an upstream with another VM's report. */
     void peerOutcomeReported(core::MonoTime now, const OutcomeReport &report);
+    /** Records the end of a request that was not refused because of its account's limit. */
+    void requestFinished(core::MonoTime now, const core::ServiceId &service, bool served)
+    {
+        if (options_.prefersRecentSuccess)
+            recentSuccess_.requestFinished(now, service, served);
+    }
+    /** @return The preference for recent successes and its rates. */
+    const RecentSuccessPreference &recentSuccess() const { return recentSuccess_; }
     /** @return Outcomes to report to other VMs since the last call. Removes them from the table. */
     std::vector<OutcomeReport> takeReports() { return std::exchange(reports_, {}); }
     /** @return Expected processing time of a route's requests without queueing; a third of the
@@ -266,6 +280,10 @@
         core::MonoTime slownessAt {};
         std::vector<InFlightAttempt> inFlight; ///< Attempts from this VM.
         core::MonoTime lastTriedAt {}; ///< Last attempt from this VM or report of another VM.
+        /** Last success of a request of this VM or reported by another, at first the time at which
+         * the upstream was listed. */
+        core::MonoTime lastSuccessAt {};
+        core::MonoTime lastFailureAt {}; ///< Last failure, seen or reported.
     };
 
     /** Expected result of sending a request to an upstream. */
@@ -273,10 +291,13 @@
     {
         core::Micros duration {0};
         double loss = 0;
+        /** Loss with the age of the last success, if that counts. */
+        double agedLoss = 0;
         double failure = 0; ///< Probability of failure.
         /** Whether a request that may not be retried is sent here rather than to wait: the upstream
          * is probably healthy, or due for a trial. */
         bool isAcceptable = false;
+        bool isTrialDue = false; ///< Whether it gets the request because it was not tried lately.
         bool isTrial = false;   ///< Whether the upstream is believed to be failing and due a trial.
         bool isSpilled = false; ///< Whether the request is assigned to the upstream's zone.
     };
@@ -305,6 +326,9 @@
     bool takesFreeSlotOnly(core::MonoTime now, const Upstream &upstream,
                            const PlacementRequest &request) const;
     bool hasFreeSlotForGuest(core::MonoTime now, const Upstream &upstream) const;
+    double agedLossOf(core::MonoTime now, const Upstream &upstream, const PlacementRequest &request,
+                      const Estimate &estimate, double onsetRate, double tie) const;
+    bool hasFreeSlot(core::MonoTime now, const Upstream &upstream) const;
     static Placement makePlacement(const Upstream &upstream, const Estimate &estimate);
     void addToService(Upstream &upstream);
     void removeFromService(const Upstream &upstream);
@@ -333,6 +357,8 @@
     double latenessLoss(core::Micros finish, core::Micros target) const;
     void updateHealth(core::MonoTime now, Upstream &upstream, bool failed,
                       double healthyFailureRate);
+    bool isLateSuccess(const AttemptRecord &record, const Upstream &upstream) const;
+    void recordOutcome(core::MonoTime now, Upstream &upstream, bool failed);
     void updateProcessingTime(const AttemptRecord &record, Upstream &upstream);
     void raiseSlowness(const AttemptRecord &record, Upstream &upstream) const;
     void updateLoad(const AttemptRecord &record, Upstream &upstream) const;
@@ -359,6 +385,7 @@
     UpstreamRateLimiter limiter_;
     UpstreamByteLimiter bytes_;
     UpstreamCoverage coverage_;
+    RecentSuccessPreference recentSuccess_;
     std::optional<ZoneLoadTable> zoneLoads_; ///< Set if zones share load.
     std::uint64_t spillSeed_ = 0;            ///< Draws differ between VMs.
     std::map<core::AvailabilityZoneId, UpstreamLimitShare> limitShares_;
--- a/src/placement/upstream_table_explain.cpp
+++ b/src/placement/upstream_table_explain.cpp
@@ -62,8 +62,10 @@
                                                      const PlacementRequest &request,
                                                      std::optional<Exclusion> exclusion) const
 {
-    const Estimate estimate =
-        evaluate(now, upstream, request, spillDrawOf(now, request));
+    Estimate estimate = evaluate(now, upstream, request, spillDrawOf(now, request));
+    const double onsetRate =
+        options_.prefersRecentSuccess ? recentSuccess_.ratePerSecond(now, request.service) : 0;
+    estimate.loss = agedLossOf(now, upstream, request, estimate, onsetRate, 0);
     CandidateExplanation candidate {.upstream = upstream.entry.id,
                                     .zone = upstream.entry.availabilityZone,
                                     .expectedDuration = estimate.duration,
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -34,7 +34,8 @@
         , upstreams_({.self = options_.self.location,
                       .regionOfZone = options_.regionOfZone,
                       .bytes = options_.flow.upstreamBytes,
-                      .zoneLoad = options_.zoneLoad},
+                      .zoneLoad = options_.zoneLoad,
+                      .prefersRecentSuccess = options_.flow.dispatch.prefersRecentSuccess},
                      options_.seed)
         , shares_(options_.shares)
         , usageCoverage_(options_.shares.window, core::MonoClock::now(), options_.firstStart)
--- a/src/proxy/request_flow_report.cpp
+++ b/src/proxy/request_flow_report.cpp
@@ -40,6 +40,16 @@
     }
     if (options_.bodies)
         bodyGauges_.publish(*options_.bodies, parts_.registry);
+    if (!options_.dispatch.prefersRecentSuccess)
+        return;
+    const RecentSuccessPreference &preference = parts_.upstreams.recentSuccess();
+    for (const core::ServiceId &service : parts_.upstreams.services()) {
+        const metrics::Labels labels {{"service", service.str()}};
+        parts_.registry.setGauge("teaselreach_onset_rate", labels,
+                                 preference.onsetRate(now, service));
+        parts_.registry.setGauge("teaselreach_recent_success_preferred", labels,
+                                 preference.isPreferred(service) ? 1 : 0);
+    }
 }
 
 void RequestFlow::hedgeEnded(Job &job, HedgeOutcome outcome, const HedgedAttempt<Placement> &first,
@@ -136,6 +146,9 @@
                                   .account = core::ClientAccountId(account),
                                   .outcome = outcome},
                                  duration, now);
+    if (!job.request.service.empty() && outcome != "rate_limited" && outcome != "caller_left")
+        parts_.upstreams.requestFinished(now, job.request.service,
+                                         outcome == attemptEndName(AttemptEnd::Answered));
     const ExecutionEvidence &evidence = job.exchange->evidence;
     std::vector<core::LogField> fields {
         {"request_id", fieldValue(job.exchange->request, options_.names.attemptId)},
--- a/tests/cmake/proxy.cmake
+++ b/tests/cmake/proxy.cmake
@@ -30,3 +30,4 @@
 teaselreach_test(proxy_upstream_coverage_test SOURCES proxy/upstream_coverage_test.cpp LIBS tr_placement)
 teaselreach_test(proxy_zone_load_test SOURCES proxy/zone_load_test.cpp LIBS tr_placement)
 teaselreach_test(proxy_zone_load_message_test SOURCES proxy/zone_load_message_test.cpp LIBS tr_fleet)
+teaselreach_test(proxy_evidence_age_test SOURCES proxy/evidence_age_test.cpp LIBS tr_fleet)
--- a/tests/standins/emulator_type.h
+++ b/tests/standins/emulator_type.h
@@ -46,6 +46,15 @@
     double factor = 1;
 };
 
+/** Periods in which each upstream by itself fails most of its requests, with different phases. */
+struct EmulatedFailingPeriods
+{
+    double failureRate = 0; ///< Probability that a request fails in a period; 0: no periods.
+    core::Micros meanSound {core::Seconds(7)}; ///< Mean time between two periods.
+    core::Micros shortest {core::Seconds(1)};
+    core::Micros longest {core::Seconds(3)};
+};
+
 /** A load pattern with the fleet that carries it. */
 struct EmulatedLoad
 {
@@ -59,6 +68,7 @@
     int upstreamsPerZone = 3;
     int slots = 2;
     int upstreamQueue = 8;
+    EmulatedFailingPeriods failingPeriods;
 };
 
 /** What the callers of one kind of request got. */
@@ -71,6 +81,15 @@
     int failed = 0;  ///< Perhaps run, or failed by the upstream.
 };
 
+/** What happened at one upstream. */
+struct EmulatedUpstreamHistory
+{
+    std::vector<core::MonoTime> receivedAt; ///< Times at which requests arrived.
+    /** Begin and end of its failing periods. */
+    std::vector<std::pair<core::MonoTime, core::MonoTime>> failing;
+    int mostAtOnce = 0; ///< Largest number of requests that ran or queued at once.
+};
+
 /** The outcome of one load under one policy. */
 struct EmulatedReport
 {
@@ -83,6 +102,9 @@
     core::Micros longestHeldRefusal {0}; ///< Longest time until a refusal, without any attempt.
     /** Earned and owed by window of arrival. */
     std::vector<std::pair<double, double>> windows;
+    std::vector<EmulatedUpstreamHistory> upstreams;
+    /** End of each request, and whether it was served. */
+    std::vector<std::pair<core::MonoTime, bool>> ended;
 
     double worth() const { return owed == 0 ? 0 : earned / owed; }
     /** @return Share of a kind's requests that were answered with success. */
--- a/tests/standins/proxy_emulator.h
+++ b/tests/standins/proxy_emulator.h
@@ -37,6 +37,7 @@
         , kinds_(std::move(kinds))
         , makeChooser_(std::move(makeChooser))
         , random_(seed)
+        , periodRandom_(seed)
     {
         makeUpstreams();
         makeVms();
@@ -47,6 +48,8 @@
     {
         for (const EmulatedDisturbance &disturbance : load_.disturbances)
             schedule(disturbance);
+        for (std::size_t i = 0; load_.failingPeriods.failureRate > 0 && i < upstreams_.size(); ++i)
+            scheduleFailingPeriods(i);
         for (std::size_t kind = 0; kind < kinds_.size(); ++kind)
             scheduleArrival(kind);
         scheduleTick();
@@ -158,6 +161,7 @@
                  .zone = zone});
             byId_[upstreams_.back().entry.id] = upstreams_.size() - 1;
         }
+        report_.upstreams.resize(upstreams_.size());
     }
 
     void makeVms()
@@ -261,6 +265,27 @@
         }
     }
 
+    /** Draws the periods from a generator of their own: all policies meet the same ones. */
+    void scheduleFailingPeriods(std::size_t index)
+    {
+        const EmulatedFailingPeriods &periods = load_.failingPeriods;
+        std::exponential_distribution<double> sound(
+            1e6 / static_cast<double>(periods.meanSound.count()));
+        std::uniform_real_distribution<double> length(static_cast<double>(periods.shortest.count()),
+                                                      static_cast<double>(periods.longest.count()));
+        core::MonoTime begin = start;
+        while ((begin += seconds(sound(periodRandom_))) < start + load_.length) {
+            const core::MonoTime end =
+                begin + core::Micros(static_cast<std::int64_t>(length(periodRandom_)));
+            report_.upstreams[index].failing.emplace_back(begin, end);
+            events_.at(begin, [this, index] {
+                upstreams_[index].errorShare = load_.failingPeriods.failureRate;
+            });
+            events_.at(end, [this, index] { upstreams_[index].errorShare = 0; });
+            begin = end;
+        }
+    }
+
     void breakAll(Upstream &upstream)
     {
         std::vector<WorkPtr> lost(upstream.running.begin(), upstream.running.end());
@@ -373,6 +398,14 @@
                                                               : 0;
         report_.earned += earned;
         windowOf(job->request.arrivedAt).first += earned;
+        const bool isServed = end == &EmulatedOutcome::inTime || end == &EmulatedOutcome::late;
+        report_.ended.emplace_back(events_.now(), isServed);
+        Vm &vm = vms_[static_cast<std::size_t>(job->vm)];
+        if constexpr (requires {
+                          vm.chooser->requestFinished(events_.now(), job->request.service,
+                                                      isServed);
+                      })
+            vm.chooser->requestFinished(events_.now(), job->request.service, isServed);
         --open_;
         if (end == &EmulatedOutcome::refused && job->resends > 0)
             arrive(job->kind, job->resends - 1);
@@ -490,6 +523,7 @@
         }
         if (work->job->arrivals++ > 0)
             countRepeat();
+        recordArrival(upstream);
         if (upstream.shedShare > 0 && chance() < upstream.shedShare) {
             ++report_.sheds;
             answer(upstream, work, proxy::AttemptEnd::NotExecuted);
@@ -505,6 +539,15 @@
         }
     }
 
+    void recordArrival(const Upstream &upstream)
+    {
+        EmulatedUpstreamHistory &history = report_.upstreams[byId_.at(upstream.entry.id)];
+        history.receivedAt.push_back(events_.now());
+        history.mostAtOnce =
+            std::max(history.mostAtOnce,
+                     static_cast<int>(upstream.running.size() + upstream.queue.size()) + 1);
+    }
+
     void run(Upstream &upstream, const WorkPtr &work)
     {
         upstream.running.insert(work);
@@ -622,6 +665,7 @@
     std::vector<EmulatedKind> kinds_;
     MakeChooser makeChooser_;
     std::mt19937_64 random_;
+    std::mt19937_64 periodRandom_;
     std::vector<Upstream> upstreams_;
     std::map<core::UpstreamId, std::size_t> byId_;
     std::vector<Vm> vms_;
