--- a/tests/cmake/proxy.cmake
+++ b/tests/cmake/proxy.cmake
@@ -31,3 +31,4 @@
 teaselreach_test(proxy_zone_load_test SOURCES proxy/zone_load_test.cpp LIBS tr_placement)
 teaselreach_test(proxy_zone_load_message_test SOURCES proxy/zone_load_message_test.cpp LIBS tr_fleet)
 teaselreach_test(proxy_evidence_age_test SOURCES proxy/evidence_age_test.cpp LIBS tr_fleet)
+teaselreach_test(proxy_recent_success_test SOURCES proxy/recent_success_test.cpp LIBS tr_placement)
--- a/tests/proxy/evidence_age_test.cpp
+++ b/tests/proxy/evidence_age_test.cpp
@@ -3,7 +3,7 @@
 
 #include <doctest/doctest.h>
 
-#include <set>
+#include <algorithm>
 
 using namespace teaselreach;
 using namespace teaselreach::standins;
@@ -101,8 +101,95 @@
     return sums;
 }
 
+/** Share of requests that ended unserved in a window. */
+double unservedIn(const EmulatedReport &report, core::MonoTime from, core::MonoTime until)
+{
+    double ended = 0;
+    double unserved = 0;
+    for (const auto &[at, isServed] : report.ended) {
+        if (at < from || at >= until)
+            continue;
+        ++ended;
+        unserved += isServed ? 0 : 1;
+    }
+    return ended == 0 ? 0 : unserved / ended;
+}
+
+/** @return Share of the upstreams that were sound in a window and the 2 s before it that got a
+ * request in it; 1 if there are none. */
+double usedShare(const EmulatedReport &report, core::MonoTime from, core::MonoTime until)
+{
+    double sound = 0;
+    double used = 0;
+    for (const EmulatedUpstreamHistory &upstream : report.upstreams) {
+        const bool isSound =
+            std::none_of(upstream.failing.begin(), upstream.failing.end(), [&](const auto &period) {
+                return period.first < until && period.second > from - core::Seconds(2);
+            });
+        if (!isSound)
+            continue;
+        ++sound;
+        const auto first =
+            std::lower_bound(upstream.receivedAt.begin(), upstream.receivedAt.end(), from);
+        used += first != upstream.receivedAt.end() && *first < until ? 1 : 0;
+    }
+    return sound == 0 ? 1 : used / sound;
+}
+
+/** Windows of 2 s of a play in which more than a tenth of the requests were not served. */
+struct PoorWindows
+{
+    int all = 0;
+    int belowFloor = 0; ///< Fewer than 0.7 of the sound upstreams got a request.
+    double smallestShare = 1;
+    double unserved = 0; ///< Mean share of requests not served.
+};
+
+void countPoorWindows(const EmulatedReport &report, PoorWindows &windows)
+{
+    constexpr double floorShare = 0.7;
+    constexpr double poor = 0.1;
+    constexpr core::Micros window = core::Seconds(2);
+    const core::MonoTime start {core::Seconds(1000)};
+    for (core::Micros at = core::Seconds(10); at + window <= core::Seconds(60); at += window / 2) {
+        const double unserved = unservedIn(report, start + at, start + at + window);
+        if (unserved <= poor)
+            continue;
+        const double share = usedShare(report, start + at, start + at + window);
+        ++windows.all;
+        windows.unserved += unserved;
+        windows.belowFloor += share < floorShare ? 1 : 0;
+        windows.smallestShare = std::min(windows.smallestShare, share);
+    }
+}
+
 } // namespace
 
+TEST_CASE("a service that loses a third of its requests uses its sound upstreams")
+{
+    // Guards against a preference that keeps sound upstreams idle while requests are lost.
+    const EmulatedLoad load = pattern({.failureRate = 0.9,
+                                       .meanSound = core::Seconds(7),
+                                       .shortest = core::Seconds(5),
+                                       .longest = core::Seconds(9)});
+    for (const double utilization : {0.1, 0.6}) {
+        PoorWindows current;
+        PoorWindows preferred;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            countPoorWindows(play({.utilization = utilization}, load, false, seed), current);
+            countPoorWindows(play({.utilization = utilization}, load, true, seed), preferred);
+        }
+        MESSAGE("utilization " << utilization << ": windows " << current.all << " -> "
+                               << preferred.all << ", below the floor " << current.belowFloor
+                               << " -> " << preferred.belowFloor << ", smallest share "
+                               << current.smallestShare << " -> " << preferred.smallestShare
+                               << ", not served " << current.unserved / current.all << " -> "
+                               << preferred.unserved / preferred.all);
+        CHECK(preferred.all > 0);
+        CHECK(preferred.belowFloor == 0);
+    }
+}
+
 TEST_CASE("upstreams that fail for seconds cost fewer failed requests")
 {
     // Guards against evidence of health from before a failure, which returned failing upstreams to
