--- a/src/placement/upstream_table_explain.cpp
+++ b/src/placement/upstream_table_explain.cpp
@@ -63,8 +63,9 @@
                                                      std::optional<Exclusion> exclusion) const
 {
     Estimate estimate = evaluate(now, upstream, request, spillDrawOf(now, request));
-    const double onsetRate =
-        options_.prefersRecentSuccess ? recentSuccess_.ratePerSecond(now, request.service) : 0;
+    const double onsetRate = recentSuccess_.isPreferred(request.service)
+        ? recentSuccess_.onsetRate(now, request.service)
+        : 0;
     estimate.loss = agedLossOf(now, upstream, request, estimate, onsetRate, 0);
     CandidateExplanation candidate {.upstream = upstream.entry.id,
                                     .zone = upstream.entry.availabilityZone,
