Feature: [Proxy] Room for large responses is reserved before their requests are sent

Cause: a response that found no room was left unread until its upstream aborted it or the deadline passed, after the upstream had executed the request. Change: the size of a route's responses is predicted from its last 16 within 60 s (0.9 quantile, from 64 KiB) and reserved before the request is placed; without room the caller gets 503 with Retry-After and the outcome no_room. The bytes count for the account of the request.

--- a/src/daemon/request_pipeline_base.h
+++ b/src/daemon/request_pipeline_base.h
@@ -231,7 +231,8 @@
             hedges_.deny(now, hedgeSubject(job), first, startedAt, proxy::HedgeDenial::NotAllowed);
             return std::nullopt;
         }
-        const auto chosen = hedges_.place(now, hedgeSubject(job), job.hedge, first, startedAt);
+        std::optional<ChosenUpstream> chosen =
+            hedges_.place(now, hedgeSubject(job), job.hedge, first, startedAt);
         if (chosen)
             job.tried.push_back(chosen->id);
         return chosen;
--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -257,9 +257,10 @@
                                                    const ResponseFilter &filter, ErrorCode &error)
 {
     CloseTimer unclearTimer(context_, socket_);
+    result.body = options.body ? std::move(*options.body) : BodyReservation(budget_);
     int informational = 0;
     for (int skipped = 0; skipped <= maxSkippedResponses && informational <= maxInformational;) {
-        co_await readMessage(result, request, options, error);
+        co_await readMessage(result, request, error);
         if (error)
             co_return;
         if (!isFinalOrInterim(result.response)) {
@@ -274,10 +275,13 @@
             filter ? filter(result.response, result.reused) : ResponseMatch::Own;
         if (match != ResponseMatch::Own) {
             ++skipped;
+            result.body.release();
             if (match == ResponseMatch::Unclear)
                 unclearTimer.arm(unclearResponseWait);
             continue;
         }
+        if (options.body) // A prediction may have been too high.
+            result.body.reduceTo(result.response.body().capacity());
         updateKeepAlive(result.response);
         mayReuse_ =
             result.response.keep_alive() && !result.response.need_eof() && buffer_.size() == 0;
@@ -289,13 +293,11 @@
 
 /** Reads one whole message. Sets an error if it is malformed or does not fit the limits. */
 asio::awaitable<void> HttpConnection::readMessage(ExchangeResult &result,
-                                                  const HttpRequest &request,
-                                                  const ExchangeOptions &options, ErrorCode &error)
+                                                  const HttpRequest &request, ErrorCode &error)
 {
     MessageReader<false> reader(socket_, buffer_, responseLimits);
     MessageReader<false>::Parser &parser = reader.parser();
     parser.skip(request.method() == beasthttp::verb::head);
-    result.body = BodyReservation(budget_, options.account);
     co_await reader.readHeader(error);
     // A body of a known length gets all of its room before it is read, so that two of them cannot
     // wait for what the other one holds.
--- a/src/proxy/http_connection_base.h
+++ b/src/proxy/http_connection_base.h
@@ -49,7 +49,9 @@
     core::Micros softTimeoutInterval {0}; ///< Time between further calls of mayAbandon.
     /** @return Whether to abandon the exchange because another attempt replaces it. */
     std::function<bool()> mayAbandon;
-    core::ClientAccountId account; ///< Holds the body of the response.
+    /** Charged with the response's body; may have room before the request is sent. The exchange
+     * that reads the response takes it. nullptr for a body without an account. */
+    std::shared_ptr<BodyReservation> body;
 };
 
 /** Cancels an exchange. */
@@ -113,7 +115,7 @@
                                        const ExchangeOptions &options, const ResponseFilter &filter,
                                        ErrorCode &error);
     asio::awaitable<void> readMessage(ExchangeResult &result, const HttpRequest &request,
-                                      const ExchangeOptions &options, ErrorCode &error);
+                                      ErrorCode &error);
     void updateKeepAlive(const HttpResponse &response);
 
     asio::io_context &context_;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -219,6 +219,8 @@
 asio::awaitable<std::optional<Placement>> RequestFlow::place(Job &job)
 {
     narrowRegions(job);
+    if (!reserveResponse(job))
+        co_return std::nullopt;
     PlacementResult result = co_await choosePlacement(job);
     if (!result.placement)
         refuseUnplaced(job, result.reason);
--- a/src/proxy/request_flow_attempt.cpp
+++ b/src/proxy/request_flow_attempt.cpp
@@ -34,7 +34,7 @@
                     return phase_ == core::Phase::Serving
                         && dispatcher_.grantAbandon(core::MonoClock::now(), job.request, upstream);
                 },
-            .account = job.request.account};
+            .body = responseBody(job)};
 }
 
 AttemptPlan RequestFlow::planAttempt(Job &job, const Placement &placement, core::MonoTime now)
@@ -118,6 +118,7 @@
                                 .startedAt = startedAt,
                                 .endedAt = now,
                                 .status = statusOf(result, end)};
+    observeResponseSize(job, result);
     reportAttempt(job, placement, record, result);
     wakeWaiters(dispatcher_.attemptFinished(record, job.request));
 }
@@ -165,7 +166,7 @@
     const core::MonoTime now = core::MonoClock::now();
     BodyReservation copy(options_.bodies, job.request.account);
     HedgeDecision decision {.placement = std::nullopt, .denial = HedgeDenial::NoMemory};
-    if (copy.extendTo(sent.body().size()))
+    if (copy.extendTo(sent.body().size() + expectedResponse(job)))
         decision = grantHedge(job, first, now);
     if (decision.placement)
         return std::move(decision.placement);
@@ -182,14 +183,14 @@
 }
 
 /** @return The plan of a hedge, with its own copy of the body of the first attempt's request. */
-AttemptPlan RequestFlow::planHedge(const Job &job, const Placement &placement, core::MonoTime now,
+AttemptPlan RequestFlow::planHedge(Job &job, const Placement &placement, core::MonoTime now,
                                    const HttpRequest &sent) const
 {
     AttemptPlan plan {.target = {.address = placement.address, .port = placement.port},
                       .request = buildForwardRequest(job, placement, now),
                       .options = {.connectTimeout = options_.connectTimeout,
                                   .deadline = job.request.deadline,
-                                  .account = job.request.account},
+                                  .body = responseBody(job)},
                       .filter = {},
                       .cancelOnCallerLeft = true,
                       .bodyCopy = BodyReservation(options_.bodies, job.request.account)};
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -5,6 +5,7 @@
 #include "metrics/registry_base.h"
 #include "placement/account_rate_limiter_base.h"
 #include "placement/dispatcher_base.h"
+#include "placement/response_sizes_base.h"
 #include "placement/route_table_base.h"
 #include "proxy/body_gauges_base.h"
 #include "proxy/exchange_func.h"
@@ -120,7 +121,7 @@
     core::Micros hedgeDelay(const Job &job, core::MonoTime now);
     std::optional<Placement> placeHedge(Job &job, const Placement &first, core::MonoTime startedAt,
                                         const HttpRequest &sent);
-    AttemptPlan planHedge(const Job &job, const Placement &placement, core::MonoTime now,
+    AttemptPlan planHedge(Job &job, const Placement &placement, core::MonoTime now,
                           const HttpRequest &sent) const;
     void recordAttempt(Job &job, const Placement &placement, core::MonoTime startedAt,
                        const ExchangeResult &result);
@@ -148,6 +149,10 @@
     HedgeDecision grantHedge(Job &job, const Placement &first, core::MonoTime now);
     void countHedge(const Job &job, std::string_view outcome, std::string_view reason);
     void limitDeadline(Job &job) const;
+    bool reserveResponse(Job &job);
+    std::shared_ptr<BodyReservation> responseBody(Job &job) const;
+    std::size_t expectedResponse(const Job &job) const;
+    void observeResponseSize(const Job &job, const ExchangeResult &result);
     void refuse(Job &job, const Refusal &refusal);
     core::Micros busyRetryAfter(const Job &job);
     void refuseUnplaced(Job &job, PlacementFailure reason);
@@ -166,6 +171,7 @@
     std::shared_ptr<const RouteTable> table_;
     core::Phase phase_ = core::Phase::Serving;
     BodyGauges bodyGauges_;
+    ResponseSizes responseSizes_;
     std::optional<core::MonoTime> lastResponseAt_; ///< Set while this VM shuts down.
 };
 
--- a/src/proxy/request_flow_internal.h
+++ b/src/proxy/request_flow_internal.h
@@ -15,6 +15,8 @@
     std::shared_ptr<const RouteTable> table; ///< Keeps route and account alive.
     const Account *account = nullptr;
     DispatchRequest request; ///< The route is nullptr until it is found.
+    /** Room for the body of the response; nullptr if its size is not predicted. */
+    std::shared_ptr<BodyReservation> responseRoom;
     core::Micros waited {0};
     std::string outcome = "answered";
     AdmissionReason limitReason = AdmissionReason::Admitted; ///< Decision on the account's limit.
--- a/tests/proxy/body_shares_test.cpp
+++ b/tests/proxy/body_shares_test.cpp
@@ -162,3 +162,67 @@
         ::close(socket);
     ::close(competitor);
 }
+
+// Failure guarded against: one large response among many small ones reserves its size for all of
+// them, or the size is still assumed when responses have become small or are long past.
+TEST_CASE("the size of a route's responses is predicted from the latest ones")
+{
+    const core::MonoTime start {core::Seconds(100)};
+    const core::RouteId route("files");
+    ResponseSizes sizes;
+    CHECK(sizes.expected(start, route) == 0);
+    sizes.responded(start, route, 8 * mebibyte);
+    CHECK(sizes.expected(start, route) == 8 * mebibyte);
+    CHECK(sizes.expected(start + core::Seconds(61), route) == 0);
+    CHECK(sizes.expected(start, core::RouteId("other")) == 0);
+    for (int i = 0; i < 15; ++i)
+        sizes.responded(start, route, 1000);
+    CHECK(sizes.expected(start, route) == 0);
+    sizes.responded(start, route, mebibyte);
+    sizes.responded(start, route, 2 * mebibyte);
+    CHECK(sizes.expected(start, route) == mebibyte);
+}
+
+// Failure guarded against: requests are sent to an upstream although their responses find no room,
+// and fail in the middle of them; or an account that reads nothing fills the memory.
+TEST_CASE(
+    "of 150 callers that never read 8 MB, those without room are refused before they are sent")
+{
+    constexpr int callers = 150;
+    constexpr std::size_t fileBytes = 8 * mebibyte;
+    EndlessServer files("HTTP/1.1 200 OK\r\nX-Seal: s1\r\nX-Attempt: large\r\nContent-Length: "
+                            + std::to_string(fileBytes) + "\r\n\r\n",
+                        std::string(0x10000, 'a'));
+    FlowFixture fixture(twoAccounts(), core::Seconds(5), sharedBudget(40 * mebibyte));
+    for (int i = 0; i < 4; ++i)
+        fixture.addUpstreamAt("i-" + std::to_string(i), "127.0.0.1", files.port());
+    std::vector<int> sockets;
+    const auto startCaller = [&] {
+        sockets.push_back(fixture.connect());
+        standins::limitReceiveTime(sockets.back(), 3);
+        standins::sendAll(sockets.back(), callerRequest("GET", "/read/", "large"));
+    };
+    const auto statusAt = [](int socket) {
+        std::string start(12, '\0');
+        const auto count = ::recv(socket, start.data(), start.size(), MSG_PEEK | MSG_WAITALL);
+        return count == 12 ? start.substr(9) : "";
+    };
+    // The first response shows the size.
+    startCaller();
+    CHECK(statusAt(sockets.front()) == "200");
+    int served = 1;
+    int refused = 0;
+    for (int i = 1; i < callers; ++i)
+        startCaller();
+    for (int i = 1; i < callers; ++i) {
+        const std::string status = statusAt(sockets[static_cast<std::size_t>(i)]);
+        served += status == "200" ? 1 : 0;
+        refused += status == "503" ? 1 : 0;
+    }
+    CHECK(served + refused == callers);
+    CHECK(served >= 3);
+    CHECK(served <= 5);
+    for (const int socket : sockets)
+        ::close(socket);
+    CHECK(eventually([&] { return fixture.bodyBytesOf(bakery) == 0; }));
+}
