--- a/tests/proxy/evidence_age_test.cpp
+++ b/tests/proxy/evidence_age_test.cpp
@@ -167,7 +167,8 @@
 
 TEST_CASE("a service that loses a third of its requests uses its sound upstreams")
 {
-    // Guards against a preference that keeps sound upstreams idle while requests are lost.
+    // Guards against a preference that keeps sound upstreams idle while requests are lost. The
+    // trials of UpstreamCoverage alone keep them in use too; recent_success_test checks the switch.
     const EmulatedLoad load = pattern({.failureRate = 0.9,
                                        .meanSound = core::Seconds(7),
                                        .shortest = core::Seconds(5),
