Fix: [Placement] Idle time lowers the departure rate after the last queued request has left

Cause: withdraw() removed a request from its queue without telling DepartureRate that nothing waits any more, so the time until the next dispatch counted as time in which requests waited and none left. Found in a review. Change: withdraw() gets the time and records whether requests still wait. Measured: new case of proxy_dispatcher_test passes.

--- a/src/placement/dispatcher_base.h
+++ b/src/placement/dispatcher_base.h
@@ -151,15 +151,17 @@
         }
     }
 
-    /** Removes a queued request whose caller has disconnected. */
-    void withdraw(const core::ServiceId &service, WaitTicket ticket)
+    /** Removes a queued request, for example because its caller has disconnected. */
+    void withdraw(core::MonoTime now, const core::ServiceId &service, WaitTicket ticket)
     {
         const auto queues = queues_.find(service);
         if (queues == queues_.end())
             return;
         for (auto &[regions, queue] : queues->second.byRegions) {
-            if (queue.requests.erase(ticket) > 0)
-                queue.order.remove(ticket, false);
+            if (queue.requests.erase(ticket) == 0)
+                continue;
+            queue.order.remove(ticket, false);
+            queue.departures.setBacklogged(now, queue.order.size() > 0);
         }
     }
 
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -207,10 +207,11 @@
 void RequestFlow::configure(std::shared_ptr<const RouteTable> table)
 {
     table_ = std::move(table);
+    const core::MonoTime now = core::MonoClock::now();
     for (auto &[ticket, waiter] : waiters_) {
         if (waiter->result || !narrowRegions(waiter->job))
             continue;
-        dispatcher_.withdraw(waiter->job.request.service, ticket);
+        dispatcher_.withdraw(now, waiter->job.request.service, ticket);
         waiter->isNarrowed = true;
         waiter->wake.cancel();
     }
@@ -266,7 +267,7 @@
         co_return *waiter->result;
     if (waiter->isNarrowed && !job.exchange->callerLeft)
         co_return std::nullopt;
-    dispatcher_.withdraw(job.request.service, ticket);
+    dispatcher_.withdraw(core::MonoClock::now(), job.request.service, ticket);
     co_return PlacementResult {.placement = std::nullopt, .reason = PlacementFailure::TooLate};
 }
 
--- a/tests/proxy/dispatcher_test.cpp
+++ b/tests/proxy/dispatcher_test.cpp
@@ -102,13 +102,32 @@
     const core::MonoTime now = start + core::Millis(600);
     CHECK(!fixture.dispatcher.grantAbandon(now, slow, upstream));
     // The queue is empty, and the other upstream has room again.
-    fixture.dispatcher.withdraw(desk, *filled.wait);
+    fixture.dispatcher.withdraw(now, desk, *filled.wait);
     for (const AttemptRecord &end : ends)
         fixture.dispatcher.attemptFinished(end, other);
     CHECK(fixture.dispatcher.grantAbandon(now, slow, upstream));
     CHECK(slow.retryGranted);
 }
 
+TEST_CASE("after the last queued request has left, idle time lowers the departure rate")
+{
+    DispatcherFixture fixture(1);
+    const DispatchRequest request = fixture.request(core::Millis(1500));
+    DispatchResult result = fixture.dispatcher.submit(start, request);
+    while (result.placement)
+        result = fixture.dispatcher.submit(start, request);
+    REQUIRE(result.wait);
+    const auto rateAt = [&](core::MonoTime now) {
+        double rate = 0;
+        fixture.dispatcher.forEachQueue(
+            now, [&](const core::ServiceId &, std::size_t, double perSecond) { rate = perSecond; });
+        return rate;
+    };
+    const double before = rateAt(start);
+    fixture.dispatcher.withdraw(start, desk, *result.wait);
+    CHECK(rateAt(start + core::Seconds(2)) == doctest::Approx(before));
+}
+
 namespace {
 
 /** Sends requests until the dispatcher queues one. @return The sent ones. */
--- a/tests/proxy/hedge_policy_test.cpp
+++ b/tests/proxy/hedge_policy_test.cpp
@@ -433,7 +433,7 @@
     const std::optional<WaitTicket> ticket = dispatcher.submit(start, request).wait;
     addUpstream(table, "two", 1);
     CHECK(denial(at(0.1)) == HedgeDenial::Queued);
-    dispatcher.withdraw(desk, *ticket);
+    dispatcher.withdraw(at(0.1), desk, *ticket);
     CHECK(denial(at(0.95)) == HedgeDenial::TooLate);
     CHECK(!denial(at(0.1)));
     CHECK(denial(at(0.1)) == HedgeDenial::NotAllowed);
--- a/tests/proxy/regions_test.cpp
+++ b/tests/proxy/regions_test.cpp
@@ -249,7 +249,7 @@
                                                     ended);
     CHECK(next.size() == 1);
     CHECK(next.at(0).ticket == *restricted.wait);
-    vm.dispatcher.withdraw(desk, *another.wait);
+    vm.dispatcher.withdraw(start + core::Millis(50), desk, *another.wait);
     CHECK(vm.dispatcher.waiting() == 0);
 }
 
