Fix: [Proxy] An implausible response size, or a share of zero, makes a route refuse all requests

Cause: found in a review. A failed response with a stated length beyond the budget became the predicted size, and each request of the route was refused for a minute. Refusals and errors counted as responses and hid the size of the others. A VM whose share of the limits is 0 multiplied a learnt byte bound by it and refused every body. Change: a size that the process can never hold is neither recorded nor reserved, only answered requests count, and the share has the floor that learning has. Measured: not provoked by a test.

--- a/src/placement/upstream_byte_limiter.cpp
+++ b/src/placement/upstream_byte_limiter.cpp
@@ -25,14 +25,17 @@
 {
     const std::optional<double> bound =
         bodyBytes > 0 ? boundOf(now, upstream.service) : std::nullopt;
-    return !bound || static_cast<double>(heldBy(now, upstream.id) + bodyBytes) <= *bound * share;
+    // An inactive VM has no share, but its callers may still have open connections.
+    return !bound
+        || static_cast<double>(heldBy(now, upstream.id) + bodyBytes)
+        <= *bound * std::max(share, options_.minShare);
 }
 
 bool UpstreamByteLimiter::canEverHold(core::MonoTime now, const core::ServiceId &service,
                                       std::size_t bodyBytes, double share) const
 {
     const std::optional<double> bound = bodyBytes > 0 ? boundOf(now, service) : std::nullopt;
-    return !bound || static_cast<double>(bodyBytes) <= *bound * share;
+    return !bound || static_cast<double>(bodyBytes) <= *bound * std::max(share, options_.minShare);
 }
 
 void UpstreamByteLimiter::started(core::MonoTime now, const core::UpstreamId &upstream,
--- a/src/proxy/request_flow_response_room.cpp
+++ b/src/proxy/request_flow_response_room.cpp
@@ -32,6 +32,9 @@
     if (bytes == 0)
         return true;
     auto room = std::make_shared<BodyReservation>(options_.bodies, job.request.account);
+    // Waiting for room would not help. The response fails if it is really that large.
+    if (!room->canEverHold(bytes))
+        return true;
     if (room->extendTo(bytes)) {
         job.responseRoom = std::move(room);
         return true;
@@ -71,9 +74,12 @@
         std::size_t length = 0;
         std::from_chars(stated.data(), stated.data() + stated.size(), length);
         bytes = std::max(bytes, length);
-        // A failure without a header section tells nothing about the size.
-        if (bytes == 0)
+        // A failure without a header section tells nothing about the size, and a size that the
+        // process can never hold is no size of a response that callers get.
+        if (bytes == 0 || !options_.bodies->canEverHold(bytes))
             return;
+    } else if (classifyExchange(result, options_.names) != AttemptEnd::Answered) {
+        return; // Refusals and errors are short, and would hide the size of the others.
     }
     responseSizes_.responded(core::MonoClock::now(), job.request.route->id, bytes);
 }
