Fix: [Fleet] Reports of unregistered VMs are kept, and numbers of messages are converted unchecked

Cause: found in a review. Each sender id of a datagram added a record on the load of a zone; expired records of services that this VM does not measure stayed. A floating-point number in place of a whole one was converted without a check, which is undefined if it does not fit. Reports for other regions were cut off beside many outcomes although they counted as announced. A zone without reports looked idle in the metrics. Change: reports count only from registered VMs, expired records go when one is added, whole numbers are checked, reports for other regions have a message of their own, and the gauge of an unknown zone is -1. Names: overloaded zones, requests of other zones.

--- a/src/fleet/message_pack.cpp
+++ b/src/fleet/message_pack.cpp
@@ -3,6 +3,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <limits>
+
 namespace teaselreach::proxy {
 
 namespace {
@@ -53,4 +56,17 @@
     return json::from_msgpack(bytes.begin(), bytes.end());
 }
 
+std::int64_t wholeNumber(const nlohmann::json &value)
+{
+    if (!value.is_number_integer())
+        throw nlohmann::json::type_error::create(302, "expected a whole number", &value);
+    return value.get<std::int64_t>();
+}
+
+int wholeInt(const nlohmann::json &value)
+{
+    return static_cast<int>(std::clamp<std::int64_t>(
+        wholeNumber(value), std::numeric_limits<int>::min(), std::numeric_limits<int>::max()));
+}
+
 } // namespace teaselreach::proxy
--- a/src/fleet/message_pack_func.h
+++ b/src/fleet/message_pack_func.h
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstdint>
 #include <string_view>
 
 namespace teaselreach::proxy {
@@ -15,4 +16,11 @@
  */
 nlohmann::json parseMessagePack(std::string_view bytes);
 
+/** @return A whole number. Converting any other number could be undefined, since it may not fit.
+ * @throws nlohmann::json::exception if it is none */
+std::int64_t wholeNumber(const nlohmann::json &value);
+/** @return As wholeNumber(), moved into the range of int.
+ * @throws nlohmann::json::exception if it is no whole number */
+int wholeInt(const nlohmann::json &value);
+
 } // namespace teaselreach::proxy
--- a/src/fleet/peer_messenger.cpp
+++ b/src/fleet/peer_messenger.cpp
@@ -25,7 +25,7 @@
 core::Micros decodeColdLeft(const nlohmann::json &millis)
 {
     constexpr core::Millis longest {core::Seconds(3600)};
-    const auto left = millis.get<std::int64_t>();
+    const auto left = wholeNumber(millis);
     return core::Millis(left < 0 || left > longest.count() ? 0 : left);
 }
 
@@ -36,10 +36,10 @@
         std::chrono::duration_cast<core::Millis>(core::Micros::max()).count();
     std::vector<UpstreamLimitReport> reports;
     for (const nlohmann::json &entry : entries) {
-        UpstreamLimitReport report {.upstream = core::UpstreamId(entry.at(0).get<std::string>()),
-                                    .age = core::Millis(std::clamp<std::int64_t>(
-                                        entry.at(2).get<std::int64_t>(), 0, longest)),
-                                    .requests = std::max(0, entry.at(3).get<int>())};
+        UpstreamLimitReport report {
+            .upstream = core::UpstreamId(entry.at(0).get<std::string>()),
+            .age = core::Millis(std::clamp<std::int64_t>(wholeNumber(entry.at(2)), 0, longest)),
+            .requests = std::max(0, wholeInt(entry.at(3)))};
         if (!entry.at(1).is_null())
             report.limit = RequestRate {.perSecond = std::max(0.0, entry.at(1).get<double>())};
         // Earlier versions do not report cold starts.
@@ -55,7 +55,7 @@
 {
     WindowParts parts {};
     for (std::size_t i = 0; i < parts.size(); ++i)
-        parts[i] = entries.at(i).get<int>();
+        parts[i] = wholeInt(entries.at(i));
     return parts;
 }
 
@@ -85,7 +85,7 @@
                                 .receiver = decodeParts(entry.at(2))};
         for (const nlohmann::json &usage : entry.at(3))
             account.borrowers.push_back({.vm = core::VmId(usage.at(0).get<std::string>()),
-                                         .requests = usage.at(1).get<int>()});
+                                         .requests = wholeInt(usage.at(1))});
         history.accounts.push_back(std::move(account));
     }
     return history;
@@ -158,15 +158,16 @@
         for (const nlohmann::json &entry : body.at(2)) {
             message.usage.push_back(
                 {.account = core::ClientAccountId(entry.at(0).get<std::string>()),
-                 .requests = entry.at(1).get<int>(),
-                 .inWindow = entry.size() > 2 ? entry.at(2).get<int>() : 0});
+                 .requests = wholeInt(entry.at(1)),
+                 .inWindow = entry.size() > 2 ? wholeInt(entry.at(2)) : 0});
         }
         // Earlier versions send no limits.
         if (body.size() > 4)
             message.limits = decodeLimits(body.at(4));
         if (body.size() > 5)
-            message.view = PoolView {.digest = body.at(5).at(0).get<std::uint64_t>(),
-                                     .asksHistory = body.at(5).at(1).get<bool>()};
+            message.view =
+                PoolView {.digest = static_cast<std::uint64_t>(wholeNumber(body.at(5).at(0))),
+                          .asksHistory = body.at(5).at(1).get<bool>()};
         if (body.size() > 5)
             readZoneLoads(body.at(5), message);
         if (body.size() > 6)
--- a/src/fleet/zone_load_message.cpp
+++ b/src/fleet/zone_load_message.cpp
@@ -1,4 +1,5 @@
 /** @file zone_load_message.cpp Reports on the load of zones in the messages of VMs. */
+#include "fleet/message_pack_func.h"
 #include "fleet/zone_load_message_func.h"
 
 #include <nlohmann/json.hpp>
@@ -43,8 +44,8 @@
     return {.sender = sender,
             .service = core::ServiceId(entry.at(0).get<std::string>()),
             .zone = core::AvailabilityZoneId(entry.at(1).get<std::string>()),
-            .age = core::Millis(
-                std::clamp<std::int64_t>(entry.at(2).get<std::int64_t>(), -1, longestMillis)),
+            .age =
+                core::Millis(std::clamp<std::int64_t>(wholeNumber(entry.at(2)), -1, longestMillis)),
             .load = {.demandPerSecond = number(3),
                      .slots = number(4),
                      .freeSlots = number(5),
--- a/src/placement/upstream_table_base.h
+++ b/src/placement/upstream_table_base.h
@@ -325,7 +325,7 @@
                      std::optional<double> spillDraw) const;
     bool takesFreeSlotOnly(core::MonoTime now, const Upstream &upstream,
                            const PlacementRequest &request) const;
-    bool hasFreeSlotForGuest(core::MonoTime now, const Upstream &upstream) const;
+    bool hasFreeSlotForOtherZone(core::MonoTime now, const Upstream &upstream) const;
     double agedLossOf(core::MonoTime now, const Upstream &upstream, const PlacementRequest &request,
                       const Estimate &estimate, double onsetRate, double tie) const;
     bool hasFreeSlot(core::MonoTime now, const Upstream &upstream) const;
--- a/src/placement/upstream_table_zones.cpp
+++ b/src/placement/upstream_table_zones.cpp
@@ -93,10 +93,10 @@
 
 /** @return Whether an upstream of a zone that is short of slots has a free one. In a shortage the
  * load does not end within loadHalfLife. */
-bool UpstreamTable::hasFreeSlotForGuest(core::MonoTime now, const Upstream &upstream) const
+bool UpstreamTable::hasFreeSlotForOtherZone(core::MonoTime now, const Upstream &upstream) const
 {
     const double others =
-        upstream.othersLoad * decay(now - upstream.loadAt, options_.zoneLoad.guestLoadHalfLife);
+        upstream.othersLoad * decay(now - upstream.loadAt, options_.zoneLoad.remoteLoadHalfLife);
     return static_cast<double>(upstream.inFlight.size()) + others + 1
         <= std::max(1, upstream.entry.slots);
 }
--- a/src/placement/zone_load_table.cpp
+++ b/src/placement/zone_load_table.cpp
@@ -116,9 +116,12 @@
     const auto known = std::find_if(records.begin(), records.end(), [&](const Record &other) {
         return other.sender == report.sender;
     });
-    if (known == records.end())
+    if (known == records.end()) {
+        std::erase_if(records, [&](const Record &other) {
+            return now - other.measuredAt >= options_.reportLifetime;
+        });
         records.push_back(record);
-    else if (known->measuredAt <= record.measuredAt)
+    } else if (known->measuredAt <= record.measuredAt)
         *known = record; // A datagram may overtake an earlier one.
     return true;
 }
@@ -224,8 +227,8 @@
         if (zone.isRefusing)
             zone.utilization = std::max(zone.utilization, options_.fullFrom);
         // Requests of other zones are no reason to send own ones away.
-        const double threshold = zone.isDonor ? options_.freeBelow : options_.busyFrom;
-        zone.isDonor = zone.weight > 0 && zone.offered > 0
+        const double threshold = zone.isOverloaded ? options_.freeBelow : options_.busyFrom;
+        zone.isOverloaded = zone.weight > 0 && zone.offered > 0
             && (zone.offered >= threshold * load.slots || zone.isRefusing);
         const ZoneState before = zone.state;
         const double full = before == ZoneState::Full ? options_.busyFrom : options_.fullFrom;
@@ -243,7 +246,7 @@
     std::vector<Receiver> result;
     for (const auto &[id, zone] : service.zones) {
         if (id == options_.self.availabilityZone || isOwnRegion(id) != inOwnRegion
-            || zone.weight <= 0 || zone.total.slots <= 0 || zone.isDonor || zone.isRefusing)
+            || zone.weight <= 0 || zone.total.slots <= 0 || zone.isOverloaded || zone.isRefusing)
             continue;
         result.push_back({.id = &id, .zone = &zone});
     }
@@ -266,15 +269,15 @@
 {
     std::map<core::AvailabilityZoneId, double> parts;
     const Zone &own = service.zones.at(options_.self.availabilityZone);
-    if (!own.isDonor)
+    if (!own.isOverloaded)
         return parts;
     double load = 0;
     double slots = 0;
-    std::vector<const Zone *> donors;
+    std::vector<const Zone *> overloadedZones;
     for (const auto &[id, zone] : service.zones) {
-        if (!zone.isDonor || !isOwnRegion(id))
+        if (!zone.isOverloaded || !isOwnRegion(id))
             continue;
-        donors.push_back(&zone);
+        overloadedZones.push_back(&zone);
         load += zone.offered;
         slots += zone.total.slots;
     }
@@ -311,15 +314,15 @@
     }
     double allExcess = 0;
     double remaining = 0;
-    for (const Zone *donor : donors)
-        allExcess += excess(*donor, level);
+    for (const Zone *overloaded : overloadedZones)
+        allExcess += excess(*overloaded, level);
     const double served = near.empty() ? 0 : assign(near, level, excess(own, level), allExcess);
     // A request in another region costs more than a wait: only what exceeds the slots goes there.
     const auto beyondSlots = [&](const Zone &zone) {
         return std::max(0.0, excess(zone, 1) - served * excess(zone, level));
     };
-    for (const Zone *donor : donors)
-        remaining += beyondSlots(*donor);
+    for (const Zone *overloaded : overloadedZones)
+        remaining += beyondSlots(*overloaded);
     std::vector<Receiver> far = receivers(service, false);
     if (own.total.freeSlots <= options_.exhaustedFree * own.total.slots)
         assign(far, options_.receiverLimit, beyondSlots(own), remaining);
--- a/src/placement/zone_load_table_base.h
+++ b/src/placement/zone_load_table_base.h
@@ -61,12 +61,15 @@
     /** @return The total of the own zone for the services whose state has changed since it was last
      * returned, for other regions; at most once per otherRegionInterval. */
     std::vector<ZoneLoadReport> takeStateChanges(core::MonoTime now, std::size_t maxReports);
-    /** Calls a function with each service, zone and its utilization. */
+    /** Calls a function with each service of this VM, zone and its utilization; -1 if nothing is
+     * known of the zone, which is not the same as an idle one. */
     void forEachUtilization(const auto &visit) const
     {
         for (const auto &[id, service] : services_) {
+            if (!service.isMeasured)
+                continue;
             for (const auto &[zone, state] : service.zones)
-                visit(id, zone, state.utilization);
+                visit(id, zone, state.weight > 0 ? state.utilization : -1);
         }
     }
 
@@ -104,10 +107,10 @@
         double offered = 0; ///< Slots that the demand needs.
         double utilization = 0;
         ZoneState state = ZoneState::Free;
-        bool isRefusing = false; ///< Whether its upstreams refuse many attempts.
-        bool isDonor = false;    ///< Whether its demand exceeds its slots, with hysteresis.
-        double part = 0;         ///< Part of this VM's requests that is assigned to the zone.
-        bool isTarget = false;   ///< Whether the log shows it as a target.
+        bool isRefusing = false;   ///< Whether its upstreams refuse many attempts.
+        bool isOverloaded = false; ///< Whether its demand exceeds its slots, with hysteresis.
+        double part = 0;           ///< Part of this VM's requests that is assigned to the zone.
+        bool isTarget = false;     ///< Whether the log shows it as a target.
     };
 
     struct Service
--- a/src/placement/zone_load_type.h
+++ b/src/placement/zone_load_type.h
@@ -72,7 +72,7 @@
     /** Half-life of the load that other VMs put on an upstream of a zone that is short, as last
      * reported by it. With 300 ms (loadHalfLife) requests queued there; with 3 s they passed by
      * free slots and went to other regions. */
-    core::Micros guestLoadHalfLife {core::Seconds(1)};
+    core::Micros remoteLoadHalfLife {core::Seconds(1)};
     /** Shortest interval between two messages to other regions. */
     core::Micros otherRegionInterval {core::Seconds(1)};
 };
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -315,11 +315,20 @@
         std::erase_if(message.outcomes,
                       [](const OutcomeReport &report) { return !report.suspicionChanged; });
         message.limits.clear();
-        message.zoneLoads = zoneLoads_.reportsForOtherRegions(now);
-        if (message.outcomes.empty() && message.zoneLoads.empty())
+        message.zoneLoads.clear();
+        // A message of their own: beside many outcomes, reports would be cut off, and a state that
+        // has been announced is not announced again.
+        const PeerMessage loads {.sender = message.sender,
+                                 .leaving = message.leaving,
+                                 .zoneLoads = zoneLoads_.reportsForOtherRegions(now)};
+        if (message.outcomes.empty() && loads.zoneLoads.empty())
             return;
-        for (const EntryMember &peer : entries_.activeInOtherRegions(options_.self.id))
-            peers_.send(peer.peerAddress, message);
+        for (const EntryMember &peer : entries_.activeInOtherRegions(options_.self.id)) {
+            if (!message.outcomes.empty())
+                peers_.send(peer.peerAddress, message);
+            if (!loads.zoneLoads.empty())
+                peers_.send(peer.peerAddress, loads);
+        }
     }
 
     /** Adds usage to a message to the pool, by the accounts and members that are known now. */
@@ -368,7 +377,9 @@
             upstreams_.peerOutcomeReported(now, report);
         for (const UpstreamLimitReport &report : message.limits)
             upstreams_.limitReported(now, report);
-        zoneLoads_.receive(now, message);
+        // Records of senders that nobody has registered could grow without bound.
+        if (message.sender != options_.self.id && entries_.contains(message.sender))
+            zoneLoads_.receive(now, message);
         if (!entries_.isActive(options_.self.id)) {
             usageCoverage_.membershipObserved(now, false);
             return;
--- a/tests/proxy/loop_daemon_test.cpp
+++ b/tests/proxy/loop_daemon_test.cpp
@@ -273,6 +273,8 @@
                 {.kind = FleetItemKind::Member, .id = id, .value = "registered"});
         fixture.addUpstream(upstream);
         fixture.start();
+        // Reports of senders that are no members are ignored.
+        REQUIRE(eventually([&] { return fixture.metric("teaselreach_members") >= 2; }));
         const auto hasReports = [&] {
             peerContext.poll();
             return std::any_of(received.begin(), received.end(), [](const PeerMessage &message) {
