Fix: [Placement] Explanations differ from decisions where recent successes or spill-over count

Cause: found in a review. explain() ranked all candidates by the loss with the age of the last success, while choose() does so only for those with a free slot; it used the preference's state of the last selection, and did not say that a request is assigned to a zone by a draw. Without byte bounds it looked in a queue that does not exist. Change: explain() selects as choose() does, with the rate of this moment, and states which candidates the request is assigned to and the part of requests that is assigned to other zones. Measured: proxy_placement_explanation_test passes; it does not cover these two options.

--- a/src/placement/placement_explanation_type.h
+++ b/src/placement/placement_explanation_type.h
@@ -38,7 +38,12 @@
     core::AvailabilityZoneId zone;
     core::Micros expectedDuration {0}; ///< Including queueing at the upstream.
     double failureEstimate = 0;        ///< Probability that the attempt fails, 0 to 1.
-    double expectedLoss = 0;           ///< Fraction of the request's full value.
+    /** Fraction of the request's full value. For a request assigned to another zone, less than the
+     * loss from the distance, so that the zone is preferred. */
+    double expectedLoss = 0;
+    double agedLoss = 0;      ///< The same with the age of the last success, if that counts.
+    bool hasFreeSlot = false; ///< Whether the request would not wait there.
+    bool isSpilled = false;   ///< Whether the request is assigned to the upstream's zone.
     bool isTrial =
         false; ///< Whether it would get the request because it has not been tried lately.
     CandidateState state = CandidateState::Worse;
@@ -52,6 +57,9 @@
     std::optional<core::UpstreamId> selected;
     PlacementFailure failure = PlacementFailure::NoUpstream; ///< Valid if none is selected.
     double tieWidth = 0; ///< Differences of the expected loss below it are decided at random.
+    /** Part of the requests that is assigned to other zones, drawn for each request: the next one
+     * may be assigned otherwise. */
+    double spilledPart = 0;
 };
 
 /** @return The reason in words for operators, such as "draining"; these do not change. */
--- a/src/placement/recent_success.cpp
+++ b/src/placement/recent_success.cpp
@@ -88,6 +88,17 @@
     return rate;
 }
 
+double RecentSuccessPreference::currentRate(core::MonoTime now,
+                                            const core::ServiceId &service) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end())
+        return 0;
+    State state = found->second;
+    updateHold(now, state, served_.unserved(now, service));
+    return state.isHeldOff ? 0 : state.onsets.perSecond(now);
+}
+
 double RecentSuccessPreference::onsetRate(core::MonoTime now, const core::ServiceId &service) const
 {
     const auto found = services_.find(service);
--- a/src/placement/recent_success_base.h
+++ b/src/placement/recent_success_base.h
@@ -52,6 +52,8 @@
     /** @return Rate per second by which the age of the last success counts; 0 while the preference
      * is off. Logs when it is turned on or off. */
     double ratePerSecond(core::MonoTime now, const core::ServiceId &service);
+    /** @return As ratePerSecond(). Changes and logs nothing. */
+    double currentRate(core::MonoTime now, const core::ServiceId &service) const;
     /** @return Measured rate per second, also while the preference is off. */
     double onsetRate(core::MonoTime now, const core::ServiceId &service) const;
     /** @return Whether the preference was on at the last selection. */
--- a/src/placement/upstream_table_explain.cpp
+++ b/src/placement/upstream_table_explain.cpp
@@ -62,16 +62,18 @@
                                                      const PlacementRequest &request,
                                                      std::optional<Exclusion> exclusion) const
 {
-    Estimate estimate = evaluate(now, upstream, request, spillDrawOf(now, request));
-    const double onsetRate = recentSuccess_.isPreferred(request.service)
-        ? recentSuccess_.onsetRate(now, request.service)
-        : 0;
-    estimate.loss = agedLossOf(now, upstream, request, estimate, onsetRate, 0);
+    const Estimate estimate = evaluate(now, upstream, request, spillDrawOf(now, request));
+    const double onsetRate =
+        options_.prefersRecentSuccess ? recentSuccess_.currentRate(now, request.service) : 0;
     CandidateExplanation candidate {.upstream = upstream.entry.id,
                                     .zone = upstream.entry.availabilityZone,
                                     .expectedDuration = estimate.duration,
                                     .failureEstimate = estimate.failure,
                                     .expectedLoss = estimate.loss,
+                                    .agedLoss =
+                                        agedLossOf(now, upstream, request, estimate, onsetRate, 0),
+                                    .hasFreeSlot = hasFreeSlot(now, upstream),
+                                    .isSpilled = estimate.isSpilled,
                                     .isTrial = estimate.isTrial,
                                     .exclusion = exclusion};
     if (exclusion)
@@ -105,21 +107,29 @@
         if (result.candidates.back().state == CandidateState::TooLate)
             result.failure = PlacementFailure::TooLate;
     }
+    if (zoneLoads_)
+        result.spilledPart = zoneLoads_->spilledPart(request.service);
     CandidateExplanation *best = nullptr;
+    CandidateExplanation *aged = nullptr; // As in choose().
     for (CandidateExplanation &candidate : result.candidates) {
-        if (isEligible(candidate)
-            && (best == nullptr || candidate.expectedLoss < best->expectedLoss))
+        if (!isEligible(candidate))
+            continue;
+        if (best == nullptr || candidate.expectedLoss < best->expectedLoss)
             best = &candidate;
+        if (candidate.hasFreeSlot && (aged == nullptr || candidate.agedLoss < aged->agedLoss))
+            aged = &candidate;
     }
     if (best == nullptr)
         return result;
+    if (aged != nullptr && aged->agedLoss < best->agedLoss)
+        best = aged;
     const bool isAcceptable = best->isTrial || best->failureEstimate <= options_.avoidThreshold;
     if (!request.idempotent && healthyIsBusy && !isAcceptable) {
         result.failure = PlacementFailure::AllBusy;
         return result;
     }
     for (CandidateExplanation &candidate : result.candidates) {
-        if (isEligible(candidate) && candidate.expectedLoss < best->expectedLoss + tieLoss)
+        if (isEligible(candidate) && candidate.agedLoss < best->agedLoss + tieLoss)
             candidate.state = CandidateState::Tied;
     }
     best->state = CandidateState::Selected;
--- a/src/placement/upstream_table_query.cpp
+++ b/src/placement/upstream_table_query.cpp
@@ -58,7 +58,7 @@
 bool UpstreamTable::hasRoom(core::MonoTime now, const Upstream &upstream,
                             const PlacementRequest &request, bool isRampingUp) const
 {
-    if (takesFreeSlotOnly(now, upstream, request) && !hasFreeSlotForGuest(now, upstream))
+    if (takesFreeSlotOnly(now, upstream, request) && !hasFreeSlotForOtherZone(now, upstream))
         return false;
     const double maxOccupancy = request.freeSlotOnly ? 1 : options_.maxOccupancy;
     const double room = std::max(1, upstream.entry.slots) * maxOccupancy;
--- a/src/proxy/placement_query.cpp
+++ b/src/proxy/placement_query.cpp
@@ -117,7 +117,8 @@
                               {"expected_ms", millisOf(candidate.expectedDuration)},
                               {"failure_estimate", candidate.failureEstimate},
                               {"expected_loss", candidate.expectedLoss},
-                              {"trial", candidate.isTrial}});
+                              {"trial", candidate.isTrial},
+                              {"spilled", candidate.isSpilled}});
     }
     json result {{"service", answer.service.str()},
                  {"weight", answer.weight},
@@ -127,6 +128,7 @@
                  {"retry_budget_left", dispatch.retryBudgetLeft},
                  {"hedge_after_ms", nullptr},
                  {"tie_width", dispatch.placement.tieWidth},
+                 {"spilled_part", dispatch.placement.spilledPart},
                  {"candidates", std::move(candidates)}};
     if (dispatch.hedgeDelay > core::Micros(0))
         result["hedge_after_ms"] = millisOf(dispatch.hedgeDelay);
@@ -226,14 +228,14 @@
     for (const ServiceAnswer &service : answer.services)
         services.push_back(serviceJson(service));
     result["services"] = std::move(services);
-    return result.dump();
+    return result.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::string placementQueryErrorJson(const PlacementQueryError &error)
 {
     return json {
         {"error", "invalid_parameter"}, {"parameter", error.parameter}, {"detail", error.detail}}
-        .dump();
+        .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 } // namespace teaselreach::proxy
--- a/src/proxy/request_flow_explain.cpp
+++ b/src/proxy/request_flow_explain.cpp
@@ -37,7 +37,7 @@
     answer.allowedRegions = route->allowedRegions;
     DispatchRequest request {.route = route,
                              .allowedRegions = route->allowedRegions,
-                             .bodyBytes = query.bodyBytes,
+                             .bodyBytes = options_.upstreamBytes.enabled ? query.bodyBytes : 0,
                              .arrivedAt = now,
                              .deadline = now + route->timeout};
     if (query.account) {
--- a/tests/proxy/placement_explanation_test.cpp
+++ b/tests/proxy/placement_explanation_test.cpp
@@ -46,7 +46,7 @@
     table.attemptStarted(start, placement);
 }
 
-void finishAt(UpstreamTable &table, const std::string &id, UpstreamStatus status)
+void finishAt(UpstreamTable &table, const std::string &id, const UpstreamStatus &status)
 {
     Placement placement {.upstream = core::UpstreamId(id)};
     table.attemptStarted(start, placement);
@@ -55,7 +55,7 @@
                            .attempt = placement.attempt,
                            .startedAt = start,
                            .endedAt = start,
-                           .status = std::move(status)});
+                           .status = status});
 }
 
 std::string reasonOf(const PlacementExplanation &explanation, const std::string &id)
