Fix: [Placement] A body that no upstream may hold waits instead of being refused

Cause: the merge of the byte bounds with Exclusion left ByteLimit out of the limits in failureAfter(), so such a request counted as one that may wait for a slot. proxy_upstream_bytes_test failed. Change: ByteLimit counts as a limit. Measured: proxy_upstream_bytes_test passes.

--- a/src/placement/upstream_table_internal.h
+++ b/src/placement/upstream_table_internal.h
@@ -68,8 +68,8 @@
         reason = PlacementFailure::NoUpstream;
     if (exclusion == Exclusion::Tried)
         return reason;
-    const bool isLimited = exclusion == Exclusion::HoldingOff || exclusion == Exclusion::NamedLimit
-        || exclusion == Exclusion::ColdLimit;
+    const bool isLimited = exclusion == Exclusion::ByteLimit || exclusion == Exclusion::HoldingOff
+        || exclusion == Exclusion::NamedLimit || exclusion == Exclusion::ColdLimit;
     if (isLimited)
         return reason == PlacementFailure::NoUpstream ? PlacementFailure::LimitReached : reason;
     const bool isUnset =
