--- a/review/stand-ins-2/quota_restart.cpp
+++ b/review/stand-ins-2/quota_restart.cpp
@@ -13,7 +13,7 @@
         sleepMs(8000); // Traffic starts 8 s after the machines do.
         record.line("traffic starts: 2.2 times the account's rate");
         Load load(site, chain.keys.front(), 2.2 * chain.rate, 48);
-        std::thread clients([&] { load.run(14); });
+        std::thread clients([&] { load.run(8); });
         // The account has used its allowance of the window.
         sleepMs(2700);
         if (hasTrouble()) {
@@ -29,9 +29,9 @@
         site.recordRuns();
         const double allowed = (chain.rate * 5 + chain.burst) * 1.1 + 20;
         Time end {};
-        const int most = Site::mostRuns(site.runs(), chain.name, 5, &end);
-        record.lineAt(end, "end of the fullest window");
-        record.say("runs of " + chain.name + " in the fullest 5 s: " + std::to_string(most) + ", allowed "
+        const int most = site.mostRuns(chain.name, 5, &end);
+        record.lineAt(end, "the fullest window ends");
+        record.say("requests of " + chain.name + " that were sent, arrived and ran in the fullest 5 s: " + std::to_string(most) + ", allowed "
                    + std::to_string(allowed));
         return most > allowed ? exitBroken : exitHeld;
     });
--- a/review/stand-ins-2/quota_store_away.cpp
+++ b/review/stand-ins-2/quota_store_away.cpp
@@ -23,20 +23,20 @@
         }
         Load load(site, chain.keys.front(), 4 * chain.rate, 48);
         std::thread clients([&] {
-            sleepMs(20000);
-            record.line("traffic starts: 4 times the account's rate");
-            load.run(30);
+            sleepMs(28000);
+            record.line("the account sends 4 times its rate for 8 s");
+            load.run(8);
         });
-        sleepMs(45000);
+        sleepMs(37000);
         setMode(StoreMode::Serve);
         record.line("the store serves all machines");
         clients.join();
         site.recordRuns();
         const double allowed = (chain.rate * 5 + chain.burst) * 1.1 + 20;
         Time end {};
-        const int most = Site::mostRuns(site.runs(), chain.name, 5, &end);
-        record.lineAt(end, "end of the fullest window");
-        record.say("runs of " + chain.name + " in the fullest 5 s: " + std::to_string(most) + ", allowed "
+        const int most = site.mostRuns(chain.name, 5, &end);
+        record.lineAt(end, "the fullest window ends");
+        record.say("requests of " + chain.name + " that were sent, arrived and ran in the fullest 5 s: " + std::to_string(most) + ", allowed "
                    + std::to_string(allowed));
         return most > allowed ? exitBroken : exitHeld;
     });
