--- a/review/stand-ins-2/revoked_last_tenant.cpp
+++ b/review/stand-ins-2/revoked_last_tenant.cpp
@@ -8,7 +8,7 @@
     return runCase(argc, argv, {}, [](Site &site) {
         Record &record = site.record;
         std::vector<Account> accounts;
-        for (int i = 0; i < 8; ++i)
+        for (int i = 0; i < 4; ++i)
             accounts.push_back({"tenant-" + std::to_string(i), {"key-of-tenant-" + std::to_string(i)}, 47, 47});
         const std::string firstKey = accounts.front().keys.front(), lastKey = accounts.back().keys.front();
         const std::string unknownKey = "key-of-nobody";
@@ -27,10 +27,16 @@
         };
         const auto served = ask(lastKey);
         auto foreign = ask(unknownKey);
-        // Without the trouble, the last account stays.
-        const std::size_t left = hasTrouble() ? 0 : 1;
-        while (accounts.size() > left) {
-            accounts.erase(accounts.begin());
+        // Without the trouble, the last account stays. TROUBLE=keys withdraws the same keys, but leaves
+        // the accounts in the configuration, without keys.
+        const bool keepsAccounts = hasTrouble() && std::getenv("TROUBLE") != nullptr
+            && std::string(std::getenv("TROUBLE")) == "keys";
+        const std::size_t withdrawals = hasTrouble() ? accounts.size() : accounts.size() - 1;
+        for (std::size_t i = 0; i < withdrawals; ++i) {
+            if (keepsAccounts)
+                accounts[i].keys.clear();
+            else
+                accounts.erase(accounts.begin());
             site.configure(Site::tenantsOf(accounts));
             sleepMs(700);
         }
