Fix: [Tests] The memory test of bodies does not fix the allocator's threshold as the daemon does

Cause: the daemon calls returnFreedBodiesToSystem() before it serves.

Change: the fixture calls it too. The bound, the load and the checks are as they were.

--- a/tests/proxy/body_budget_test.cpp
+++ b/tests/proxy/body_budget_test.cpp
@@ -97,6 +97,7 @@
             [](const RawRequest &request) { return RawReply {sealedReply(request, "booked")}; })
         , fixture_(twoServices(timeout))
     {
+        returnFreedBodiesToSystem(); // As the daemon does before it serves.
         fixture_.addUpstream("i-sound", sound_);
         for (int i = 0; i < count; ++i)
             fixture_.addUpstreamAt("i-" + std::to_string(i), "127.0.0.1", files.port(), "files");
