Fix: [Proxy] The withdrawal of the last account opens its routes to everybody

Cause: RequestFlow::findAccount() took a configuration without accounts for one that needs no keys; the decoder did not keep whether there is a list.

Change: Configuration::requiresKeys says that the list is there, needsKeys() decides. A configuration without the list opens its routes as before.

--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -76,6 +76,11 @@
     std::vector<Account> accounts;
     std::vector<ServiceSettings> services;
     CallerLimits limits;
+    /** Whether routes that are not public need an account's key even if there is no account. */
+    bool requiresKeys = false;
+
+    /** @return Whether routes that are not public need an account's key. */
+    bool needsKeys() const { return requiresKeys || !accounts.empty(); }
 };
 
 /** An entry in the list of live upstreams. */
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -142,8 +142,7 @@
 {
     const auto key = apiKeyOf(job.exchange->request, options_.names);
     job.account = key ? job.table->findAccount(*key) : nullptr;
-    const bool needsKey =
-        !job.request.route->isPublic && !job.table->configuration().accounts.empty();
+    const bool needsKey = !job.request.route->isPublic && job.table->configuration().needsKeys();
     if (needsKey && job.account == nullptr) {
         refuse(job, {.status = beasthttp::status::unauthorized, .code = "unknown_key"});
         return false;
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -114,6 +114,26 @@
     CHECK(upstream.requests() == 1);
 }
 
+// Failure guarded against: withdrawn, unknown and missing keys run once no account is left.
+TEST_CASE("without an account no key opens a route that is not public")
+{
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        return RawReply {sealedReply(request, "ran")};
+    });
+    Configuration configuration = testConfiguration();
+    configuration.accounts.clear();
+    configuration.requiresKeys = true;
+    configuration.routes.front().isPublic = true;
+    FlowFixture fixture(configuration);
+    fixture.addUpstream("i-1", upstream);
+    std::string withoutKey = callerRequest("POST", "/book/", "a1");
+    withoutKey.erase(withoutKey.find("Authorization"), std::strlen("Authorization: Bearer k1\r\n"));
+    CHECK(statusOf(fixture.sendRequest(withoutKey)) == "401");
+    CHECK(statusOf(fixture.sendRequest(callerRequest("POST", "/book/", "a2"))) == "401");
+    CHECK(statusOf(fixture.sendRequest(callerRequest("GET", "/read/", "a3"))) == "200");
+    CHECK(upstream.requests() == 1);
+}
+
 TEST_CASE("a request without an upstream in its home regions is sent to another region")
 {
     RawServer server("127.0.0.1", [](const RawRequest &request) {
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -156,6 +156,22 @@
     CHECK(configuration.limits.idleTimeout == core::Seconds(15));
 }
 
+// Failure guarded against: the withdrawal of the last account opens its routes to everybody.
+TEST_CASE("a configuration with an empty list of accounts still needs keys")
+{
+    const auto needsKeys = [](const std::string &accounts) {
+        const auto parts = std::string(configText);
+        const std::size_t at = parts.find("\"tenants\":");
+        const std::size_t end = parts.find("}]", at) + 2;
+        return platform::decodeConfiguration(parts.substr(0, at) + accounts + parts.substr(end))
+            .needsKeys();
+    };
+    CHECK(needsKeys(R"("tenants": [])"));
+    CHECK(needsKeys(R"("tenants": null)"));
+    CHECK(needsKeys(R"("tenants": [{"name": "t1"}])"));
+    CHECK(!needsKeys(R"("other": [])"));
+}
+
 // Failure guarded against: downloads that fail at one upstream are not retried at another.
 TEST_CASE("downloads may be repeated, requests of an unknown kind may not")
 {
