Fix: [Limits] Processes that replace killed ones grant an account its allowance again

Cause: a process that starts does not know what its predecessor admitted. It granted a share that grows over the window to every account whose demand did not exceed 2.2 times its expected rate at this VM; what counts is not the demand afterwards but what the account had used before.

Change: the growing share is safe for an account whose use was steady, that is below steadyUse() for every part of the window. Accounts above it are recorded in the store with a level, by one VM for each pool and under a lease (UseRecorder, FleetSync::recordAccountUse()). A process reads the records with its first full read and grants these accounts what their level leaves. Both limiters use it.

Ruled out: a lower threshold for demand (a VM sees too few requests of an account to tell 1.5 times its rate from chance), a smaller share for all (refuses accounts within their rate for a window).

--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -94,6 +94,17 @@
             {{"pairs", disjoint}, {"logged", maxDisjointWarnings}, {"version", version}});
 }
 
+void FleetState::applyEarlierUse(const AccountUseRecord &record)
+{
+    for (const AccountUseLevel &use : record) {
+        constexpr double percent = 100;
+        core::logEvent(
+            core::LogLevel::Info, "earlier_use_known",
+            {{"account", use.account.str()}, {"level_pct", std::llround(percent * use.level)}});
+    }
+    parts_.flow.earlierUseKnown(record);
+}
+
 void FleetState::applyEvacuation(const core::AvailabilityZoneId &zone)
 {
     const auto upstreams = static_cast<std::int64_t>(parts_.upstreams.countInZone(zone));
--- a/src/fleet/fleet_store_type.h
+++ b/src/fleet/fleet_store_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/error_type.h"
+#include "placement/account_limit_type.h"
 #include "placement/placement_type.h"
 #include "proxy/asio_type.h"
 
@@ -24,6 +25,7 @@
     Member,
     Other,
     Evacuation, ///< Operators want no more traffic at the upstreams of a zone.
+    AccountUse, ///< A VM's record of accounts, for processes that start; relays do not send it.
 };
 
 /** An item of the store, or its removal. */
@@ -86,12 +88,13 @@
 
 /**
  * A store client. All calls throw StoreUnreachable; watch() also throws StoreHistoryLost,
- * renewLease() and registerMember() also throw StoreLeaseLost. The decoders throw
- * StoreValueMalformed.
+ * renewLease(), registerMember() and the calls for account use also throw StoreLeaseLost. The
+ * decoders throw StoreValueMalformed.
  */
 template <typename T>
 concept FleetStore = requires(T &store, StoreRevision after, core::Micros time, StoreLease lease,
-                              const EntryMember &member, const std::string &text)
+                              const EntryMember &member, const AccountUseRecord &record,
+                              const std::string &text)
 {
     {
         store.readAll()
@@ -111,6 +114,12 @@
     {
         store.removeMember(member.id)
         } -> std::same_as<asio::awaitable<void>>;
+    {
+        store.writeAccountUse(member.id, record, time)
+        } -> std::same_as<asio::awaitable<void>>;
+    {
+        store.renewAccountUse()
+        } -> std::same_as<asio::awaitable<void>>;
     {
         store.decodeConfiguration(text)
         } -> std::same_as<Configuration>;
@@ -120,6 +129,9 @@
     {
         store.decodeMember(text, text)
         } -> std::same_as<EntryMember>;
+    {
+        store.decodeAccountUse(text, text)
+        } -> std::same_as<AccountUseRecord>;
 };
 
 } // namespace teaselreach::proxy
--- a/src/fleet/fleet_sync_base.h
+++ b/src/fleet/fleet_sync_base.h
@@ -6,6 +6,7 @@
 #include "fleet/fleet_state_base.h"
 #include "fleet/fleet_store_type.h"
 #include "fleet/store_contact_base.h"
+#include "fleet/use_recorder_base.h"
 #include "proxy/event_loop_func.h"
 
 #include <map>
@@ -18,7 +19,8 @@
 /** Identity of this VM and times of its calls to the store. */
 struct FleetSyncOptions
 {
-    EntryMember self; ///< Registered in the store.
+    EntryMember self;                            ///< Registered in the store.
+    core::Micros limitWindow {core::Seconds(5)}; ///< Of the rate limits of accounts.
     /** Longest time that a watch call waits for a change. Short, because a watch that the store
      * never answers ends only after this time and the margin of the store client. */
     core::Micros watchTimeout {core::Millis(500)};
@@ -115,6 +117,24 @@
         spawn(parts_.context, "register", [this]() { return registrationLoop(); });
     }
 
+    /** Writes the accounts whose use is not steady to the store, if it needs them. Call it several
+     * times a second on the VM that writes them for its pool. */
+    void recordAccountUse(core::MonoTime now, const AccountUseRecord &unsteady)
+    {
+        const UseRecorder::Action action = useRecorder_.update(now, unsteady);
+        if (action == UseRecorder::Action::None)
+            return;
+        if (useWriteRunning_) {
+            useRecorder_.failed(now);
+            return;
+        }
+        useWriteRunning_ = true;
+        spawn(parts_.context, "record_account_use",
+              [this, action, record = useRecorder_.record()]() mutable {
+                  return writeAccountUse(action, std::move(record));
+              });
+    }
+
     /** Stops renewing the registration and removes it, so that callers are no longer sent here. */
     void deregister()
     {
@@ -389,6 +409,11 @@
             else
                 state.endEvacuation(now, core::AvailabilityZoneId(item.id));
             break;
+        case FleetItemKind::AccountUse:
+            // A process needs what was used before it started. Later records include its own use.
+            if (item.value && revision_.count() == 0)
+                state.applyEarlierUse(parts_.store.decodeAccountUse(item.id, *item.value));
+            return false;
         case FleetItemKind::Other:
             return false;
         }
@@ -467,6 +492,26 @@
         return isSpare && registrationFailures_ > 1 ? 2 * backoff : backoff;
     }
 
+    /** Writes a record of account use, or renews the one written last. */
+    asio::awaitable<void> writeAccountUse(UseRecorder::Action action, AccountUseRecord record)
+    {
+        try {
+            if (action == UseRecorder::Action::Write)
+                co_await parts_.store.writeAccountUse(options_.self.id, record,
+                                                      UseRecorder::leaseTtl);
+            else
+                co_await parts_.store.renewAccountUse();
+            core::logEvent(core::LogLevel::Info, "account_use_recorded",
+                           {{"accounts", static_cast<std::int64_t>(record.size())},
+                            {"renewed", action == UseRecorder::Action::Renew ? 1 : 0}});
+        } catch (const core::Error &error) {
+            useRecorder_.failed(core::MonoClock::now());
+            core::logEvent(core::LogLevel::Warn, "account_use_not_recorded",
+                           {{"code", error.code()}, {"detail", error.what()}});
+        }
+        useWriteRunning_ = false;
+    }
+
     /** Removes the registration from the store. */
     asio::awaitable<void> removeRegistration()
     {
@@ -491,6 +536,8 @@
     StoreContact contact_ {core::MonoClock::now()};
     bool catchUpNeeded_ = false;   ///< A read failed, so changes may have been missed.
     int registrationFailures_ = 0; ///< Since the last successful renewal or registration.
+    UseRecorder useRecorder_ {options_.limitWindow};
+    bool useWriteRunning_ = false;
     bool loggedAsConnected_ = false;
     bool deregistering_ = false;
 };
--- a/src/placement/account_limit_type.h
+++ b/src/placement/account_limit_type.h
@@ -65,6 +65,19 @@
     PacingOptions pacing;
 };
 
+/** How much of its limit an account used in one window. */
+struct AccountUseLevel
+{
+    core::ClientAccountId account;
+    double level = 0; ///< Part of the limit; above 1 within the tolerated overrun.
+
+    bool operator==(const AccountUseLevel &) const = default;
+};
+
+/** The accounts whose use is not steady; see isSteadyUse(). Kept outside of the processes, for
+ * those that replace them. */
+using AccountUseRecord = std::vector<AccountUseLevel>;
+
 /** Number of requests of an account that a VM admitted; exchanged between VMs. */
 struct AccountUsage
 {
--- a/src/placement/account_rate_limiter.cpp
+++ b/src/placement/account_rate_limiter.cpp
@@ -1,5 +1,6 @@
 /** @file account_rate_limiter.cpp Rate limiting of accounts by this VM's share of each limit. */
 #include "placement/account_rate_limiter_base.h"
+#include "placement/restart_share_func.h"
 
 #include <algorithm>
 #include <cmath>
@@ -54,15 +55,21 @@
     return window;
 }
 
-std::size_t AccountRateLimiter::maxRequests(core::MonoTime now, const Account &account,
-                                            double share) const
+AccountRateLimiter::WindowLimit AccountRateLimiter::windowLimit(const Account &account) const
 {
     const double seconds = std::chrono::duration<double>(options_.window).count();
     const double nominal = account.ratePerSecond * seconds + account.burst;
     const double allowed = nominal * (1 + options_.overrunRatio) + options_.overrunRequests;
     const double usable =
         std::max(nominal, allowed - options_.reserveSeconds * account.ratePerSecond);
-    const double limit = usable * share * shareAfterRestart(now, account, allowed / usable - 1);
+    return {.usable = usable, .overrun = allowed / usable - 1};
+}
+
+std::size_t AccountRateLimiter::maxRequests(core::MonoTime now, const Account &account,
+                                            double share) const
+{
+    const WindowLimit window = windowLimit(account);
+    const double limit = window.usable * share * usablePart(now, account, window.overrun);
     // Even the smallest share admits one request per window.
     return static_cast<std::size_t>(std::max(1.0, std::floor(limit)));
 }
@@ -70,16 +77,66 @@
 /** @param overrun Tolerated overrun, as a fraction of the limit.
  * @return The fraction of the limit that may be used; below 1 only in the first window after a
  * restart. */
-double AccountRateLimiter::shareAfterRestart(core::MonoTime now, const Account &account,
-                                             double overrun) const
+double AccountRateLimiter::usablePart(core::MonoTime now, const Account &account,
+                                      double overrun) const
 {
     if (!restartedAt_ || now - *restartedAt_ >= options_.window)
         return 1;
     const core::Micros age = now - *restartedAt_;
+    double usable = shareAfterRestart(options_, age);
     if (isOverloading(age, account))
-        return overrun;
-    const double elapsedFraction = std::chrono::duration<double>(age) / options_.window;
-    return options_.shareAfterRestart + (1 - options_.shareAfterRestart) * elapsedFraction;
+        usable = std::min(usable, overrun);
+    if (const auto found = earlierLevels_.find(account.id); found != earlierLevels_.end())
+        usable = std::min(usable, std::max(0.0, 1 + overrun - found->second));
+    return usable;
+}
+
+void AccountRateLimiter::earlierUseKnown(const AccountUseRecord &record)
+{
+    for (const AccountUseLevel &use : record) {
+        double &level = earlierLevels_[use.account];
+        level = std::max(level, use.level);
+    }
+    if (paced_)
+        paced_->earlierUseKnown(record);
+}
+
+/** @return The part of its limit that an account may have used before the restart in the window
+ * that ends now. */
+double AccountRateLimiter::earlierUse(core::MonoTime now, const core::ClientAccountId &account,
+                                      double overrun) const
+{
+    if (!restartedAt_ || now - *restartedAt_ >= options_.window)
+        return 0;
+    const auto found = earlierLevels_.find(account);
+    return found == earlierLevels_.end()
+        ? steadyUse(options_, overrun, options_.window - (now - *restartedAt_))
+        : found->second;
+}
+
+AccountUseRecord AccountRateLimiter::unsteadyUse(core::MonoTime now) const
+{
+    if (paced_)
+        return paced_->unsteadyUse(now);
+    AccountUseRecord record;
+    const double share = effectiveShare();
+    for (const auto &[account, window] : windows_) {
+        if (!window.limit || share <= 0)
+            continue;
+        const WindowLimit limit = windowLimit(*window.limit);
+        const double earlier = earlierUse(now, account, limit.overrun);
+        const auto usedWithin = [&](core::Micros time) {
+            const auto count = [&](const std::deque<core::MonoTime> &times) {
+                return times.end() - std::lower_bound(times.begin(), times.end(), now - time);
+            };
+            const auto counted = count(window.own) + (isPooled() ? count(window.others) : 0);
+            return earlier + static_cast<double>(counted) / (limit.usable * share);
+        };
+        if (earlier > 0 ? usedWithin(options_.window) > 1
+                        : !isSteadyUse(options_, limit.overrun, usedWithin))
+            record.push_back({.account = account, .level = usedWithin(options_.window)});
+    }
+    return record;
 }
 
 bool AccountRateLimiter::isOverloading(core::Micros age, const Account &account) const
--- a/src/placement/account_rate_limiter_base.h
+++ b/src/placement/account_rate_limiter_base.h
@@ -26,6 +26,12 @@
 
     /** Records that this process replaces an earlier one whose admissions are unknown. */
     void processRestarted(core::MonoTime now);
+    /** Takes over what is known of the use of accounts before the restart. An account that is not
+     * listed used its limit steadily. */
+    void earlierUseKnown(const AccountUseRecord &record);
+    /** @return The accounts whose use is not steady, by the requests that count against the share
+     * in use. In the first window after a restart, the earlier use counts as well. */
+    AccountUseRecord unsteadyUse(core::MonoTime now) const;
     /**
      * Sets the shares of every limit.
      * @param own Share of this VM, 0 to 1.
@@ -84,7 +90,17 @@
     Window &prunedWindow(core::MonoTime now, const core::ClientAccountId &account);
     /** @return Requests allowed in one window under a share of the limit; at least 1. */
     std::size_t maxRequests(core::MonoTime now, const Account &account, double share) const;
-    double shareAfterRestart(core::MonoTime now, const Account &account, double overrun) const;
+    /** @return Requests that one window may hold under the whole limit: with the part of the
+     * tolerated overrun that is not in reserve, and with all of it. */
+    struct WindowLimit
+    {
+        double usable = 0;
+        double overrun = 0; ///< Beyond that, as a part of it.
+    };
+    WindowLimit windowLimit(const Account &account) const;
+    double usablePart(core::MonoTime now, const Account &account, double overrun) const;
+    double earlierUse(core::MonoTime now, const core::ClientAccountId &account,
+                      double overrun) const;
     bool isOverloading(core::Micros age, const Account &account) const;
     /** @return Requests that count against the share in use. */
     std::size_t countedRequests(const Window &window) const;
@@ -97,6 +113,8 @@
     double ownShare_ = 0;
     double poolShare_ = 0;
     std::optional<core::MonoTime> restartedAt_;
+    /** Levels of the accounts whose use was not steady before the restart. */
+    std::unordered_map<core::ClientAccountId, double, core::StrongHash> earlierLevels_;
     std::unordered_map<core::ClientAccountId, Window, core::StrongHash> windows_;
     /** Requests admitted since the last takeUsage(). */
     std::unordered_map<core::ClientAccountId, int, core::StrongHash> unreported_;
--- a/src/placement/paced_rate_limiter.cpp
+++ b/src/placement/paced_rate_limiter.cpp
@@ -1,5 +1,6 @@
 /** @file paced_rate_limiter.cpp Rate limiting of accounts at an even pace and by priority. */
 #include "placement/paced_rate_limiter_base.h"
+#include "placement/restart_share_func.h"
 
 #include <cmath>
 #include <numeric>
@@ -113,11 +114,48 @@
         return std::min(1.0, known + (1 - known) * elapsed);
     }
     const double age = toSeconds(now - *restartedAt_);
+    const double overrun = allowedBy(account) / limitOf(account) - 1;
+    double usable = shareAfterRestart(options_, now - *restartedAt_);
+    if (const auto found = earlierLevels_.find(account.id); found != earlierLevels_.end())
+        usable = std::min(usable, std::max(0.0, 1 + overrun - found->second));
     const int asked = state.own.total() + state.refused.total();
     const double expected = account.ratePerSecond * ownShare_ * age;
     if (asked > options_.overloadFactor * expected + options_.overloadRequests)
-        return allowedBy(account) / limitOf(account) - 1;
-    return options_.shareAfterRestart + (1 - options_.shareAfterRestart) * age / windowSeconds();
+        usable = std::min(usable, overrun);
+    return usable;
+}
+
+void PacedRateLimiter::earlierUseKnown(const AccountUseRecord &record)
+{
+    for (const AccountUseLevel &use : record) {
+        double &level = earlierLevels_[use.account];
+        level = std::max(level, use.level);
+    }
+}
+
+AccountUseRecord PacedRateLimiter::unsteadyUse(core::MonoTime now) const
+{
+    AccountUseRecord record;
+    const Slot slot = slotAt(now);
+    for (const auto &[id, state] : states_) {
+        const auto account = accounts_.find(id);
+        if (account == accounts_.end() || poolShare_ <= 0)
+            continue;
+        const double limit = limitOf(account->second);
+        const auto usedWithin = [&](core::Micros time) {
+            const Slot oldest = slot - time / core::Micros(slotLength);
+            int counted = state.own.since(oldest) + state.earlier.since(oldest);
+            for (const auto &[vm, counts] : state.others) {
+                const auto member = members_.find(vm);
+                if (member != members_.end() && member->second.isPooled)
+                    counted += counts.since(oldest);
+            }
+            return counted / (limit * poolShare_);
+        };
+        if (!isSteadyUse(options_, allowedBy(account->second) / limit - 1, usedWithin))
+            record.push_back({.account = id, .level = usedWithin(options_.window)});
+    }
+    return record;
 }
 
 void PacedRateLimiter::prune(Slot oldest, State &state) const
--- a/src/placement/paced_rate_limiter_base.h
+++ b/src/placement/paced_rate_limiter_base.h
@@ -45,6 +45,11 @@
 
     /** Records that this process replaces an earlier one whose admissions are unknown. */
     void processRestarted(core::MonoTime now) { restartedAt_ = now; }
+    /** Takes over what is known of the use of accounts before the restart; see
+     * AccountRateLimiter. It counts until another VM tells its history. */
+    void earlierUseKnown(const AccountUseRecord &record);
+    /** @return The accounts whose use is not steady, by the requests of the pooled VMs. */
+    AccountUseRecord unsteadyUse(core::MonoTime now) const;
     /** Sets the accounts with their limits. Reports on others are rejected from now on. */
     void configure(std::span<const Account> accounts);
     /** Sets the shares of every limit. @param own Share of this VM. @param members The other VMs of
@@ -157,6 +162,8 @@
     int poolSize_ = 1;
     std::map<core::VmId, PoolMember> members_;
     std::optional<core::MonoTime> restartedAt_;
+    /** Levels of the accounts whose use was not steady before the restart. */
+    std::unordered_map<core::ClientAccountId, double, core::StrongHash> earlierLevels_;
     std::optional<core::MonoTime> historyAt_; ///< First answer of another VM since the restart.
     bool isHistoryComplete_ = false;
     std::unordered_map<core::ClientAccountId, Account, core::StrongHash> accounts_;
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -47,7 +47,7 @@
                 options_.flow, options_.seed)
         , state_({.flow = flow_, .upstreams = upstreams_, .entries = entries_}, options_.self.id)
         , sync_({.context = context, .store = store, .state = state_, .entries = entries_},
-                {.self = options_.self}, options_.seed)
+                {.self = options_.self, .limitWindow = options_.shares.window}, options_.seed)
         , peers_(context, options_.peers.address, options_.peers.port,
                  [this](const PeerMessage &message) { handleMessage(message); })
         , callers_(context, options_.callers.address, options_.callers.port, callerHandlers())
@@ -111,6 +111,8 @@
     static constexpr int ticksPerMaintenance = 10;
     /** Ticks between two calls of sendMessages(). */
     static constexpr int ticksPerMessage = 2;
+    /** Ticks between two checks of the use of accounts. */
+    static constexpr int ticksPerUseRecord = 4;
     /** Heartbeat: longest time between two messages to the pool. */
     static constexpr core::Millis messageInterval {400};
 
@@ -258,10 +260,25 @@
         flow_.dispatchWaiting(now);
         if (count % ticksPerMessage == 0)
             sendMessages(now);
+        if (count % ticksPerUseRecord == 0 && recordsAccountUse(now))
+            sync_.recordAccountUse(now, shares_.unsteadyUse(now));
         if (count % ticksPerMaintenance == 0)
             runMaintenance(now);
     }
 
+    /** @return Whether this VM writes the use of accounts to the store for its pool: it is the
+     * first of the pool's VMs that still send messages. */
+    bool recordsAccountUse(core::MonoTime now) const
+    {
+        if (!entries_.isActive(options_.self.id))
+            return false;
+        for (const EntryMember &peer : entries_.poolPeersOf(options_.self.id)) {
+            if (peer.id < options_.self.id && liveness_.isReporting(now, peer.id))
+                return false;
+        }
+        return true;
+    }
+
     /** Sends the outcomes at upstreams and the admitted requests to the pool, outcomes and
      * heartbeats to the zone, and some outcomes to other regions. */
     void sendMessages(core::MonoTime now)
--- a/src/proxy/request_flow_base.h
+++ b/src/proxy/request_flow_base.h
@@ -74,6 +74,8 @@
     /** @param share This VM's share of the fleet's traffic, 0 to 1; it has the same share of the
      * retry budget's slack and of the upstreams' slots. */
     void setFleetShare(double share) { dispatcher_.setFleetShare(share); }
+    /** Takes over what is known of the use of accounts before this process started. */
+    void earlierUseKnown(const AccountUseRecord &record) { parts_.shares.earlierUseKnown(record); }
     /** Changes the phase. */
     void enterPhase(core::Phase phase) { phase_ = phase; }
     /** Enters the phase Leaving. Every request that has not been sent to an upstream yet gets its
--- a/tests/proxy/decisions_test.cpp
+++ b/tests/proxy/decisions_test.cpp
@@ -2,6 +2,7 @@
 #include "fleet/entry_vm_selector_base.h"
 #include "fleet/pool_usage_coverage_base.h"
 #include "fleet/removal_hold_base.h"
+#include "fleet/use_recorder_base.h"
 #include "placement/account_rate_limiter_base.h"
 #include "placement/retry_budget_base.h"
 #include "placement/route_table_base.h"
@@ -95,6 +96,48 @@
     std::size_t vmsWithCallers = 0; ///< VMs of each pool that receive requests; 0 for all.
     core::Micros restartAt {0};     ///< When all VMs restart; zero for never.
     core::Micros overloadFrom {0};  ///< Until then the account stays within its rate.
+    double factorAfterRestart = 0;  ///< Offered load from then on; 0 for no change.
+    /** Time until what a pool writes of unsteady use is in the store; zero if it writes nothing. */
+    core::Micros recordDelay {0};
+};
+
+/** The records that the pools write, of which the newest is in the store after a delay. */
+class UseRecords
+{
+public:
+    UseRecords(std::size_t pools, core::Micros delay)
+        : recorders_(pools, UseRecorder(core::Seconds(5)))
+        , stored_(pools)
+        , delay_(delay)
+    { }
+
+    /** @return Whether the pools check the use of accounts now. */
+    bool isDue(core::MonoTime now)
+    {
+        if (delay_ == core::Micros(0) || now < dueAt_)
+            return false;
+        dueAt_ = now + core::Millis(100);
+        return true;
+    }
+    void update(core::MonoTime now, std::size_t pool, const AccountUseRecord &unsteady)
+    {
+        if (recorders_[pool].update(now, unsteady) == UseRecorder::Action::Write)
+            stored_[pool].emplace_back(now + delay_, recorders_[pool].record());
+    }
+    /** @return The newest record of a pool that the store has. */
+    AccountUseRecord read(core::MonoTime now, std::size_t pool) const
+    {
+        AccountUseRecord newest;
+        for (const auto &[at, record] : stored_[pool])
+            newest = at <= now ? record : newest;
+        return newest;
+    }
+
+private:
+    std::vector<UseRecorder> recorders_;
+    std::vector<std::vector<std::pair<core::MonoTime, AccountUseRecord>>> stored_;
+    core::Micros delay_;
+    core::MonoTime dueAt_ {};
 };
 
 /** Result of a simulation. */
@@ -127,12 +170,15 @@
     std::mt19937_64 random(1);
     /** Fraction of its rate that an account normally uses. */
     constexpr double usualFactor = 0.62;
+    UseRecords records(pools, load.recordDelay);
     bool restarted = false;
     PoolOutcome outcome;
     double sent = 0;
     double refused = 0;
     for (core::MonoTime now = start; now < start + length;) {
-        const double factor = now - start < load.overloadFrom ? usualFactor : load.factor;
+        double factor = now - start < load.overloadFrom ? usualFactor : load.factor;
+        if (restarted && load.factorAfterRestart > 0)
+            factor = load.factorAfterRestart;
         std::exponential_distribution<double> gap(load.ratePerSecond * factor);
         now += std::chrono::duration_cast<core::Micros>(std::chrono::duration<double>(gap(random)));
         if (!restarted && load.restartAt > core::Micros(0) && now - start >= load.restartAt) {
@@ -141,6 +187,8 @@
             for (AccountRateLimiter &limiter : limiters) {
                 limiter = AccountRateLimiter({.overrunRatio = 0.1, .overrunRequests = 20});
                 limiter.processRestarted(now);
+                for (std::size_t pool = 0; pool < pools; ++pool)
+                    limiter.earlierUseKnown(records.read(now, pool));
                 // The restarted VM does not use the pool's share yet.
                 limiter.setShares(load.limitShare / static_cast<double>(vms), 0);
             }
@@ -154,6 +202,9 @@
                     limiters[vm].usageReported(now, report.usage);
             }
         }
+        const bool isRecording = records.isDue(now);
+        for (std::size_t pool = 0; isRecording && pool < pools; ++pool)
+            records.update(now, pool, limiters[pool * load.vmsPerPool].unsteadyUse(now));
         const std::size_t used = load.vmsWithCallers == 0 ? load.vmsPerPool : load.vmsWithCallers;
         const std::size_t vm = random() % pools * load.vmsPerPool + random() % used;
         ++sent;
@@ -211,6 +262,32 @@
     }
 }
 
+// Failure guarded against: the processes that replace killed ones spend an allowance once more.
+TEST_CASE("a restart of all VMs does not grant again what an account used, whatever it sends")
+{
+    constexpr double rate = 47;
+    for (const double factor : {1.1, 1.5, 1.75, 2.2, 3.0, 4.7}) {
+        for (const int usedFor : {700, 1700, 2700, 4000}) {
+            for (const double after : {factor, 0.62}) {
+                CAPTURE(factor);
+                CAPTURE(usedFor);
+                CAPTURE(after);
+                const PoolLoad load {.ratePerSecond = rate,
+                                     .factor = factor,
+                                     .vmsPerPool = 4,
+                                     .reportDelay = core::Millis(100),
+                                     .limitShare = 0.92,
+                                     .restartAt = core::Seconds(6) + core::Millis(usedFor),
+                                     .overloadFrom = core::Seconds(6),
+                                     .factorAfterRestart = after,
+                                     .recordDelay = core::Millis(100)};
+                const std::size_t most = simulate(load, core::Seconds(15)).mostAdmitted;
+                CHECK(static_cast<double>(most) <= rate * 6 * 1.1 + 20);
+            }
+        }
+    }
+}
+
 TEST_CASE(
     "after a restart of all VMs at most 1% of an account's requests within its rate are refused")
 {
@@ -219,7 +296,8 @@
                                           .vmsPerPool = 6,
                                           .reportDelay = core::Millis(100),
                                           .limitShare = 0.92,
-                                          .restartAt = core::Seconds(5)},
+                                          .restartAt = core::Seconds(5),
+                                          .recordDelay = core::Millis(100)},
                                          core::Seconds(10));
     CHECK(outcome.refusedShare <= 0.01);
 }
--- a/tests/proxy/memory_store.h
+++ b/tests/proxy/memory_store.h
@@ -97,6 +97,21 @@
         std::erase(registered, member);
     }
 
+    std::vector<AccountUseRecord> useRecords; ///< All that were written, in order.
+    asio::awaitable<void> writeAccountUse(const core::VmId &, const AccountUseRecord &record,
+                                          core::Micros)
+    {
+        co_await respond();
+        useRecords.push_back(record);
+    }
+    asio::awaitable<void> renewAccountUse() { co_await respond(); }
+
+    /** The stored value is the account; its level is 1. */
+    AccountUseRecord decodeAccountUse(const std::string &, const std::string &value) const
+    {
+        return {{.account = core::ClientAccountId(value), .level = 1}};
+    }
+
     /** Port of all decoded upstreams. */
     std::uint16_t upstreamPort = 0;
     /** Time until all decoded upstreams are warm. */
