Fix: [Proxy] A part of a response is passed on as the whole after a reset during the upload

What callers saw (MIXED): an upstream answers the header section of a 24 MB upload at once with a 200 without a length, sends 20,000 bytes and resets while the VM still writes. The caller gets the part, framed as a whole body.

Cause, from a trace of the new test: the write ends with ECONNRESET, and the socket reports an error only once. HttpConnection::exchange() reads on, since an upstream may answer and close before it has read the request; the read gets the bytes and then a plain end of stream, which ends the body.

Change: after a failed write an end of the stream cuts the message off (MessageReader::requireStatedEnd()), and the connection is not used again. This class reads the answers of upstreams for both daemons, of the store and of relays. A whole response with a length is passed on as before.

Evidence: with the failed write ignored, the case of proxy_flow_test gets 200 in two of its three forms (4 checks); 502 now.

--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -236,6 +236,7 @@
     if (options.softTimeout > core::Micros(0))
         softTimer.arm(options.softTimeout, options.softTimeoutInterval, options.mayAbandon);
     co_await beasthttp::async_write(socket_, request, captureError(error));
+    sendFailed_ = static_cast<bool>(error);
     // Read even if the write failed: a server may respond and close before it has read the request.
     ErrorCode readError;
     co_await readResponse(result, request, options, filter, readError);
@@ -283,8 +284,8 @@
         if (options.body) // A prediction may have been too high.
             result.body.reduceTo(result.response.body().capacity());
         updateKeepAlive(result.response);
-        mayReuse_ =
-            result.response.keep_alive() && !result.response.need_eof() && buffer_.size() == 0;
+        mayReuse_ = !sendFailed_ && result.response.keep_alive() && !result.response.need_eof()
+            && buffer_.size() == 0;
         idleSince_ = core::MonoClock::now();
         co_return;
     }
@@ -298,6 +299,9 @@
     MessageReader<false> reader(socket_, buffer_, responseLimits);
     MessageReader<false>::Parser &parser = reader.parser();
     parser.skip(request.method() == beasthttp::verb::head);
+    // The failed write has taken the error of a reset, so a read would see an end of stream.
+    if (sendFailed_)
+        reader.requireStatedEnd();
     co_await reader.readHeader(error);
     // A body of a known length gets all of its room before it is read, so that two of them cannot
     // wait for what the other one holds.
--- a/src/proxy/http_connection_base.h
+++ b/src/proxy/http_connection_base.h
@@ -124,6 +124,7 @@
     Socket socket_;
     boost::beast::flat_buffer buffer_;
     bool used_ = false;
+    bool sendFailed_ = false; ///< The last request was not sent as a whole.
     bool mayReuse_ = false;
     core::MonoTime idleSince_ {};
     core::Micros keepAlive_;
--- a/src/proxy/message_reader_base.h
+++ b/src/proxy/message_reader_base.h
@@ -73,6 +73,10 @@
         parser_.body_limit(limits.maxBodyBytes);
     }
 
+    /** Makes a body that ends with the connection count as cut off: the stream may have ended early
+     * for a reason that only the other direction has shown. */
+    void requireStatedEnd() { requiresStatedEnd_ = true; }
+
     /** @return The parser, with what has been read so far. */
     Parser &parser() { return parser_; }
 
@@ -179,12 +183,16 @@
         if (!parser_.got_some())
             return;
         error = {};
-        parser_.put_eof(error);
+        if (requiresStatedEnd_)
+            error = beasthttp::error::partial_message;
+        else
+            parser_.put_eof(error);
     }
 
     Socket &socket_;
     boost::beast::flat_buffer &buffer_;
     std::size_t maxSectionBytes_;
+    bool requiresStatedEnd_ = false;
     std::size_t headerBytes_ = 0; ///< Parsed bytes of an incomplete header section.
     Parser parser_;
     /** The header section of a message in chunks. */
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -1,5 +1,6 @@
 /** @file flow_test.cpp The request path with upstreams that respond wrongly, late or not at all. */
 #include "flow_fixture.h"
+#include "standins/early_responder.h"
 
 #include <atomic>
 
@@ -666,6 +667,32 @@
     CHECK(headerOf(answer, "Content-Length") == "9");
 }
 
+// Failure guarded against: the received part of a response is passed on as the whole of it.
+TEST_CASE("a response without a length is cut off by a reset while the request is being sent")
+{
+    constexpr std::size_t uploadBytes = std::size_t {24} * 1024 * 1024;
+    constexpr std::size_t partBytes = 20000;
+    const std::string part(partBytes, 'p');
+    for (const std::string &fields : {std::string(), std::string("Connection: close\r\n"),
+                                      "Content-Length: " + std::to_string(partBytes) + "\r\n"}) {
+        CAPTURE(fields);
+        standins::EarlyResponder upstream([&](const std::string &head) {
+            return "HTTP/1.1 200 OK\r\nX-Seal: s1\r\nX-Attempt: " + headerOf(head, "X-Attempt")
+                + "\r\n" + fields + "\r\n" + part;
+        });
+        FlowFixture fixture(testConfiguration(core::Seconds(4)), core::Seconds(5), {},
+                            2 * uploadBytes);
+        fixture.addUpstreamAt("i-1", "127.0.0.1", upstream.port());
+        const std::string answer = fixture.sendRequest(
+            callerRequest("POST", "/book/", "a1", "", std::string(uploadBytes, 'u')));
+        // A body with a length is whole, whatever happens to the rest of the request.
+        const bool isWhole = fields.starts_with("Content-Length");
+        CHECK(statusOf(answer) == (isWhole ? "200" : "502"));
+        CHECK((bodyOf(answer) == part) == isWhole);
+        CHECK(upstream.requests() == 1);
+    }
+}
+
 TEST_CASE("pipelined requests run concurrently and are answered in order")
 {
     Gate othersArrived;
