Fix: [Http] Odd statuses, field names and folded lines are taken as an answer

On the event loop such statuses and names got 502 already, but a line of the header section that begins with a blank or a tab was joined to the line before it, although its sender may have meant a field of its own. Through libcurl (calls between daemons, the tool), undefined statuses, most invalid names and folded lines were taken as an answer.

Change: MessageReader refuses a response with a folded line (RFC 9112, 5.2, allows that). The callback for libcurl's header lines checks the status line and each field and ends the exchange; the checks of names and values are those that callers' requests had (http::isFieldName(), isFieldValue()).

--- a/src/daemon/request_check.cpp
+++ b/src/daemon/request_check.cpp
@@ -15,7 +15,6 @@
 using table::Refusal;
 
 constexpr std::string_view bearerPrefix = "Bearer ";
-constexpr int asciiDelete = 0x7f;
 
 /** A percent-encoded character that affects how a path is split into segments. */
 struct EncodedCharacter
@@ -27,23 +26,6 @@
 constexpr std::array<EncodedCharacter, 3> segmentCharacters {
     {{"%2e", '.'}, {"%2f", '/'}, {"%5c", '/'}}};
 
-bool isTokenCharacter(unsigned char c)
-{
-    return std::isalnum(c) != 0
-        || std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) != std::string_view::npos;
-}
-
-bool isValidName(std::string_view name)
-{
-    return !name.empty() && std::all_of(name.begin(), name.end(), isTokenCharacter);
-}
-
-bool isValidValue(std::string_view value)
-{
-    return std::none_of(value.begin(), value.end(),
-                        [](unsigned char c) { return (c < ' ' && c != '\t') || c == asciiDelete; });
-}
-
 std::string decodeSegmentCharacters(std::string_view path)
 {
     std::string decoded;
@@ -72,7 +54,7 @@
 void checkWellFormed(const http::ServerRequest &request)
 {
     for (const http::Header &header : request.headers) {
-        if (!isValidName(header.name) || !isValidValue(header.value))
+        if (!http::isFieldName(header.name) || !http::isFieldValue(header.value))
             throw RequestRefused(Refusal::MalformedRequest,
                                  "a header field has an invalid name or value");
     }
--- a/src/http/easy_handle.cpp
+++ b/src/http/easy_handle.cpp
@@ -3,10 +3,15 @@
 #include "http/easy_handle_internal.h"
 #include "http/headers_func.h"
 
+#include <charconv>
+#include <optional>
+
 namespace teaselreach::http::detail {
 
 namespace {
 
+constexpr int firstStatus = 100;
+constexpr int lastStatus = 599;
 constexpr int firstFinalStatus = 200; ///< Lower (1xx) statuses are interim responses.
 constexpr int noContentStatus = 204;
 constexpr int notModifiedStatus = 304;
@@ -32,44 +37,74 @@
     return text.substr(first, text.find_last_not_of(space) - first + 1);
 }
 
-void startResponse(Exchange &exchange, std::string_view statusLine)
+/** @return The status code of a status line; nothing if HTTP/1 does not define it. */
+std::optional<int> parseStatus(std::string_view line)
+{
+    constexpr std::string_view versionPrefix = "HTTP/1.";
+    constexpr std::size_t codeAt = versionPrefix.size() + 2;
+    constexpr std::size_t codeEnd = codeAt + 3;
+    if (line.size() < codeEnd || !line.starts_with(versionPrefix) || line[codeAt - 1] != ' ')
+        return std::nullopt;
+    int status = 0;
+    const auto [end, error] = std::from_chars(line.data() + codeAt, line.data() + codeEnd, status);
+    const bool isNumber = error == std::errc() && end == line.data() + codeEnd;
+    const std::string_view rest = line.substr(codeEnd);
+    const bool isWhole = rest.empty() || rest.front() == ' ' || rest.front() == '\r';
+    if (!isNumber || !isWhole || status < firstStatus || status > lastStatus)
+        return std::nullopt;
+    return status;
+}
+
+bool startResponse(Exchange &exchange, std::string_view statusLine)
 {
-    const std::size_t space = statusLine.find(' ');
     exchange.headers.clear();
     exchange.chunked = false;
     exchange.hasLength = false;
-    exchange.status = space == std::string_view::npos
-        ? 0
-        : std::atoi(std::string(statusLine.substr(space + 1, 3)).c_str());
+    const std::optional<int> status = parseStatus(statusLine);
+    exchange.status = status.value_or(0);
+    return status.has_value();
 }
 
-void addHeader(Exchange &exchange, std::string_view line)
+/** @return Whether the line is a valid field. One that begins with white space continues the line
+ * before it; it is not valid either, since its sender may have meant a field of its own. */
+bool addHeader(Exchange &exchange, std::string_view line)
 {
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos)
-        return;
+        return false;
     Header header {.name = std::string(line.substr(0, colon)),
                    .value = std::string(trimWhitespace(line.substr(colon + 1)))};
+    if (!isFieldName(header.name) || !isFieldValue(header.value))
+        return false;
     if (equalIgnoringCase(header.name, "transfer-encoding"))
         exchange.chunked = equalIgnoringCase(header.value, "chunked");
     if (equalIgnoringCase(header.name, "content-length"))
         exchange.hasLength = true;
     exchange.headers.push_back(std::move(header));
+    return true;
 }
 
+/** @return Whether the line is a valid one of a header section. */
+bool readHeaderLine(Exchange &exchange, std::string_view line)
+{
+    if (line.starts_with("HTTP/"))
+        return startResponse(exchange, line);
+    if (line != "\r\n" && line != "\n")
+        return addHeader(exchange, line);
+    exchange.headersDone = exchange.status >= firstFinalStatus;
+    return true;
+}
+
+/** Called by libcurl for each line of a header or trailer section. @return The line's size, or 0 to
+ * end the exchange. */
 std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *user)
 {
     auto &exchange = *static_cast<Exchange *>(user);
     const std::string_view line(data, size * count);
     if (exchange.headersDone)
         return line.size(); // Trailer fields are not forwarded.
-    if (line.starts_with("HTTP/"))
-        startResponse(exchange, line);
-    else if (line == "\r\n" || line == "\n")
-        exchange.headersDone = exchange.status >= firstFinalStatus;
-    else
-        addHeader(exchange, line);
-    return line.size();
+    exchange.malformed = !readHeaderLine(exchange, line);
+    return exchange.malformed ? 0 : line.size();
 }
 
 std::size_t onBody(char *data, std::size_t size, std::size_t count, void *user)
@@ -110,6 +145,8 @@
     std::string detail = curl_easy_strerror(code);
     if (exchange.resendBlocked)
         detail = "persistent connection was closed; automatic resend blocked";
+    else if (exchange.malformed)
+        detail = "malformed header section";
     else if (code == CURLE_OK)
         detail = "end of response not delimited by Content-Length or chunks";
     return {.progress = exchange.sent ? Progress::SentOnly : Progress::NotSent,
--- a/src/http/easy_handle_internal.h
+++ b/src/http/easy_handle_internal.h
@@ -18,6 +18,7 @@
     bool sent = false;          ///< A connection was assigned to the request.
     bool resendBlocked = false; ///< An automatic resend by libcurl was prevented.
     bool headersDone = false;
+    bool malformed = false; ///< The status line or a field of the header section is not valid.
     bool tooLarge = false;
     bool chunked = false;
     bool hasLength = false;
--- a/src/http/headers.cpp
+++ b/src/http/headers.cpp
@@ -96,6 +96,23 @@
     });
 }
 
+bool isFieldName(std::string_view text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](unsigned char character) {
+        return std::isalnum(character) != 0
+            || marks.find(static_cast<char>(character)) != std::string_view::npos;
+    });
+}
+
+bool isFieldValue(std::string_view text)
+{
+    constexpr int asciiDelete = 0x7f;
+    return std::none_of(text.begin(), text.end(), [](unsigned char character) {
+        return (character < ' ' && character != '\t') || character == asciiDelete;
+    });
+}
+
 const std::string *findHeader(const Headers &headers, std::string_view name)
 {
     for (const Header &header : headers) {
--- a/src/http/headers_func.h
+++ b/src/http/headers_func.h
@@ -11,6 +11,12 @@
 /** @return Whether two header names or tokens are equal, ignoring case. */
 bool equalIgnoringCase(std::string_view a, std::string_view b);
 
+/** @return Whether a text is a token (RFC 9110 section 5.6.2), as the name of a field must be. */
+bool isFieldName(std::string_view text);
+
+/** @return Whether a text is free of control bytes other than tabs. */
+bool isFieldValue(std::string_view text);
+
 /**
  * @param headers The fields to search.
  * @param name Header name in any case.
--- a/src/proxy/message_reader_base.h
+++ b/src/proxy/message_reader_base.h
@@ -11,6 +11,7 @@
 #include <limits>
 #include <optional>
 #include <stdexcept>
+#include <string_view>
 
 namespace teaselreach::proxy {
 
@@ -46,6 +47,25 @@
     }
 }
 
+/**
+ * @param lines Lines of a header section, from the start of one of them.
+ * @return Whether one continues the line before it (obsolete folding, RFC 9112 section 5.2). The
+ * parser would join the two, although its sender may have meant a field of its own.
+ */
+inline bool hasFoldedLine(std::string_view lines)
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    for (std::size_t end = lines.find(lineEnd); end != std::string_view::npos;
+         end = lines.find(lineEnd)) {
+        lines.remove_prefix(end + lineEnd.size());
+        if (end == 0) // The empty line that ends the section.
+            return false;
+        if (lines.starts_with(' ') || lines.starts_with('\t'))
+            return true;
+    }
+    return false;
+}
+
 } // namespace detail
 
 /**
@@ -154,6 +174,10 @@
     asio::awaitable<void> parseOrReceive(ErrorCode &error)
     {
         if (buffer_.size() > 0) {
+            if (isFolded()) {
+                error = beasthttp::error::bad_field;
+                co_return;
+            }
             const std::size_t parsed = detail::parse(parser_, buffer_.cdata(), error);
             buffer_.consume(parsed);
             // Once the header section is complete, the parser leaves nothing but parts of a later
@@ -177,6 +201,15 @@
             finishAtEndOfStream(error);
     }
 
+    /** @return Whether the buffer holds a folded line of a response's header section. */
+    bool isFolded() const
+    {
+        if (isRequest || parser_.is_header_done())
+            return false;
+        const asio::const_buffer bytes = buffer_.cdata();
+        return detail::hasFoldedLine({static_cast<const char *>(bytes.data()), bytes.size()});
+    }
+
     void finishAtEndOfStream(ErrorCode &error)
     {
         error = beasthttp::error::end_of_stream;
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -693,6 +693,60 @@
     }
 }
 
+// Failure guarded against: a response whose header section is not valid is passed on as an answer.
+TEST_CASE("a response with a malformed status line or field is no answer")
+{
+    const std::vector<std::string> statusLines {
+        "HTTP/1.1 000 Odd", "HTTP/1.1 001 Odd", "HTTP/1.1 099 Odd", "HTTP/1.1 600 Odd",
+        "HTTP/1.1 999 Odd", "HTTP/1.1 20 Odd",  "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK",
+        "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 -20 OK"};
+    const std::vector<std::string> fields {"X Note: 1",
+                                           "X\tNote: 1",
+                                           std::string("X-\0Note: 1", 11),
+                                           "X-\x01Note: 1",
+                                           "X-\x0bNote: 1",
+                                           "X-\x7fNote: 1",
+                                           "X-\xe9Note: 1",
+                                           "X(Note: 1",
+                                           ": 1",
+                                           "X-Note",
+                                           "X-Note : 1",
+                                           "Content-Length : 2",
+                                           "Transfer-Encoding : chunked",
+                                           "X-Note: a\x01z",
+                                           std::string("X-Note: a\0z", 11),
+                                           "X-Note: 1\r\n X-Other: 2",
+                                           "X-Note: 1\r\n\tX-Other: 2",
+                                           "X-Note: 1\r\n Content-Length: 2"};
+    std::string statusLine = "HTTP/1.1 200 OK";
+    std::string field = "X-Note: 1";
+    const std::string body = "\r\n booked\r\n\r\n for today";
+    RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+        return RawReply {statusLine + "\r\n" + field
+                         + "\r\nX-Attempt: " + headerOf(request.head, "X-Attempt")
+                         + "\r\nX-Seal: s1\r\nContent-Length: " + std::to_string(body.size())
+                         + "\r\n\r\n" + body};
+    });
+    FlowFixture fixture;
+    fixture.addUpstream("i-1", upstream);
+    const auto status = [&] {
+        return statusOf(fixture.sendRequest(callerRequest("POST", "/book/", "a1")));
+    };
+    for (const std::string &odd : statusLines) {
+        CAPTURE(odd);
+        statusLine = odd;
+        CHECK(status() == "502");
+    }
+    statusLine = "HTTP/1.1 200 OK";
+    for (const std::string &odd : fields) {
+        CAPTURE(odd);
+        field = odd;
+        CHECK(status() == "502");
+    }
+    field = "X-Note: 1";
+    CHECK(bodyOf(fixture.sendRequest(callerRequest("POST", "/book/", "a1"))) == body);
+}
+
 TEST_CASE("pipelined requests run concurrently and are answered in order")
 {
     Gate othersArrived;
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -1,6 +1,7 @@
 /** @file http_test.cpp Tests of the upstream client and of header forwarding. */
 #include "http/client_base.h"
 #include "http/headers_func.h"
+#include "standins/early_responder.h"
 #include "standins/raw_server.h"
 
 #include <curl/curl.h>
@@ -57,6 +58,52 @@
     CHECK(server.requests() == 3);
 }
 
+// Failure guarded against: a response whose header section is not valid counts as an answer.
+TEST_CASE("a response with an undefined status or a malformed field is no answer")
+{
+    std::string statusLine = "HTTP/1.1 200 OK";
+    std::string field = "X-Note: 1";
+    RawServer server("127.0.3.1", [&](const RawRequest &) {
+        return RawReply {statusLine + "\r\n" + field + "\r\nContent-Length: 3\r\n\r\nall"};
+    });
+    const auto isAnswered = [&] {
+        http::Client client({});
+        return sendTo(client, server, {}).progress == http::Progress::Answered;
+    };
+    CHECK(isAnswered());
+    for (const char *odd :
+         {"HTTP/1.1 000 Odd", "HTTP/1.1 001 Odd", "HTTP/1.1 099 Odd", "HTTP/1.1 600 Odd",
+          "HTTP/1.1 999 Odd", "HTTP/1.1 20 Odd", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK"}) {
+        CAPTURE(odd);
+        statusLine = odd;
+        CHECK(!isAnswered());
+    }
+    statusLine = "HTTP/1.1 200 OK";
+    for (const std::string &odd :
+         {std::string("X Note: 1"), std::string("X\tNote: 1"), std::string("X-\x01Note: 1"),
+          std::string("X-\0Note: 1", 11), std::string("X-\x7fNote: 1"), std::string("X(Note: 1"),
+          std::string(": 1"), std::string("X-Note"), std::string("X-Note : 1"),
+          std::string("X-Note: a\x01z"), std::string("X-Note: 1\r\n X-Other: 2"),
+          std::string("X-Note: 1\r\n Content-Length: 2")}) {
+        CAPTURE(odd);
+        field = odd;
+        CHECK(!isAnswered());
+    }
+}
+
+// Failure guarded against: the received part of a response counts as the whole of it.
+TEST_CASE("a response without a length is cut off by a reset while the request is being sent")
+{
+    constexpr std::size_t uploadBytes = std::size_t {24} * 1024 * 1024;
+    standins::EarlyResponder server(
+        [](const std::string &) { return "HTTP/1.1 200 OK\r\n\r\n" + std::string(20000, 'p'); });
+    http::Client client({});
+    const http::Result result =
+        client.send({"127.0.0.1", server.port()},
+                    {.method = "POST", .body = std::string(uploadBytes, 'u')}, timeout);
+    CHECK(result.progress == http::Progress::SentOnly);
+}
+
 TEST_CASE("connections are reused, and the request arrives unmodified")
 {
     std::string head;
