Fix: [Lint] The check fails on three findings of clang-tidy 14

Clang 14 does not capture structured bindings in a lambda, one literal was given a length that takes in its terminating NUL, and one string was concatenated from temporaries.

Change: named references in place of the structured binding, the right length (10) of the field with a NUL in its name in both tests, and a string that is appended to. No check is changed.

--- a/src/placement/paced_rate_limiter.cpp
+++ b/src/placement/paced_rate_limiter.cpp
@@ -137,7 +137,9 @@
 {
     AccountUseRecord record;
     const Slot slot = slotAt(now);
-    for (const auto &[id, state] : states_) {
+    for (const auto &entry : states_) {
+        const core::ClientAccountId &id = entry.first;
+        const State &state = entry.second;
         const auto account = accounts_.find(id);
         if (account == accounts_.end() || poolShare_ <= 0)
             continue;
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -677,8 +677,12 @@
                                       "Content-Length: " + std::to_string(partBytes) + "\r\n"}) {
         CAPTURE(fields);
         standins::EarlyResponder upstream([&](const std::string &head) {
-            return "HTTP/1.1 200 OK\r\nX-Seal: s1\r\nX-Attempt: " + headerOf(head, "X-Attempt")
-                + "\r\n" + fields + "\r\n" + part;
+            std::string response = "HTTP/1.1 200 OK\r\nX-Seal: s1\r\nX-Attempt: ";
+            response += headerOf(head, "X-Attempt") + "\r\n";
+            response += fields;
+            response += "\r\n";
+            response += part;
+            return response;
         });
         FlowFixture fixture(testConfiguration(core::Seconds(4)), core::Seconds(5), {},
                             2 * uploadBytes);
@@ -702,7 +706,7 @@
         "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 -20 OK"};
     const std::vector<std::string> fields {"X Note: 1",
                                            "X\tNote: 1",
-                                           std::string("X-\0Note: 1", 11),
+                                           std::string("X-\0Note: 1", 10),
                                            "X-\x01Note: 1",
                                            "X-\x0bNote: 1",
                                            "X-\x7fNote: 1",
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -81,7 +81,7 @@
     statusLine = "HTTP/1.1 200 OK";
     for (const std::string &odd :
          {std::string("X Note: 1"), std::string("X\tNote: 1"), std::string("X-\x01Note: 1"),
-          std::string("X-\0Note: 1", 11), std::string("X-\x7fNote: 1"), std::string("X(Note: 1"),
+          std::string("X-\0Note: 1", 10), std::string("X-\x7fNote: 1"), std::string("X(Note: 1"),
           std::string(": 1"), std::string("X-Note"), std::string("X-Note : 1"),
           std::string("X-Note: a\x01z"), std::string("X-Note: 1\r\n X-Other: 2"),
           std::string("X-Note: 1\r\n Content-Length: 2")}) {
