Fix: [Fleet] Members that are gone stay members if the store drops its history

Cause: a full read removed upstreams and evacuations that it did not list, but no members.

Change: FleetState::removeUnlistedMembers(), under the same hold as a removal that a watch reports, so live VMs whose leases expired in the outage have time to register again.

Evidence: without the call, the new case of proxy_sync_test fails (the member is still there after 3 s); it passes now.

--- a/src/fleet/entry_vm_selector.cpp
+++ b/src/fleet/entry_vm_selector.cpp
@@ -121,6 +121,14 @@
     return {};
 }
 
+std::vector<core::VmId> EntryVmSelector::ids() const
+{
+    std::vector<core::VmId> ids;
+    for (const auto &[id, member] : members_)
+        ids.push_back(id);
+    return ids;
+}
+
 bool EntryVmSelector::isActive(const core::VmId &id) const
 {
     const auto found = members_.find(id);
--- a/src/fleet/entry_vm_selector_base.h
+++ b/src/fleet/entry_vm_selector_base.h
@@ -143,6 +143,8 @@
     std::vector<EntryMember> poolPeersOf(const core::VmId &id) const;
     /** @return Number of registered VMs. */
     std::size_t size() const { return members_.size(); }
+    /** @return The registered VMs. */
+    std::vector<core::VmId> ids() const;
     /** @return Whether a VM is a member. */
     bool contains(const core::VmId &id) const { return members_.contains(id); }
 
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -212,6 +212,14 @@
     }
 }
 
+void FleetState::removeUnlistedMembers(core::MonoTime now, const std::vector<core::VmId> &listed)
+{
+    for (const core::VmId &id : parts_.entries.ids()) {
+        if (std::find(listed.begin(), listed.end(), id) == listed.end())
+            removeMember(now, id);
+    }
+}
+
 void FleetState::tick(core::MonoTime now)
 {
     for (const core::UpstreamId &id : upstreamRemovals_.takeExpired(now))
--- a/src/fleet/fleet_state_base.h
+++ b/src/fleet/fleet_state_base.h
@@ -43,6 +43,8 @@
     void removeUnlistedUpstreams(core::MonoTime now, const std::vector<core::UpstreamId> &listed);
     /** Takes over what an earlier process has recorded of the use of accounts. */
     void applyEarlierUse(const AccountUseRecord &record);
+    /** Removes the members that a full read of the store did not list; see removeMember(). */
+    void removeUnlistedMembers(core::MonoTime now, const std::vector<core::VmId> &listed);
     /** Stops to send requests to the upstreams of a zone, also to those that are listed later. */
     void applyEvacuation(const core::AvailabilityZoneId &zone);
     /** Ends the evacuation of a zone at once: its key has no lease, so an outage of the store
--- a/src/fleet/fleet_sync_base.h
+++ b/src/fleet/fleet_sync_base.h
@@ -263,16 +263,20 @@
         recordResponse();
         const core::MonoTime now = core::MonoClock::now();
         std::vector<core::UpstreamId> listed;
+        std::vector<core::VmId> members;
         std::vector<core::AvailabilityZoneId> evacuated;
         relayedEntries_.clear();
         std::erase_if(snapshot.items, [&](FleetItem &item) {
             if (item.kind == FleetItemKind::Upstream)
                 listed.emplace_back(item.id);
+            if (item.kind == FleetItemKind::Member)
+                members.emplace_back(item.id);
             if (item.kind == FleetItemKind::Evacuation)
                 evacuated.emplace_back(item.id);
             return !applyItem(now, item) || !item.value;
         });
         parts_.state.removeUnlistedUpstreams(now, listed);
+        parts_.state.removeUnlistedMembers(now, members);
         parts_.state.endUnlistedEvacuations(now, evacuated);
         changeLog_.reset(snapshot);
         revision_ = snapshot.revision;
--- a/tests/proxy/sync_test.cpp
+++ b/tests/proxy/sync_test.cpp
@@ -221,6 +221,18 @@
     CHECK(vm.entries.size() == 0);
 }
 
+// Failure guarded against: callers of a zone are sent to dead VMs for good.
+TEST_CASE("a full read does not remove the members that it does not list")
+{
+    SyncFixture vm;
+    vm.store.items = {{.kind = FleetItemKind::Member, .id = "other", .value = "x"}};
+    vm.sync.start();
+    REQUIRE(vm.runUntil([&] { return vm.entries.contains(core::VmId("other")); }));
+    vm.store.items.clear();
+    vm.store.historyLost = true;
+    CHECK(vm.runUntil([&] { return !vm.entries.contains(core::VmId("other")); }));
+}
+
 TEST_CASE("the change log returns the changes after a revision, or nothing if some were discarded")
 {
     FleetChangeLog changeLog;
