--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -8,6 +8,7 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <thread>
 
 using namespace teaselreach;
@@ -406,6 +407,35 @@
     CHECK_THROWS_AS(watch(), proxy::StoreUnreachable);
 }
 
+// Failure guarded against: a planned stop replaces the connection that a read of all items uses.
+TEST_CASE("a registration is removed while all items are read")
+{
+    const core::MonoTime end = core::MonoClock::now() + core::Seconds(5);
+    std::atomic<bool> isRemoved = false;
+    RawServer store("127.0.0.1", [&](const RawRequest &request) {
+        if (request.head.starts_with("POST /kv-txn")) {
+            isRemoved = true;
+            return RawReply {okReply(R"({"revision":9})")};
+        }
+        while (!isRemoved && core::MonoClock::now() < end)
+            std::this_thread::yield();
+        return RawReply {okReply(R"({"items":[{"key":"servers/a","value":"dg==","revision":3}],)"
+                                 R"("truncated":false,"currentRev":8})")};
+    });
+    proxy::asio::io_context context(1);
+    StoreClient client(context, {.address = store.address(), .port = store.port()});
+    std::size_t itemsRead = 0;
+    proxy::asio::co_spawn(context, client.readAll(),
+                          [&](std::exception_ptr error, const proxy::FleetUpdate &contents) {
+                              itemsRead = error ? 0 : contents.items.size();
+                          });
+    context.run_for(core::Millis(100)); // The read is under way.
+    const core::VmId vm("vm");
+    runVoidCall(context, [&] { return client.removeMember(vm); });
+    CHECK(isRemoved);
+    CHECK(itemsRead == 1);
+}
+
 TEST_CASE("an odd value in what an upstream says of itself is taken for a limit or a load")
 {
     const auto read = [](const char *name, const std::string &value) {
