Add: [Tests] 300 VMs that follow a restored store

Checks that all of them are registered again before the removals that are held back apply, that no VM is without an address for callers meanwhile, and that their calls stay within 1,200 writes and 6,000 reads in any second.

--- a/tests/proxy/memory_store.h
+++ b/tests/proxy/memory_store.h
@@ -27,9 +27,11 @@
     bool watchesSilent = false; ///< As silent, for watches only.
     bool historyLost = false;   ///< Watches report lost history until the next full read.
     int fullReads = 0;
-    int refusedCalls = 0;         ///< Calls made while it was unavailable.
-    std::vector<FleetItem> items; ///< Result of a full read.
-    std::deque<FleetItem> events; ///< Result of the next watch.
+    std::vector<core::MonoTime> readTimes;  ///< Of all full reads and watches.
+    std::vector<core::MonoTime> writeTimes; ///< Of all grants of leases and registrations.
+    int refusedCalls = 0;                   ///< Calls made while it was unavailable.
+    std::vector<FleetItem> items;           ///< Result of a full read.
+    std::deque<FleetItem> events;           ///< Result of the next watch.
     std::uint64_t revision = 1;
     std::vector<core::VmId> registered;
     std::uint64_t currentEra = 0;             ///< Stated in each response; see restore().
@@ -57,6 +59,7 @@
 
     asio::awaitable<FleetUpdate> readAll()
     {
+        readTimes.push_back(core::MonoClock::now());
         co_await respond();
         ++fullReads;
         historyLost = false;
@@ -66,6 +69,7 @@
     asio::awaitable<FleetUpdate> watch(StorePosition after, core::Micros wait)
     {
         watches.push_back({.timeout = wait});
+        readTimes.push_back(core::MonoClock::now());
         requireEra(after.era);
         try {
             co_return co_await waitForEvents(wait);
@@ -102,6 +106,7 @@
 
     asio::awaitable<StoreLease> grantLease(core::Micros)
     {
+        writeTimes.push_back(core::MonoClock::now());
         co_await respond();
         co_return StoreLease {.era = era(), .id = StoreLeaseId(++lastLease_)};
     }
@@ -114,6 +119,7 @@
     asio::awaitable<void> registerMember(const EntryMember &member, StoreLease lease)
     {
         requireEra(lease.era);
+        writeTimes.push_back(core::MonoClock::now());
         co_await respond();
         registered.push_back(member.id);
     }
--- a/tests/proxy/sync_restore_test.cpp
+++ b/tests/proxy/sync_restore_test.cpp
@@ -4,6 +4,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <deque>
+#include <functional>
 
 using namespace teaselreach;
 using namespace teaselreach::proxy;
@@ -200,3 +202,75 @@
     CHECK(vm.runUntil([&] { return !isEvacuated(vm, "lost"); }));
     CHECK(isEvacuated(vm, "kept"));
 }
+
+// Failure guarded against: all VMs call the restored store at once, or leave callers without an
+// address until they are registered again.
+TEST_CASE("300 VMs follow a restored store")
+{
+    constexpr int vmCount = 300;
+    /** Calls a second that the store takes from all VMs together. */
+    constexpr int writesPerSecond = 1200;
+    constexpr int readsPerSecond = 6000;
+    std::deque<SyncFixture> vms;
+    for (int i = 0; i < vmCount; ++i) {
+        SyncFixture &vm = vms.emplace_back(FleetSyncOptions {.self = {.id = core::VmId("me")}},
+                                           static_cast<std::uint64_t>(i));
+        vm.store.items = {member("other")};
+        vm.sync.start();
+    }
+    bool hasAddresses = true;
+    const auto runFor = [&](core::Micros time, const std::function<bool()> &isDone) {
+        const core::MonoTime end = core::MonoClock::now() + time;
+        while (!isDone() && core::MonoClock::now() < end) {
+            for (SyncFixture &vm : vms) {
+                vm.context.poll();
+                vm.state.tick(core::MonoClock::now());
+                hasAddresses = hasAddresses
+                    && !vm.entries
+                            .addressesFor(
+                                {core::AvailabilityZoneId("here"), core::RegionId("west")},
+                                [](const core::VmId &) { return false; }, {})
+                            .empty();
+            }
+        }
+        return isDone();
+    };
+    const auto areRegistered = [&] {
+        return std::all_of(vms.begin(), vms.end(),
+                           [](const SyncFixture &vm) { return !vm.store.registered.empty(); });
+    };
+    const auto haveRead = [&] {
+        return std::all_of(vms.begin(), vms.end(),
+                           [](const SyncFixture &vm) { return hasMember(vm, "other"); });
+    };
+    REQUIRE(runFor(core::Seconds(10), [&] { return areRegistered() && haveRead(); }));
+    hasAddresses = true;
+    for (SyncFixture &vm : vms) {
+        vm.store.restore({});
+        vm.store.readTimes.clear();
+        vm.store.writeTimes.clear();
+    }
+    CHECK(runFor(RemovalHold<core::VmId>::holdTime, areRegistered));
+    for (SyncFixture &vm : vms)
+        vm.store.events = {member("other")};
+    runFor(core::Seconds(2), [] { return false; });
+    CHECK(hasAddresses);
+    CHECK(haveRead());
+    const auto mostInOneSecond = [&](const auto &timesOf) {
+        std::vector<core::MonoTime> times;
+        for (const SyncFixture &vm : vms)
+            times.insert(times.end(), timesOf(vm.store).begin(), timesOf(vm.store).end());
+        std::sort(times.begin(), times.end());
+        std::ptrdiff_t most = 0;
+        for (auto from = times.begin(); from != times.end(); ++from) {
+            const auto to = std::lower_bound(from, times.end(), *from + core::Seconds(1));
+            most = std::max(most, to - from);
+        }
+        return most;
+    };
+    using Store = proxytest::MemoryStore;
+    CHECK(mostInOneSecond([](const Store &store) -> auto & { return store.writeTimes; })
+          <= writesPerSecond);
+    CHECK(mostInOneSecond([](const Store &store) -> auto & { return store.readTimes; })
+          <= readsPerSecond);
+}
