Fix: [Store] Changes that do not fit one response are never read

Cause: the changes since then exceeded the 16 MiB that answers of the store may take. StoreClient::watch() reported that as an outage, and FleetSync asked for the same changes again, and for more of them each time.

Change: a response that had begun and does not fit the budget or the time counts as lost history, so the whole store is read, page by page. The budget is a named constant.

Evidence: with the check off, the new case of platform_test fails for a response that is too long and for one that does not end; it passes now.

--- a/src/fleet/fleet_store_type.h
+++ b/src/fleet/fleet_store_type.h
@@ -88,13 +88,17 @@
     { }
 };
 
-/** The changes after a revision are no longer available; a full read is needed. */
+/** The changes after a revision are no longer available, or too many for one response; a full read
+ * is needed. */
 class StoreHistoryLost : public core::Error
 {
 public:
     StoreHistoryLost()
-        : Error("store_history_lost",
-                "the changes after the requested revision are no longer available")
+        : StoreHistoryLost("the changes after the requested revision are no longer available")
+    { }
+    /** @param what Cause. */
+    explicit StoreHistoryLost(const std::string &what)
+        : Error("store_history_lost", what)
     { }
 };
 
--- a/src/fleet/fleet_sync_base.h
+++ b/src/fleet/fleet_sync_base.h
@@ -288,7 +288,8 @@
             } catch (const StoreHistoryLost &error) {
                 recordResponse();
                 core::logEvent(core::LogLevel::Warn, "store_history_lost",
-                               {{"after", static_cast<std::int64_t>(position_.revision.count())}});
+                               {{"after", static_cast<std::int64_t>(position_.revision.count())},
+                                {"detail", error.what()}});
                 fullReadNeeded = true;
             } catch (const core::Error &error) {
                 wait = recordFailedRead(sentAt, error);
--- a/src/proxy/body_budget.cpp
+++ b/src/proxy/body_budget.cpp
@@ -99,9 +99,8 @@
 
 std::shared_ptr<BodyBudget> makeControlBudget()
 {
-    constexpr std::size_t maxBytes = std::size_t {16} * 1024 * 1024;
     return std::make_shared<BodyBudget>(
-        BodyBudgetOptions {.maxBytes = maxBytes, .shortBodyPart = 0});
+        BodyBudgetOptions {.maxBytes = controlBudgetBytes, .shortBodyPart = 0});
 }
 
 void returnFreedBodiesToSystem()
--- a/src/proxy/body_budget_base.h
+++ b/src/proxy/body_budget_base.h
@@ -108,6 +108,9 @@
     std::size_t bytes_ = 0;
 };
 
+/** Bytes of the budget of makeControlBudget(). */
+inline constexpr std::size_t controlBudgetBytes = std::size_t {16} * 1024 * 1024;
+
 /** @return A budget for responses that control the process: of the store, or of other VMs. */
 std::shared_ptr<BodyBudget> makeControlBudget();
 
--- a/src/proxy/http_connection.cpp
+++ b/src/proxy/http_connection.cpp
@@ -249,6 +249,8 @@
         result.failure = ExchangeFailure::TimedOut;
     else
         result.failure = ExchangeFailure::Broken;
+    result.isTooLong = readError == beasthttp::error::body_limit
+        || (result.headerRead && result.failure == ExchangeFailure::TimedOut);
     co_return result;
 }
 
@@ -296,6 +298,7 @@
 asio::awaitable<void> HttpConnection::readMessage(ExchangeResult &result,
                                                   const HttpRequest &request, ErrorCode &error)
 {
+    result.headerRead = false;
     MessageReader<false> reader(socket_, buffer_, responseLimits);
     MessageReader<false>::Parser &parser = reader.parser();
     parser.skip(request.method() == beasthttp::verb::head);
@@ -303,6 +306,7 @@
     if (sendFailed_)
         reader.requireStatedEnd();
     co_await reader.readHeader(error);
+    result.headerRead = !error;
     // A body of a known length gets all of its room before it is read, so that two of them cannot
     // wait for what the other one holds.
     if (!error)
--- a/src/proxy/http_connection_base.h
+++ b/src/proxy/http_connection_base.h
@@ -33,10 +33,12 @@
 struct ExchangeResult
 {
     ExchangeFailure failure = ExchangeFailure::None;
-    HttpResponse response; ///< Valid if there was no failure.
-    BodyReservation body;  ///< What the response's body has taken; keep it as long as the body.
-    bool reused = false;   ///< Whether the connection had carried a request before.
-    std::string detail;    ///< Error message for logs.
+    HttpResponse response;   ///< Valid if there was no failure.
+    BodyReservation body;    ///< What the response's body has taken; keep it as long as the body.
+    bool reused = false;     ///< Whether the connection had carried a request before.
+    bool headerRead = false; ///< Whether the header section of the response was read.
+    bool isTooLong = false;  ///< The response had begun, but did not fit the budget or the time.
+    std::string detail;      ///< Error message for logs.
 };
 
 /** Timeouts of an exchange. */
--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -408,6 +408,39 @@
     CHECK_THROWS_AS(watch(), proxy::StoreUnreachable);
 }
 
+// Failure guarded against: a VM asks for the same changes, and more, until the store drops them.
+TEST_CASE("changes that do not fit one response are never read")
+{
+    std::string head = "HTTP/1.1 200 OK\r\nContent-Length: ";
+    bool isStuck = false;
+    const std::size_t longest = proxy::controlBudgetBytes;
+    RawServer store("127.0.0.1", [&](const RawRequest &) {
+        if (isStuck) // More bytes are due than will come.
+            return RawReply {head + "100\r\n\r\n{"};
+        return RawReply {head + std::to_string(longest + 1) + "\r\n\r\n", true};
+    });
+    proxy::asio::io_context context(1);
+    StoreClient client(context, {.address = store.address(), .port = store.port()});
+    const auto watch = [&] {
+        return runCall(context, [&] {
+            return client.watch({.revision = proxy::StoreRevision(4)}, core::Millis(50));
+        });
+    };
+    CHECK_THROWS_AS(watch(), proxy::StoreHistoryLost);
+    isStuck = true;
+    CHECK_THROWS_AS(watch(), proxy::StoreHistoryLost);
+    // A store that does not respond at all has lost nothing.
+    head.clear();
+    RawServer silent("127.0.0.1", [](const RawRequest &) { return RawReply {}; });
+    StoreClient other(context, {.address = silent.address(), .port = silent.port()});
+    CHECK_THROWS_AS(runCall(context,
+                            [&] {
+                                return other.watch({.revision = proxy::StoreRevision(4)},
+                                                   core::Millis(50));
+                            }),
+                    proxy::StoreUnreachable);
+}
+
 namespace {
 
 /** @return A response of the store in an era. */
