Add: [Soak] A store that comes back from a copy of its contents

The stand-in states its era in all answers and keeps what operators and upstreams have written apart, so that it can lose everything since a copy and have that written again. In half of the drills its revisions have passed those that the daemons know before they reach it. Entries of upstreams count their sequence.

--- a/soak/platform_store.cpp
+++ b/soak/platform_store.cpp
@@ -1,5 +1,6 @@
 /** @file platform_store.cpp In-memory key-value store with fault injection. */
 #include "platform/json_func.h"
+#include "platform/names_type.h"
 #include "platform_store_base.h"
 
 namespace teaselreach::soak {
@@ -49,33 +50,71 @@
             {"lease", item.lease}};
 }
 
-void PlatformStore::put(const std::string &key, const std::string &value, std::uint64_t lease)
+void PlatformStore::put(const std::string &key, const std::string &value)
 {
-    items_[key] = {.value = value, .revision = ++revision_, .lease = lease};
-    history_.push_back(itemJson(key, items_[key]));
+    written_[key] = value;
+    write(key, value, 0);
 }
 
 void PlatformStore::remove(const std::string &key)
 {
-    if (items_.erase(key) > 0)
-        history_.push_back({{"key", key}, {"revision", ++revision_}, {"removed", true}});
+    written_[key].reset();
+    erase(key);
+}
+
+void PlatformStore::write(const std::string &key, const std::string &value, std::uint64_t lease)
+{
+    Item &item = contents_.items[key];
+    item = {.value = value, .revision = ++contents_.revision, .lease = lease};
+    contents_.history.push_back(itemJson(key, item));
+}
+
+void PlatformStore::erase(const std::string &key)
+{
+    if (contents_.items.erase(key) > 0)
+        contents_.history.push_back(
+            {{"key", key}, {"revision", ++contents_.revision}, {"removed", true}});
+}
+
+void PlatformStore::compact()
+{
+    contents_.history.clear();
+    contents_.compactedRevision = contents_.revision;
+}
+
+void PlatformStore::restore(StoreContents copy)
+{
+    contents_ = std::move(copy);
+    ++era_;
+}
+
+void PlatformStore::writeAgain()
+{
+    for (const auto &[key, value] : written_) {
+        const auto found = contents_.items.find(key);
+        if (!value)
+            erase(key);
+        else if (found == contents_.items.end() || found->second.value != *value)
+            write(key, *value, 0);
+    }
 }
 
 void PlatformStore::expireLeases(core::MonoTime now)
 {
-    for (auto lease = leases_.begin(); lease != leases_.end();) {
+    auto &leases = contents_.leases;
+    for (auto lease = leases.begin(); lease != leases.end();) {
         if (now < lease->second.endsAt) {
             ++lease;
             continue;
         }
         std::vector<std::string> expired;
-        for (const auto &[key, item] : items_) {
+        for (const auto &[key, item] : contents_.items) {
             if (item.lease == lease->first)
                 expired.push_back(key);
         }
         for (const std::string &key : expired)
-            remove(key);
-        lease = leases_.erase(lease);
+            erase(key);
+        lease = leases.erase(lease);
     }
 }
 
@@ -85,6 +124,7 @@
     const int silences = silences_ - (fault_ == StoreFault::Silent ? 1 : 0);
     if (fault_ == StoreFault::Busy) {
         exchange->response = jsonResponse(503);
+        stateEra(exchange->response);
         co_return;
     }
     proxy::asio::steady_timer timer(context_);
@@ -107,6 +147,7 @@
         exchange->response = renewLease(numberAfter(target, "/kv-keep/"));
     else
         exchange->response = jsonResponse(404);
+    stateEra(exchange->response);
     const bool isLost = fault_ == StoreFault::LostResponse && !isWatch;
     if (isLost || silences_ != silences) {
         // Keeps the connection open without a response.
@@ -115,59 +156,70 @@
     }
 }
 
+void PlatformStore::stateEra(HttpResponse &response) const
+{
+    response.set(std::string(platform::eraHeader), std::to_string(era_));
+}
+
 proxy::asio::awaitable<HttpResponse> PlatformStore::watch(std::uint64_t after, core::Micros wait)
 {
     const core::MonoTime end = core::MonoClock::now() + wait;
+    const std::uint64_t begunIn = era_;
+    const bool isKnown = after <= contents_.revision;
     proxy::asio::steady_timer timer(context_);
-    while (after >= compactedRevision_ && revision_ <= after && core::MonoClock::now() < end) {
+    while (isKnown && era_ == begunIn && after >= contents_.compactedRevision
+           && contents_.revision <= after && core::MonoClock::now() < end) {
         timer.expires_after(core::Millis(10));
         proxy::ErrorCode ignored; // Nothing cancels the timer.
         co_await timer.async_wait(proxy::captureError(ignored));
     }
-    if (after < compactedRevision_)
+    if (!isKnown || era_ != begunIn || after < contents_.compactedRevision)
         co_return jsonResponse(410);
     json events = json::array();
-    for (const json &event : history_) {
+    for (const json &event : contents_.history) {
         if (event.at("revision").get<std::uint64_t>() > after)
             events.push_back(event);
     }
-    co_return jsonResponse(200, {{"events", std::move(events)}, {"currentRev", revision_}});
+    co_return jsonResponse(200,
+                           {{"events", std::move(events)}, {"currentRev", contents_.revision}});
 }
 
 HttpResponse PlatformStore::range() const
 {
     json items = json::array();
-    for (const auto &[key, item] : items_)
+    for (const auto &[key, item] : contents_.items)
         items.push_back(itemJson(key, item));
     return jsonResponse(
-        200, {{"items", std::move(items)}, {"truncated", false}, {"currentRev", revision_}});
+        200,
+        {{"items", std::move(items)}, {"truncated", false}, {"currentRev", contents_.revision}});
 }
 
 HttpResponse PlatformStore::transact(const json &body)
 {
     for (const json &entry : body.at("puts")) {
         const std::uint64_t lease = entry.value("lease", 0);
-        if (lease != 0 && !leases_.contains(lease))
+        if (lease != 0 && !contents_.leases.contains(lease))
             return jsonResponse(404);
-        put(entry.at("key"), platform::decodeBase64(entry.at("value").get<std::string>()), lease);
+        write(entry.at("key"), platform::decodeBase64(entry.at("value").get<std::string>()), lease);
     }
     for (const json &key : body.at("remove"))
-        remove(key);
-    return jsonResponse(200, {{"revision", revision_}});
+        erase(key);
+    return jsonResponse(200, {{"revision", contents_.revision}});
 }
 
 HttpResponse PlatformStore::grantLease(const json &body)
 {
     const std::string lifetime = body.at("ttl_time");
     const core::Micros time = platform::parseDuration(lifetime);
-    leases_[++lastLease_] = {.lifetime = time, .endsAt = core::MonoClock::now() + time};
-    return jsonResponse(200, {{"lease", lastLease_}, {"ttl_time", lifetime}});
+    contents_.leases[++contents_.lastLease] = {.lifetime = time,
+                                               .endsAt = core::MonoClock::now() + time};
+    return jsonResponse(200, {{"lease", contents_.lastLease}, {"ttl_time", lifetime}});
 }
 
 HttpResponse PlatformStore::renewLease(std::uint64_t lease)
 {
-    const auto found = leases_.find(lease);
-    if (found == leases_.end())
+    const auto found = contents_.leases.find(lease);
+    if (found == contents_.leases.end())
         return jsonResponse(404);
     found->second.endsAt = core::MonoClock::now() + found->second.lifetime;
     return jsonResponse(200);
--- a/soak/soak_site.cpp
+++ b/soak/soak_site.cpp
@@ -40,6 +40,10 @@
  * check, and some calms are longer than that of the failback. */
 constexpr std::uint64_t longestCalmMs = 30000;
 constexpr std::uint64_t longestEvacuationMs = 12000;
+/** Longest age of a copy of the store, beyond one second, and longest time until operators and
+ * upstreams have written again what it lacks, in milliseconds. */
+constexpr std::uint64_t longestCopyAgeMs = 8000;
+constexpr std::uint64_t longestRewriteMs = 1500;
 /** The first two zones share a region, so that requests with home regions have other upstreams
  * there while one of the zones is evacuated. */
 const std::array<SoakZone, 3> zones {{{"z0", "r0"}, {"z1", "r0"}, {"z2", "r1"}}};
@@ -199,7 +203,7 @@
                      {"warmupLeft",
                       std::to_string(std::chrono::ceil<core::Millis>(warmupLeft).count()) + "ms"},
                      {"born", upstreams_[index]->bornAt()},
-                     {"sequence", 1}}
+                     {"sequence", ++entrySequence_}}
                    .dump());
 }
 
@@ -545,7 +549,9 @@
 
 proxy::asio::awaitable<void> SoakSite::injectStoreFault()
 {
-    const std::uint64_t kind = random_() % 5;
+    const std::uint64_t kind = random_() % 6;
+    if (kind == 5)
+        co_return co_await restoreStore();
     constexpr std::array<const char *, 5> names {"busy", "slow", "loses answers", "silent",
                                                  "forgets"};
     constexpr std::array<StoreFault, 4> faults {StoreFault::Busy, StoreFault::Slow,
@@ -562,6 +568,34 @@
     recordFaultForAll();
 }
 
+/** Takes the store away for a moment and lets it come back from a copy some seconds old. */
+proxy::asio::awaitable<void> SoakSite::restoreStore()
+{
+    const StoreContents copy = store_.contents();
+    co_await sleepFor(core::Millis(1000 + random_() % longestCopyAgeMs));
+    recordEvent("store away before it comes back from a copy");
+    recordFaultForAll();
+    store_.setFault(random_() % 2 == 0 ? StoreFault::Silent : StoreFault::Busy);
+    co_await sleepFor(core::Millis(100 + random_() % 1500));
+    const std::uint64_t lastRevision = store_.contents().revision;
+    store_.restore(copy);
+    recordEvent("store back from the copy");
+    if (random_() % 2 == 0) {
+        // The daemons reach it after operators and upstreams have used up the earlier revisions.
+        store_.writeAgain();
+        writeConfiguration();
+        while (store_.contents().revision < lastRevision)
+            writeUpstream(0, upstreams_[0]->isDraining());
+        for (std::size_t i = 0; i < upstreams_.size(); ++i)
+            writeUpstream(i, upstreams_[i]->isDraining());
+    }
+    store_.setFault(StoreFault::None);
+    recordFaultForAll();
+    co_await sleepFor(core::Millis(random_() % longestRewriteMs));
+    store_.writeAgain();
+    recordFaultForAll();
+}
+
 proxy::asio::awaitable<void> SoakSite::injectUpstreamFault()
 {
     const std::size_t index = random_() % upstreams_.size();
--- a/soak/soak_site_base.h
+++ b/soak/soak_site_base.h
@@ -82,6 +82,7 @@
                 const std::string &id, const std::string &key);
     proxy::asio::awaitable<void> injectDaemonFault();
     proxy::asio::awaitable<void> injectStoreFault();
+    proxy::asio::awaitable<void> restoreStore();
     proxy::asio::awaitable<void> injectUpstreamFault();
     proxy::asio::awaitable<void> cutUpstreamPath(std::size_t index);
     proxy::asio::awaitable<void> replaceUpstream(std::size_t index);
@@ -102,6 +103,7 @@
     std::vector<Vm> vms_;
     std::vector<SoakAccount> accounts_;
     std::int64_t version_ = 0;
+    std::int64_t entrySequence_ = 0; ///< Of the last entry of an upstream.
     std::uint64_t lastKeyProbe_ = 0;
     std::vector<core::MonoTime> versionTimes_; ///< When the store accepted versions 1, 2, ...
     core::MonoTime storeFaultAt_ {};           ///< Start or end of the last fault of the store.
