Fix: [Proxy] The body of a request with an unknown transfer coding runs as a request

What callers saw (review, odd framings): a request with a Transfer-Encoding that does not end in chunked, and without a length, had no body for the VM; the bytes that followed were read as the next request and ran.

Cause: the parser ignores such codings. In responses it then takes the end of the connection for the end of the body, and a coded body is passed on as it is.

Change: MessageReader takes a message with another transfer coding than a single chunked for malformed: 400 for a caller, a broken response of an upstream. Both daemons, the store, and relays read through it.

--- a/src/proxy/message_reader_base.h
+++ b/src/proxy/message_reader_base.h
@@ -5,9 +5,11 @@
 #include "proxy/body_budget_base.h"
 
 #include <boost/beast/core/read_size.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <limits>
 #include <optional>
 #include <stdexcept>
@@ -107,6 +109,8 @@
         parser_.eager(false);
         while (!error && !parser_.is_header_done())
             co_await parseOrReceive(error);
+        if (!error && hasUnknownCoding())
+            error = beasthttp::error::bad_transfer_encoding;
         if (!error && parser_.chunked())
             header_ = parser_.get().base();
     }
@@ -201,6 +205,16 @@
             finishAtEndOfStream(error);
     }
 
+    /** @return Whether the message has a transfer coding other than chunked. Nothing here decodes
+     * one, and the parser would take the body of such a request for the next request. */
+    bool hasUnknownCoding() const
+    {
+        const auto [first, last] =
+            parser_.get().base().equal_range(beasthttp::field::transfer_encoding);
+        const auto count = std::distance(first, last);
+        return count > 1 || (count == 1 && !boost::beast::iequals(first->value(), "chunked"));
+    }
+
     /** @return Whether the buffer holds a folded line of a response's header section. */
     bool isFolded() const
     {
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -571,6 +571,50 @@
     CHECK(headerOf(head, "X-Other").empty());
 }
 
+// Failure guarded against: the body of a request runs as a request of its own.
+TEST_CASE("a request with a transfer coding other than chunked has no body")
+{
+    RawServer upstream("127.0.0.1", [](const RawRequest &request) {
+        return RawReply {sealedReply(request, "ran")};
+    });
+    for (const std::string coding :
+         {"identity", "xchunked", "chunked, identity", "gzip, chunked", "chunked;q=1", "",
+          "chunked\r\nTransfer-Encoding: chunked", "identity\r\nContent-Length: 0"}) {
+        CAPTURE(coding);
+        FlowFixture fixture;
+        fixture.addUpstream("i-1", upstream);
+        std::string request =
+            callerRequest("POST", "/book/", "a1", "Transfer-Encoding: " + coding + "\r\n");
+        request += callerRequest("POST", "/book/", "a2");
+        CHECK(statusOf(fixture.sendRequest(request)) == "400");
+        CHECK(upstream.requests() == 0);
+    }
+}
+
+// Failure guarded against: the coded bytes of a body are passed on as the body.
+TEST_CASE("a response with a transfer coding other than chunked is an answer")
+{
+    std::string fields;
+    RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+        return RawReply {"HTTP/1.1 200 OK\r\nX-Seal: s1\r\nX-Attempt: "
+                             + headerOf(request.head, "X-Attempt") + "\r\n" + fields
+                             + "\r\n6\r\nbooked\r\n0\r\n\r\n",
+                         true};
+    });
+    const auto statusWith = [&](const std::string &coding) {
+        fields = "Transfer-Encoding: " + coding + "\r\n";
+        FlowFixture fixture;
+        fixture.addUpstream("i-1", upstream);
+        return statusOf(fixture.sendRequest(callerRequest("POST", "/book/", "a1")));
+    };
+    CHECK(statusWith("chunked") == "200");
+    CHECK(statusWith("Chunked") == "200");
+    for (const char *coding : {"identity", "gzip", "gzip, chunked", "xchunked", "chunked, gzip"}) {
+        CAPTURE(coding);
+        CHECK(statusWith(coding) == "502");
+    }
+}
+
 TEST_CASE("an idempotent request ends with a refusal of one upstream while another has room")
 {
     RawServer busy("127.0.0.1", [](const RawRequest &request) {
