--- a/src/placement/account_rate_limiter.cpp
+++ b/src/placement/account_rate_limiter.cpp
@@ -120,7 +120,9 @@
         return paced_->unsteadyUse(now);
     AccountUseRecord record;
     const double share = effectiveShare();
-    for (const auto &[account, window] : windows_) {
+    for (const auto &entry : windows_) {
+        const core::ClientAccountId &account = entry.first;
+        const Window &window = entry.second;
         if (!window.limit || share <= 0)
             continue;
         const WindowLimit limit = windowLimit(*window.limit);
