--- a/tests/proxy/platform_test.cpp
+++ b/tests/proxy/platform_test.cpp
@@ -545,7 +545,7 @@
     StoreClient client(context, {.address = store.address(), .port = store.port()});
     std::size_t itemsRead = 0;
     proxy::asio::co_spawn(context, client.readAll(),
-                          [&](std::exception_ptr error, const proxy::FleetUpdate &contents) {
+                          [&](const std::exception_ptr &error, const proxy::FleetUpdate &contents) {
                               itemsRead = error ? 0 : contents.items.size();
                           });
     context.run_for(core::Millis(100)); // The read is under way.
