Fix: [Limits] Records of account use refuse accounts within their limits after a restart

Cause: since a process applies the recorded level of an account for a whole window. Half of the accounts there use the whole part of their limit that their region's VMs have, evenly, and were granted nothing but the tolerated overrun.

Change: a record has the use in the latest eighth of the window, the latest two and so on, each with what may be used until the next write. What has left the window may be used again (partLeft()). Records of another region's VMs are not applied: they are about other parts of the limits.

--- a/src/fleet/entry_vm_selector.cpp
+++ b/src/fleet/entry_vm_selector.cpp
@@ -129,6 +129,14 @@
     return ids;
 }
 
+std::optional<core::RegionId> EntryVmSelector::regionOf(const core::VmId &id) const
+{
+    const auto found = members_.find(id);
+    if (found == members_.end())
+        return std::nullopt;
+    return found->second.location.region;
+}
+
 bool EntryVmSelector::isActive(const core::VmId &id) const
 {
     const auto found = members_.find(id);
--- a/src/fleet/entry_vm_selector_base.h
+++ b/src/fleet/entry_vm_selector_base.h
@@ -145,6 +145,8 @@
     std::size_t size() const { return members_.size(); }
     /** @return The registered VMs. */
     std::vector<core::VmId> ids() const;
+    /** @return The region of a member; nothing if the VM is none. */
+    std::optional<core::RegionId> regionOf(const core::VmId &id) const;
     /** @return Whether a VM is a member. */
     bool contains(const core::VmId &id) const { return members_.contains(id); }
 
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -100,9 +100,9 @@
 {
     for (const AccountUseLevel &use : record) {
         constexpr double percent = 100;
-        core::logEvent(
-            core::LogLevel::Info, "earlier_use_known",
-            {{"account", use.account.str()}, {"level_pct", std::llround(percent * use.level)}});
+        core::logEvent(core::LogLevel::Info, "earlier_use_known",
+                       {{"account", use.account.str()},
+                        {"level_pct", std::llround(percent * use.levels.back())}});
     }
     parts_.flow.earlierUseKnown(record);
 }
--- a/src/fleet/fleet_sync_base.h
+++ b/src/fleet/fleet_sync_base.h
@@ -329,6 +329,7 @@
                 evacuated.emplace_back(item.id);
             return !applyItem(now, item) || !item.value;
         });
+        applyEarlierUse();
         parts_.state.removeUnlistedUpstreams(now, listed);
         parts_.state.removeUnlistedMembers(now, members);
         parts_.state.endUnlistedEvacuations(now, evacuated);
@@ -342,6 +343,18 @@
         contact_.readApplied(now);
     }
 
+    /** Applies the records of the use of accounts, once all members are known. Another region's
+     * are about its own part of the limits. */
+    void applyEarlierUse()
+    {
+        for (const auto &[vm, record] : std::exchange(earlierUse_, {})) {
+            const auto region = parts_.entries.regionOf(vm);
+            if (region && *region != options_.self.location.region)
+                continue;
+            parts_.state.applyEarlierUse(record);
+        }
+    }
+
     /** Fetches changes from a relay of the availability zone and applies them. If the first relay
      * says that it is not connected to the store, the second one reads the store for all others.
      * @return Whether a relay had the changes. */
@@ -485,7 +498,8 @@
         case FleetItemKind::AccountUse:
             // A process needs what was used before it started. Later records include its own use.
             if (item.value && !hasRead())
-                state.applyEarlierUse(parts_.store.decodeAccountUse(item.id, *item.value));
+                earlierUse_[core::VmId(item.id)] =
+                    parts_.store.decodeAccountUse(item.id, *item.value);
             return false;
         case FleetItemKind::Other:
             return false;
@@ -613,6 +627,7 @@
     FleetRelayClient relays_;
     FleetChangeLog changeLog_;
     std::map<std::string, UpstreamEntry> relayedEntries_; ///< Upstreams as last sent to followers.
+    std::map<core::VmId, AccountUseRecord> earlierUse_;   ///< Read, but not applied yet.
     std::mt19937_64 random_;
     StorePosition position_; ///< Up to which the state of this VM follows the store.
     StoreEra noticedEra_;    ///< After the latest return of the store from a copy; 0 before one.
--- a/src/fleet/use_recorder_base.h
+++ b/src/fleet/use_recorder_base.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "core/clock_type.h"
-#include "placement/account_limit_type.h"
+#include "placement/restart_share_func.h"
 
 #include <algorithm>
 #include <cmath>
@@ -48,6 +48,12 @@
                       [&](const auto &entry) { return now - entry.second.at > window_; });
         if (now < earliestAt_)
             return Action::None;
+        if (now - loweredAt_ >= renewInterval) {
+            loweredAt_ = now;
+            for (const AccountUseLevel &use : unsteady)
+                accounts_[use.account].use = bounded(use);
+            needsWrite_ = needsWrite_ || record() != written_;
+        }
         if (needsWrite_ || (!accounts_.empty() && now - writtenAt_ >= renewInterval)) {
             const bool isChanged = needsWrite_ || record() != written_;
             needsWrite_ = false;
@@ -71,7 +77,7 @@
     {
         AccountUseRecord record;
         for (const auto &[account, entry] : accounts_)
-            record.push_back({.account = account, .level = entry.level});
+            record.push_back(entry.use);
         return record;
     }
 
@@ -82,27 +88,32 @@
 
     struct Entry
     {
-        double level = 0;
+        AccountUseLevel use;  ///< Not below the use since the last time that it was lowered.
         core::MonoTime at {}; ///< When its use was last not steady.
     };
 
-    /** @return A level for the record: what may be used until the next write counts as used. */
-    static double roundUp(double level)
+    /** @return Levels for the record, rounded up to few steps: what may be used until the next
+     * write counts as used. */
+    static AccountUseLevel bounded(const AccountUseLevel &use)
     {
-        constexpr double lead = 0.2;
-        constexpr double step = 0.2;
-        return std::min(1.0, step * std::ceil((level + lead) / step));
+        constexpr double partsUntilWrite = 0.5;
+        constexpr double step = 0.1;
+        const double lead = partsUntilWrite * use.levels.front();
+        AccountUseLevel rounded {.account = use.account};
+        for (std::size_t i = 0; i < use.levels.size(); ++i)
+            rounded.levels.at(i) =
+                std::min(1.0, step * std::ceil((use.levels.at(i) + lead) / step));
+        return rounded;
     }
 
     void raise(core::MonoTime now, const AccountUseLevel &use)
     {
         Entry &entry = accounts_[use.account];
-        const double level = roundUp(use.level);
         entry.at = now;
-        if (level <= entry.level)
-            return;
-        entry.level = level;
-        needsWrite_ = true;
+        entry.use.account = use.account;
+        const AccountUseLevel before = entry.use;
+        raiseLevels(entry.use, bounded(use));
+        needsWrite_ = needsWrite_ || entry.use != before;
     }
 
     core::Micros window_;
@@ -110,6 +121,7 @@
     AccountUseRecord written_;
     bool needsWrite_ = false;
     core::MonoTime writtenAt_ {};
+    core::MonoTime loweredAt_ {};  ///< When the levels last followed the use downwards.
     core::MonoTime earliestAt_ {}; ///< No action before.
 };
 
--- a/src/placement/account_limit_type.h
+++ b/src/placement/account_limit_type.h
@@ -4,7 +4,9 @@
 
 #include "placement/placement_type.h"
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <vector>
 
 namespace teaselreach::proxy {
@@ -65,13 +67,24 @@
     PacingOptions pacing;
 };
 
-/** How much of its limit an account used in one window. */
+/** How much of its limit an account used in the last parts of a window. */
 struct AccountUseLevel
 {
+    /** Number of equal parts of the window. */
+    static constexpr std::size_t parts = 8;
+
     core::ClientAccountId account;
-    double level = 0; ///< Part of the limit; above 1 within the tolerated overrun.
+    /** Use in the latest part, in the latest two, up to the whole window, each as a part of the
+     * limit; above 1 within the tolerated overrun. */
+    std::array<double, parts> levels {};
 
     bool operator==(const AccountUseLevel &) const = default;
+    /** @param time As a part of the window. @return The most that was used in the latest time. */
+    double within(double time) const
+    {
+        const auto count = static_cast<std::size_t>(std::ceil(std::clamp(time, 0.0, 1.0) * parts));
+        return count == 0 ? 0 : levels.at(count - 1);
+    }
 };
 
 /** The accounts whose use is not steady; see isSteadyUse(). Kept outside of the processes, for
--- a/src/placement/account_rate_limiter.cpp
+++ b/src/placement/account_rate_limiter.cpp
@@ -87,31 +87,30 @@
     if (isOverloading(age, account))
         usable = std::min(usable, overrun);
     if (const auto found = earlierLevels_.find(account.id); found != earlierLevels_.end())
-        usable = std::min(usable, std::max(0.0, 1 + overrun - found->second));
+        usable = std::min(usable, partLeft(options_, overrun, found->second, age));
     return usable;
 }
 
 void AccountRateLimiter::earlierUseKnown(const AccountUseRecord &record)
 {
-    for (const AccountUseLevel &use : record) {
-        double &level = earlierLevels_[use.account];
-        level = std::max(level, use.level);
-    }
+    for (const AccountUseLevel &use : record)
+        raiseLevels(earlierLevels_[use.account], use);
     if (paced_)
         paced_->earlierUseKnown(record);
 }
 
-/** @return The part of its limit that an account may have used before the restart in the window
- * that ends now. */
+/** @return The part of its limit that an account may have used before the restart, in a time that
+ * ends now. */
 double AccountRateLimiter::earlierUse(core::MonoTime now, const core::ClientAccountId &account,
-                                      double overrun) const
+                                      double overrun, core::Micros time) const
 {
-    if (!restartedAt_ || now - *restartedAt_ >= options_.window)
+    if (!restartedAt_ || now - *restartedAt_ >= time)
         return 0;
+    const core::Micros before = time - (now - *restartedAt_);
     const auto found = earlierLevels_.find(account);
-    return found == earlierLevels_.end()
-        ? steadyUse(options_, overrun, options_.window - (now - *restartedAt_))
-        : found->second;
+    if (found == earlierLevels_.end())
+        return steadyUse(options_, overrun, before);
+    return found->second.within(std::chrono::duration<double>(before) / options_.window);
 }
 
 AccountUseRecord AccountRateLimiter::unsteadyUse(core::MonoTime now) const
@@ -126,17 +125,18 @@
         if (!window.limit || share <= 0)
             continue;
         const WindowLimit limit = windowLimit(*window.limit);
-        const double earlier = earlierUse(now, account, limit.overrun);
         const auto usedWithin = [&](core::Micros time) {
             const auto count = [&](const std::deque<core::MonoTime> &times) {
                 return times.end() - std::lower_bound(times.begin(), times.end(), now - time);
             };
             const auto counted = count(window.own) + (isPooled() ? count(window.others) : 0);
-            return earlier + static_cast<double>(counted) / (limit.usable * share);
+            return earlierUse(now, account, limit.overrun, time)
+                + static_cast<double>(counted) / (limit.usable * share);
         };
-        if (earlier > 0 ? usedWithin(options_.window) > 1
-                        : !isSteadyUse(options_, limit.overrun, usedWithin))
-            record.push_back({.account = account, .level = usedWithin(options_.window)});
+        const bool hasEarlierUse = earlierUse(now, account, limit.overrun, options_.window) > 0;
+        if (hasEarlierUse ? usedWithin(options_.window) > 1
+                          : !isSteadyUse(options_, limit.overrun, usedWithin))
+            record.push_back(useLevels(options_, account, usedWithin));
     }
     return record;
 }
--- a/src/placement/account_rate_limiter_base.h
+++ b/src/placement/account_rate_limiter_base.h
@@ -99,8 +99,8 @@
     };
     WindowLimit windowLimit(const Account &account) const;
     double usablePart(core::MonoTime now, const Account &account, double overrun) const;
-    double earlierUse(core::MonoTime now, const core::ClientAccountId &account,
-                      double overrun) const;
+    double earlierUse(core::MonoTime now, const core::ClientAccountId &account, double overrun,
+                      core::Micros time) const;
     bool isOverloading(core::Micros age, const Account &account) const;
     /** @return Requests that count against the share in use. */
     std::size_t countedRequests(const Window &window) const;
@@ -114,7 +114,7 @@
     double poolShare_ = 0;
     std::optional<core::MonoTime> restartedAt_;
     /** Levels of the accounts whose use was not steady before the restart. */
-    std::unordered_map<core::ClientAccountId, double, core::StrongHash> earlierLevels_;
+    std::unordered_map<core::ClientAccountId, AccountUseLevel, core::StrongHash> earlierLevels_;
     std::unordered_map<core::ClientAccountId, Window, core::StrongHash> windows_;
     /** Requests admitted since the last takeUsage(). */
     std::unordered_map<core::ClientAccountId, int, core::StrongHash> unreported_;
--- a/src/placement/paced_rate_limiter.cpp
+++ b/src/placement/paced_rate_limiter.cpp
@@ -117,7 +117,7 @@
     const double overrun = allowedBy(account) / limitOf(account) - 1;
     double usable = shareAfterRestart(options_, now - *restartedAt_);
     if (const auto found = earlierLevels_.find(account.id); found != earlierLevels_.end())
-        usable = std::min(usable, std::max(0.0, 1 + overrun - found->second));
+        usable = std::min(usable, partLeft(options_, overrun, found->second, now - *restartedAt_));
     const int asked = state.own.total() + state.refused.total();
     const double expected = account.ratePerSecond * ownShare_ * age;
     if (asked > options_.overloadFactor * expected + options_.overloadRequests)
@@ -127,10 +127,8 @@
 
 void PacedRateLimiter::earlierUseKnown(const AccountUseRecord &record)
 {
-    for (const AccountUseLevel &use : record) {
-        double &level = earlierLevels_[use.account];
-        level = std::max(level, use.level);
-    }
+    for (const AccountUseLevel &use : record)
+        raiseLevels(earlierLevels_[use.account], use);
 }
 
 AccountUseRecord PacedRateLimiter::unsteadyUse(core::MonoTime now) const
@@ -155,7 +153,7 @@
             return counted / (limit * poolShare_);
         };
         if (!isSteadyUse(options_, allowedBy(account->second) / limit - 1, usedWithin))
-            record.push_back({.account = id, .level = usedWithin(options_.window)});
+            record.push_back(useLevels(options_, id, usedWithin));
     }
     return record;
 }
--- a/src/placement/paced_rate_limiter_base.h
+++ b/src/placement/paced_rate_limiter_base.h
@@ -163,7 +163,7 @@
     std::map<core::VmId, PoolMember> members_;
     std::optional<core::MonoTime> restartedAt_;
     /** Levels of the accounts whose use was not steady before the restart. */
-    std::unordered_map<core::ClientAccountId, double, core::StrongHash> earlierLevels_;
+    std::unordered_map<core::ClientAccountId, AccountUseLevel, core::StrongHash> earlierLevels_;
     std::optional<core::MonoTime> historyAt_; ///< First answer of another VM since the restart.
     bool isHistoryComplete_ = false;
     std::unordered_map<core::ClientAccountId, Account, core::StrongHash> accounts_;
--- a/tests/proxy/decisions_test.cpp
+++ b/tests/proxy/decisions_test.cpp
@@ -4,6 +4,7 @@
 #include "fleet/removal_hold_base.h"
 #include "fleet/use_recorder_base.h"
 #include "placement/account_rate_limiter_base.h"
+#include "placement/restart_share_func.h"
 #include "placement/retry_budget_base.h"
 #include "placement/route_table_base.h"
 
@@ -262,6 +263,23 @@
     }
 }
 
+// Failure guarded against: accounts within their limits are refused for a window after a restart.
+TEST_CASE("what an account used evenly before a restart counts against it for a whole window")
+{
+    AccountUseLevel even;
+    for (std::size_t i = 0; i < even.levels.size(); ++i)
+        even.levels.at(i) = static_cast<double>(i + 1) / AccountUseLevel::parts;
+    const AccountRateLimiterOptions options;
+    constexpr double part = 1.0 / AccountUseLevel::parts;
+    for (double elapsed = 0; elapsed <= 1; elapsed += 0.05) {
+        CAPTURE(elapsed);
+        const auto age = std::chrono::duration_cast<core::Micros>(elapsed * options.window);
+        const double left = partLeft(options, 0, even, age);
+        CHECK(left <= elapsed + 1e-9); // The window holds the limit at most.
+        CHECK(left >= elapsed - part - 1e-9);
+    }
+}
+
 // Failure guarded against: the processes that replace killed ones spend an allowance once more.
 TEST_CASE("a restart of all VMs does not grant again what an account used, whatever it sends")
 {
--- a/tests/proxy/memory_store.h
+++ b/tests/proxy/memory_store.h
@@ -137,10 +137,12 @@
     }
     asio::awaitable<void> renewAccountUse() { co_await respond(); }
 
-    /** The stored value is the account; its level is 1. */
+    /** The stored value is the account; its levels are 1. */
     AccountUseRecord decodeAccountUse(const std::string &, const std::string &value) const
     {
-        return {{.account = core::ClientAccountId(value), .level = 1}};
+        AccountUseLevel use {.account = core::ClientAccountId(value)};
+        use.levels.fill(1);
+        return {use};
     }
 
     /** Port of all decoded upstreams. */
