--- a/review/stand-ins-3/rig.h
+++ b/review/stand-ins-3/rig.h
@@ -524,7 +524,8 @@
     Server server_;
 };
 
-/** A path to a server. Its open connections can go silent for good, while new ones work. */
+/** A path to a server. Its open connections can go silent for good, while new ones work; or the
+ * server turns all connections away, with a reset. */
 class Path
 {
 public:
@@ -536,6 +537,14 @@
         run([this] { accept(); });
     }
     int port() const { return port_; }
+    void turnAway(bool isTurnedAway)
+    {
+        isTurnedAway_ = isTurnedAway;
+        const std::lock_guard lock(mutex_);
+        for (const int caller : isTurnedAway ? callers_ : std::vector<int>())
+            shutdown(caller, SHUT_RDWR);
+        callers_.clear();
+    }
     void silenceOpenConnections()
     {
         const std::lock_guard lock(mutex_);
@@ -553,6 +562,12 @@
             const int caller = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
             if (caller < 0)
                 return;
+            if (isTurnedAway_) {
+                const linger reset {.l_onoff = 1, .l_linger = 0};
+                setsockopt(caller, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+                close(caller);
+                continue;
+            }
             const int server = connectTo(address_, target_);
             if (server < 0) {
                 close(caller);
@@ -563,6 +578,7 @@
             {
                 const std::lock_guard lock(mutex_);
                 open_.push_back(silent);
+                callers_.push_back(caller);
             }
             run([=] { pump(caller, server, silent); });
             run([=] { pump(server, caller, silent); });
@@ -588,6 +604,8 @@
     int port_ = 0;
     std::mutex mutex_;
     std::vector<Silent> open_;
+    std::vector<int> callers_; ///< Sockets stay open, so that a number is not used again.
+    std::atomic<bool> isTurnedAway_ {false};
 };
 
 /** An instance of a service. It registers itself and says in its answers that it leaves. */
@@ -878,6 +896,28 @@
     return answer ? answer->status() : 0;
 }
 
+/** @return What the directory of a daemon says: the ports of the daemons to connect to. */
+inline std::vector<int> resolve(const Daemon &daemon)
+{
+    const int descriptor = connectTo(daemon.address(), daemon.directory);
+    if (descriptor < 0)
+        return {};
+    sendAll(descriptor,
+            "GET /resolve?name=desk.example&region=north&zone=north-a HTTP/1.1\r\n"
+            "Host: directory\r\n\r\n");
+    const auto answer = Reader(descriptor).read();
+    close(descriptor);
+    std::vector<int> ports;
+    if (!answer || answer->status() != 200)
+        return ports;
+    const json body = json::parse(answer->body);
+    for (const json &entry : body.at("addresses")) {
+        const std::string text = entry;
+        ports.push_back(std::atoi(text.substr(text.rfind(':') + 1).c_str()));
+    }
+    return ports;
+}
+
 /** Waits until all daemons are ready. @return Whether they are, within ten seconds. */
 inline bool waitReady(const std::vector<Daemon *> &daemons)
 {
