--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -114,12 +114,13 @@
     one.start();
     two.start();
     if (!rig::waitReady({&one, &two}))
-        return 2;
+        return rig::notRun("the daemons are not ready");
     rig::sleepUntil(rig::now() + 3);
     for (int i = 0; i < 5; ++i) {
         const std::string id = "warm-" + std::to_string(i);
-        if (rig::sendOnce(one, rig::requestBytes("GET", "/file/w", id, 4000)) != 200)
-            return 2;
+        const int status = rig::sendOnce(one, rig::requestBytes("GET", "/file/w", id, 4000));
+        if (status != 200)
+            return rig::notRun(id + " got " + std::to_string(status));
     }
     const double start = rig::now() + 0.5;
     std::vector<std::thread> threads;
--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -22,7 +22,7 @@
     one.start();
     two.start();
     if (!rig::waitReady({&one, &two}))
-        return 2;
+        return rig::notRun("the daemons are not ready");
     std::atomic<int> number {0};
     std::mutex mutex;
     std::map<std::string, double> sentAt;
