Fix: [Callers] A close discards a response that its caller is still reading

Cause: a session closed its socket 500 ms after the last response was handed to the kernel, an idle one at once. Any byte that arrives after the close makes the kernel reset the connection and discard what the caller has yet to take.

Change: a connection is closed once the caller has acknowledged all bytes, bounded by the idle timeout without progress, by 30 s and, after the last response, by 512 connections. The product's own daemon waits up to 5 s for its connections in a planned stop.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -22,6 +22,8 @@
 constexpr core::Millis staleConnectionCheckInterval {50};
 /** Interval at which a shutdown checks for requests in flight. */
 constexpr core::Millis drainCheckInterval {5};
+/** Longest time for which a shutdown waits for callers that still read their responses. */
+constexpr core::Seconds maxReadWait {5};
 /** HTTP status of the response to a request that failed within the daemon. */
 constexpr int internalErrorStatus = 500;
 
@@ -190,7 +192,8 @@
     done.get_future().wait();
 }
 
-/** Waits until all requests are answered, then stops accepting and closes idle connections. */
+/** Waits until all requests are answered, then stops accepting and closes the connections, each
+ * once its caller has acknowledged the responses. */
 void Daemon::drainCallers()
 {
     std::size_t pending = 1;
@@ -199,10 +202,17 @@
         if (pending > 0)
             sleepFor(drainCheckInterval);
     }
-    runOnLoop([this] {
-        callerServer_.stopAccepting();
-        callerServer_.closeIdle(core::MonoClock::now());
-    });
+    runOnLoop([this] { callerServer_.stopAccepting(); });
+    const core::MonoTime end = core::MonoClock::now() + maxReadWait;
+    std::size_t open = 1;
+    while (open > 0 && core::MonoClock::now() < end) {
+        runOnLoop([&] {
+            callerServer_.closeIdle(core::MonoClock::now());
+            open = callerServer_.size();
+        });
+        if (open > 0)
+            sleepFor(drainCheckInterval);
+    }
 }
 
 void Daemon::stopEventLoop()
--- a/src/proxy/caller_session.cpp
+++ b/src/proxy/caller_session.cpp
@@ -4,7 +4,10 @@
 #include "proxy/caller_session_base.h"
 #include "proxy/event_loop_func.h"
 
+#include <algorithm>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 namespace teaselreach::proxy {
 
@@ -12,9 +15,13 @@
 
 /** Limit of pending requests per connection; reading pauses while it is reached. */
 constexpr std::size_t maxPipelined = 16;
-/** How long a connection is read after its last response. Unread bytes would cause a reset, which
- * could reach the caller before the response. */
+/** How long a connection is read after the caller has acknowledged its last response. Unread bytes
+ * would cause a reset, which could reach the caller before the response. */
 constexpr core::Millis lingerTime {500};
+/** Longest time that a connection waits for a caller that acknowledges its responses slowly. */
+constexpr core::Seconds maxUnacknowledgedTime {30};
+/** Limit of the connections of a server that wait for a caller after their last response. */
+constexpr std::size_t maxLingering = 512;
 /** Time for which the first request of a new connection is likely to be on its way. */
 constexpr core::Millis arrivalTime {100};
 /** Size of the buffer for input that is discarded. */
@@ -96,6 +103,14 @@
     return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+/** @return Number of bytes that were sent and that the other side has not acknowledged; 0 if the
+ * system does not tell. Until then, a reset of the connection discards them. */
+int unacknowledgedBytes(int socket)
+{
+    int bytes = 0;
+    return ioctl(socket, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
 bool isProtocolError(const ErrorCode &error)
 {
     return error.category() == beasthttp::make_error_code(beasthttp::error::bad_method).category()
@@ -298,17 +313,34 @@
     const auto self = shared_from_this();
     ErrorCode error;
     lingering_ = true;
+    acknowledgedAt_ = core::MonoClock::now();
     socket_.cancel(error);
     socket_.shutdown(Socket::shutdown_send, error);
-    auto timer = std::make_shared<asio::steady_timer>(socket_.get_executor(), lingerTime);
-    timer->async_wait([self, timer](ErrorCode) { self->close(); });
     std::string discarded(discardReadBytes, '\0');
     while (!error && !ended_)
         co_await socket_.async_read_some(asio::buffer(discarded), captureError(error));
-    timer->cancel();
     handleDisconnect();
 }
 
+bool CallerSession::isAwaitingAcknowledgement(core::MonoTime now)
+{
+    const int unacknowledged = unacknowledgedBytes(socket_.native_handle());
+    if (unacknowledged != unacknowledged_) {
+        unacknowledged_ = unacknowledged;
+        progressAt_ = now;
+    }
+    return unacknowledged > 0 && now - progressAt_ <= handlers_.limits().idleTimeout
+        && now - idleSince_ <= maxUnacknowledgedTime;
+}
+
+void CallerSession::continueLinger(core::MonoTime now)
+{
+    if (isAwaitingAcknowledgement(now))
+        acknowledgedAt_ = now;
+    else if (now - acknowledgedAt_ >= lingerTime)
+        close();
+}
+
 void CallerSession::handleDisconnect()
 {
     close();
@@ -332,13 +364,17 @@
 {
     if (ended_)
         return;
+    if (lingering_) {
+        continueLinger(now);
+        return;
+    }
     // Nothing is read meanwhile, so no read would show that the caller has left.
     if (waitingForSlot_ && isClosedByPeer(socket_.native_handle())) {
         handleDisconnect();
         return;
     }
     const SessionLimits limits = handlers_.limits();
-    if (writing_ && !lingering_ && now - writtenAt_ > limits.idleTimeout)
+    if (writing_ && now - writtenAt_ > limits.idleTimeout)
         handleDisconnect();
     if (ended_ || !pending_.empty())
         return;
@@ -352,14 +388,16 @@
         tooSlow_ = true;
         ErrorCode ignored; // The pending read fails, and readRequest() sends the error response.
         socket_.cancel(ignored);
-    } else if (slowHeader || slowRequest || stoppedBody || idle) {
+    } else if ((slowHeader || slowRequest || stoppedBody || idle)
+               && !isAwaitingAcknowledgement(now)) {
         close();
     }
 }
 
 void CallerSession::closeIfIdle(core::MonoTime now)
 {
-    if (!ended_ && pending_.empty() && !reading_ && !lingering_ && now - idleSince_ > arrivalTime)
+    if (!ended_ && pending_.empty() && !reading_ && !lingering_ && now - idleSince_ > arrivalTime
+        && !isAwaitingAcknowledgement(now))
         close();
 }
 
@@ -414,8 +452,19 @@
 
 void CallerServer::closeStale(core::MonoTime now)
 {
-    for (const auto &session : sessions_)
+    std::vector<std::shared_ptr<CallerSession>> lingering;
+    for (const auto &session : sessions_) {
         session->closeIfStale(now);
+        if (session->lingers())
+            lingering.push_back(session);
+    }
+    if (lingering.size() > maxLingering) {
+        std::sort(lingering.begin(), lingering.end(),
+                  [](const auto &a, const auto &b) { return a->idleSince() < b->idleSince(); });
+        lingering.resize(lingering.size() - maxLingering);
+        for (const auto &session : lingering)
+            session->handleDisconnect();
+    }
     std::erase_if(sessions_, [](const auto &session) { return session->ended(); });
 }
 
--- a/src/proxy/caller_session_base.h
+++ b/src/proxy/caller_session_base.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace teaselreach::proxy {
 
@@ -83,9 +84,11 @@
     /** Ends the connection if no request is pending and it exceeded the idle, header or request
      * timeout, or sent nothing of a body for the idle timeout; if the caller has read nothing of a
      * response for the idle timeout; or if it has left while no further requests are read. A sender
-     * that is too slow first receives an error response if there is a handler for it. */
+     * that is too slow first receives an error response if there is a handler for it. After the
+     * last response, ends the connection once the caller has acknowledged it. */
     void closeIfStale(core::MonoTime now);
-    /** Closes the connection if no request is pending, being read or likely to be on its way. */
+    /** Closes the connection if no request is pending, being read or likely to be on its way, and
+     * the caller has acknowledged all responses. */
     void closeIfIdle(core::MonoTime now);
     /** Closes the connection and gives up the requests that are pending on it. */
     void handleDisconnect();
@@ -93,6 +96,10 @@
     bool ended() const { return ended_; }
     /** @return Number of requests whose response has not been sent. */
     std::size_t pending() const { return pending_.size(); }
+    /** @return Whether the last response was sent and the connection waits for the caller. */
+    bool lingers() const { return lingering_ && !ended_; }
+    /** @return When the latest response was sent. */
+    core::MonoTime idleSince() const { return idleSince_; }
 
 private:
     using Reader = MessageReader<true>;
@@ -109,6 +116,10 @@
     void rejectUnreadable(RequestReadError error);
     void startWriter();
     void close();
+    /** @return Whether the caller has yet to acknowledge bytes of the responses, which a close may
+     * discard. False once it has acknowledged none for the idle timeout. */
+    bool isAwaitingAcknowledgement(core::MonoTime now);
+    void continueLinger(core::MonoTime now);
 
     Socket socket_;
     const CallerHandlers &handlers_;
@@ -118,8 +129,11 @@
     asio::steady_timer slotFreed_;
     core::MonoTime idleSince_;
     core::MonoTime readingSince_ {};
-    core::MonoTime bodyReadAt_ {}; ///< Last time that bytes of the request's body were read.
-    core::MonoTime writtenAt_ {};  ///< Last time that bytes of a response were written.
+    core::MonoTime bodyReadAt_ {};     ///< Last time that bytes of the request's body were read.
+    core::MonoTime writtenAt_ {};      ///< Last time that bytes of a response were written.
+    core::MonoTime acknowledgedAt_ {}; ///< Since when the caller has acknowledged all responses.
+    core::MonoTime progressAt_ {};     ///< Last change of the number of unacknowledged bytes.
+    int unacknowledged_ = 0;
     bool reading_ = false;
     bool headerRead_ = false;
     bool waitingForSlot_ = false; ///< Nothing is read until a response has been sent.
--- a/tests/proxy/flow_test.cpp
+++ b/tests/proxy/flow_test.cpp
@@ -1140,6 +1140,80 @@
 
 namespace {
 
+/** Length of a response that the buffers of a connection hold but a caller has yet to read. */
+constexpr std::size_t unreadBytes = 300000;
+
+/** @return The descriptor of a caller connection that accepts few bytes that are not read. */
+int connectWithSmallBuffer(const FlowFixture &fixture)
+{
+    const int fd = fixture.connect();
+    const int bytes = 4096;
+    ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+    standins::limitReceiveTime(fd, 5);
+    return fd;
+}
+
+/** Waits for a time in which a caller reads nothing. */
+void pauseReading(core::Millis time)
+{
+    std::this_thread::sleep_for(time);
+}
+
+} // namespace
+
+// Failure guarded against: the close discards a response that its caller is still reading.
+TEST_CASE("bytes of a slow reader after its last response cut the response off")
+{
+    const std::string body(unreadBytes, 'x');
+    RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+        return RawReply {sealedReply(request, body)};
+    });
+    FlowFixture fixture(testConfiguration(core::Seconds(3)));
+    fixture.addUpstream("i-1", upstream);
+    bool isLeaving = false;
+    SUBCASE("the caller asked for the close") { }
+    SUBCASE("a planned stop began while the requests ran")
+    {
+        isLeaving = true;
+    }
+    const int fd = connectWithSmallBuffer(fixture);
+    const std::string fields = isLeaving ? "" : "Connection: close\r\n";
+    if (isLeaving)
+        fixture.onLoop([&] { fixture.flow().enterPhase(core::Phase::Leaving); });
+    standins::sendAll(fd, callerRequest("GET", "/read/x", "a1", fields));
+    pauseReading(core::Millis(900));
+    standins::sendAll(fd, isLeaving ? callerRequest("GET", "/read/x", "a2") : "\r\n");
+    pauseReading(core::Millis(100));
+    CHECK(bodyOf(standins::readAll(fd)) == body);
+    ::close(fd);
+    CHECK(eventually([&] { return fixture.connections() == 0; }));
+}
+
+// Failure guarded against: the end of an idle connection discards a response that is being read.
+TEST_CASE("a connection counts as idle while its caller reads the response")
+{
+    const std::string body(unreadBytes, 'x');
+    RawServer upstream("127.0.0.1", [&](const RawRequest &request) {
+        return RawReply {sealedReply(request, body)};
+    });
+    FlowFixture fixture(testConfiguration(core::Seconds(3)), core::Millis(400));
+    fixture.addUpstream("i-1", upstream);
+    const int fd = connectWithSmallBuffer(fixture);
+    standins::sendAll(fd, callerRequest("GET", "/read/x", "a1"));
+    std::string received;
+    std::string buffer(unreadBytes / 8, '\0');
+    for (ssize_t count = 1; count > 0 && received.size() < body.size();) {
+        pauseReading(core::Millis(150));
+        standins::sendAll(fd, "\r\n");
+        count = ::recv(fd, buffer.data(), buffer.size(), MSG_WAITALL);
+        received.append(buffer, 0, static_cast<std::size_t>(std::max<ssize_t>(0, count)));
+    }
+    CHECK(received.size() >= body.size());
+    ::close(fd);
+}
+
+namespace {
+
 /** Two upstreams behind a flow that hedges. Requests for "/slow" are answered by a script, which
  * gets 1 for the first attempt and 2 for the hedge; all others after 2 ms. */
 class HedgeFixture
