Fix: [Members] The shares of VMs that the store turns away are given out twice

Cause: their registrations lapsed after 4.5 s, so two others became active and took shares, while the two went on with theirs: 1.46 of each limit.

Change: a VM that still sends messages and is not leaving stays a member for up to 20 s after its registration has lapsed, but is no relay. Then, or once it is silent or leaves, its membership ends as before.

--- a/src/fleet/entry_vm_selector.cpp
+++ b/src/fleet/entry_vm_selector.cpp
@@ -38,6 +38,7 @@
 void EntryVmSelector::memberJoined(const EntryMember &member)
 {
     members_[member.id] = member;
+    lapsed_.erase(member.id);
     departed_.erase(member.id);
 }
 
@@ -51,22 +52,30 @@
                      .at = now,
                      .wasActive = isActive(id)};
     members_.erase(found);
+    lapsed_.erase(id);
 }
 
 std::vector<const EntryMember *>
-EntryVmSelector::activeMembers(const core::AvailabilityZoneId &zone) const
+EntryVmSelector::rankedMembers(const core::AvailabilityZoneId &zone) const
 {
-    std::vector<const EntryMember *> active;
+    std::vector<const EntryMember *> ranked;
     for (const auto &[id, member] : members_) {
         if (member.accepting && member.location.availabilityZone == zone)
-            active.push_back(&member);
+            ranked.push_back(&member);
     }
-    std::sort(active.begin(), active.end(), [&](const EntryMember *a, const EntryMember *b) {
+    std::sort(ranked.begin(), ranked.end(), [&](const EntryMember *a, const EntryMember *b) {
         if (a->capacity != b->capacity)
             return a->capacity > b->capacity;
         return core::rendezvousWeight(zone.str(), a->id.str())
             > core::rendezvousWeight(zone.str(), b->id.str());
     });
+    return ranked;
+}
+
+std::vector<const EntryMember *>
+EntryVmSelector::activeMembers(const core::AvailabilityZoneId &zone) const
+{
+    std::vector<const EntryMember *> active = rankedMembers(zone);
     double zoneCapacity = 0;
     for (const EntryMember *member : active)
         zoneCapacity += member->capacity;
@@ -180,11 +189,16 @@
     const auto self = members_.find(id);
     if (self == members_.end())
         return relays;
+    const core::AvailabilityZoneId &zone = self->second.location.availabilityZone;
+    std::size_t candidates = activeMembers(zone).size();
     // A VM asks only those before it, so that no two VMs ask each other.
-    for (const EntryMember *member : activeMembers(self->second.location.availabilityZone)) {
-        if (member->id == id || relays.size() == maxRelays)
+    for (const EntryMember *member : rankedMembers(zone)) {
+        if (member->id == id || relays.size() == maxRelays || candidates == 0)
             break;
+        if (lapsed_.contains(member->id))
+            continue;
         relays.push_back(*member);
+        --candidates;
     }
     return relays;
 }
--- a/src/fleet/entry_vm_selector_base.h
+++ b/src/fleet/entry_vm_selector_base.h
@@ -86,6 +86,9 @@
 
     /** Adds a registered VM, or replaces its entry. */
     void memberJoined(const EntryMember &member);
+    /** Records that the registration of a VM has lapsed while the VM goes on serving. It stays a
+     * member, but is no relay: it may have lost the store. */
+    void memberLapsed(const core::VmId &id) { lapsed_.insert(id); }
     /** Removes a VM whose registration has ended. */
     void memberLeft(core::MonoTime now, const core::VmId &id);
 
@@ -133,7 +136,7 @@
     std::optional<EntryMember> relayOf(const core::VmId &id) const;
     /** @return The VMs of the same availability zone that may read the store on behalf of a VM, in
      * the order in which they are asked: at most two. The second one serves while the store turns
-     * away the first. */
+     * away the first. Others take the places of those whose registration has lapsed. */
     std::vector<EntryMember> relaysOf(const core::VmId &id) const;
     /** @return The active VMs of all other regions. */
     std::vector<EntryMember> activeInOtherRegions(const core::VmId &id) const;
@@ -160,7 +163,9 @@
         bool wasActive = false;
     };
 
-    /** @return The active VMs of a zone, largest capacity first. */
+    /** @return The VMs of a zone that can take callers, largest capacity first. */
+    std::vector<const EntryMember *> rankedMembers(const core::AvailabilityZoneId &zone) const;
+    /** @return The active VMs of a zone, the first ones of rankedMembers(). */
     std::vector<const EntryMember *> activeMembers(const core::AvailabilityZoneId &zone) const;
     /** @return The active VMs and those that have departed lately, at places that match. */
     std::vector<core::VmId>
@@ -175,6 +180,7 @@
 
     EntryVmSelectorOptions options_;
     std::map<core::VmId, EntryMember> members_;
+    std::set<core::VmId> lapsed_; ///< Members whose registration has lapsed.
     std::map<core::VmId, Departed> departed_;
 };
 
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -214,6 +214,7 @@
 void FleetState::applyMember(const EntryMember &member)
 {
     memberRemovals_.cancel(member.id);
+    lapsed_.erase(member.id);
     parts_.entries.memberJoined(member);
 }
 
@@ -221,11 +222,25 @@
 {
     // All leases may have expired during an outage; callers must not be sent away from live VMs.
     if (!memberRemovals_.tryHold(now, id))
+        endMembership(now, id);
+}
+
+/** Ends the membership of a VM whose registration has ended, at once unless the VM is alive. */
+void FleetState::endMembership(core::MonoTime now, const core::VmId &id)
+{
+    if (!parts_.entries.contains(id) || !isAlive(now, id)) {
         dropMember(now, id);
+        return;
+    }
+    if (!lapsed_.emplace(id, now).second)
+        return;
+    core::logEvent(core::LogLevel::Info, "member_lapsed", {{"vm", id.str()}});
+    parts_.entries.memberLapsed(id);
 }
 
 void FleetState::dropMember(core::MonoTime now, const core::VmId &id)
 {
+    lapsed_.erase(id);
     core::logEvent(core::LogLevel::Info, "member_left", {{"vm", id.str()}});
     parts_.entries.memberLeft(now, id);
 }
@@ -254,6 +269,13 @@
     for (const core::AvailabilityZoneId &zone : evacuationEnds_.takeExpired(now))
         endEvacuation(now, zone);
     for (const core::VmId &id : memberRemovals_.takeExpired(now))
+        endMembership(now, id);
+    std::vector<core::VmId> ended;
+    for (const auto &[id, since] : lapsed_) {
+        if (!isAlive(now, id) || now - since > lapsedHoldTime)
+            ended.push_back(id);
+    }
+    for (const core::VmId &id : ended)
         dropMember(now, id);
 }
 
--- a/src/fleet/fleet_state_base.h
+++ b/src/fleet/fleet_state_base.h
@@ -3,6 +3,7 @@
 
 #include "fleet/entry_vm_selector_base.h"
 #include "fleet/fleet_store_type.h"
+#include "fleet/peer_liveness_base.h"
 #include "fleet/removal_hold_base.h"
 #include "placement/upstream_table_base.h"
 #include "proxy/request_flow_base.h"
@@ -25,6 +26,7 @@
         RequestFlow &flow;
         UpstreamTable &upstreams;
         EntryVmSelector &entries;
+        const PeerLiveness *liveness = nullptr; ///< Without it, no other VM is known to be alive.
     };
 
     /** @param parts Dependencies. @param self This VM. */
@@ -38,7 +40,9 @@
     void removeUpstream(core::MonoTime now, const core::UpstreamId &id);
     /** Adds or updates a member and cancels a removal of it that is held back. */
     void applyMember(const EntryMember &member);
-    /** Removes a member, or holds its removal back after an outage of the store. */
+    /** Removes a member, or holds its removal back after an outage of the store. A member that
+     * still sends messages and is not leaving stays for lapsedHoldTime: the store may turn it away
+     * while it serves callers with its share of the limits. */
     void removeMember(core::MonoTime now, const core::VmId &id);
     /** Removes the upstreams that a full read of the store did not list; see removeUpstream(). */
     void removeUnlistedUpstreams(core::MonoTime now, const std::vector<core::UpstreamId> &listed);
@@ -78,7 +82,16 @@
     void applyServices(core::MonoTime now, const std::vector<ServiceSettings> &services);
     bool isFromCopy(core::MonoTime now, const UpstreamEntry &entry) const;
     void dropUpstream(core::MonoTime now, const core::UpstreamId &id, std::string_view cause);
+    void endMembership(core::MonoTime now, const core::VmId &id);
     void dropMember(core::MonoTime now, const core::VmId &id);
+    bool isAlive(core::MonoTime now, const core::VmId &id) const
+    {
+        return parts_.liveness != nullptr && parts_.liveness->isReporting(now, id);
+    }
+
+    /** Longest time for which a VM stays a member after its registration has lapsed. What it knows
+     * of configuration and upstreams grows old meanwhile. */
+    static constexpr core::Seconds lapsedHoldTime {20};
 
     /** An upstream that was removed. */
     struct DroppedUpstream
@@ -92,6 +105,7 @@
     core::VmId self_;
     RemovalHold<core::UpstreamId> upstreamRemovals_;
     RemovalHold<core::VmId> memberRemovals_;
+    std::map<core::VmId, core::MonoTime> lapsed_; ///< Members without a registration, since when.
     RemovalHold<core::AvailabilityZoneId> evacuationEnds_; ///< Only of a store from a copy.
     std::map<core::UpstreamId, DroppedUpstream> dropped_;
 };
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -45,7 +45,9 @@
                  .shares = shares_,
                  .registry = registry_},
                 options_.flow, options_.seed)
-        , state_({.flow = flow_, .upstreams = upstreams_, .entries = entries_}, options_.self.id)
+        , state_(
+              {.flow = flow_, .upstreams = upstreams_, .entries = entries_, .liveness = &liveness_},
+              options_.self.id)
         , sync_({.context = context, .store = store, .state = state_, .entries = entries_},
                 {.self = options_.self, .limitWindow = options_.shares.window}, options_.seed)
         , peers_(context, options_.peers.address, options_.peers.port,
@@ -566,6 +568,7 @@
     std::optional<PoolReports> poolReports_;         ///< Set if accounts are paced.
     std::shared_ptr<const RouteTable> limitedTable_; ///< Its accounts are set in the limiter.
     EntryVmSelector entries_;
+    PeerLiveness liveness_;
     RequestFlow flow_;
     FleetState state_;
     FleetSync<Store> sync_;
@@ -578,7 +581,6 @@
     std::optional<core::MonoTime> shutdownStartedAt_;
     core::MonoTime messageSentAt_ {};
     core::MonoTime poolMessageSentAt_ {};
-    PeerLiveness liveness_;
     double ownShare_ = 0;
 };
 
--- a/tests/proxy/sync_fixture.h
+++ b/tests/proxy/sync_fixture.h
@@ -61,7 +61,10 @@
         {.context = context, .upstreams = upstreams, .shares = shares, .registry = registry},
         {},
         1};
-    FleetState state {{.flow = flow, .upstreams = upstreams, .entries = entries}, core::VmId("me")};
+    PeerLiveness liveness;
+    FleetState state {
+        {.flow = flow, .upstreams = upstreams, .entries = entries, .liveness = &liveness},
+        core::VmId("me")};
     MemoryStore store {context};
     FleetSync<MemoryStore> sync {
         {.context = context, .store = store, .state = state, .entries = entries}, options, seed};
--- a/tests/proxy/sync_test.cpp
+++ b/tests/proxy/sync_test.cpp
@@ -223,6 +223,71 @@
 }
 
 // Failure guarded against: callers of a zone are sent to dead VMs for good.
+// Failure guarded against: VMs that the store turns away keep their shares of the limits, and those
+// that take their places get shares as well.
+TEST_CASE("the shares of VMs that the store turns away are given out again while these VMs serve")
+{
+    SyncFixture vm;
+    const core::MonoTime begin = core::MonoClock::now();
+    std::vector<core::VmId> members;
+    for (int i = 0; i < 6; ++i) {
+        members.emplace_back("vm-" + std::to_string(i));
+        vm.state.applyMember(
+            {.id = members.back(), .location = {core::AvailabilityZoneId("here")}});
+    }
+    const auto activeOf = [&] {
+        std::vector<core::VmId> active;
+        std::copy_if(members.begin(), members.end(), std::back_inserter(active),
+                     [&](const core::VmId &id) { return vm.entries.isActive(id); });
+        return active;
+    };
+    const std::vector<core::VmId> turnedAway = activeOf();
+    REQUIRE(turnedAway.size() == 2);
+    const double kept = 2 * vm.entries.limitShareOf(begin, turnedAway.front());
+    const auto tellOfBoth = [&](core::MonoTime now, bool isLeaving) {
+        for (const core::VmId &id : turnedAway)
+            vm.liveness.messageReceived(now, id, isLeaving);
+    };
+    tellOfBoth(begin, false);
+    for (const core::VmId &id : turnedAway)
+        vm.state.removeMember(begin, id);
+    core::MonoTime now = begin;
+    for (; now < begin + core::Seconds(9); now += core::Millis(400)) {
+        tellOfBoth(now, false);
+        vm.state.tick(now);
+        double sum = kept;
+        for (const core::VmId &id : members) {
+            if (std::find(turnedAway.begin(), turnedAway.end(), id) == turnedAway.end())
+                sum += vm.entries.limitShareOf(now, id);
+        }
+        REQUIRE(sum <= 1 + 1e-9);
+        REQUIRE(activeOf() == turnedAway);
+        // They may have lost the store.
+        for (const core::VmId &id : members) {
+            for (const EntryMember &relay : vm.entries.relaysOf(id))
+                REQUIRE(relay.id != turnedAway.front());
+        }
+    }
+    SUBCASE("others take their places once they are silent")
+    {
+        now += PeerLiveness::timeout;
+    }
+    SUBCASE("others take their places once they leave")
+    {
+        tellOfBoth(now, true);
+    }
+    SUBCASE("others take their places after some time")
+    {
+        for (; now < begin + core::Seconds(21); now += core::Millis(400)) {
+            tellOfBoth(now, false);
+            vm.state.tick(now);
+        }
+    }
+    vm.state.tick(now);
+    CHECK(activeOf().size() == 2);
+    CHECK(!vm.entries.isActive(turnedAway.front()));
+}
+
 TEST_CASE("a full read does not remove the members that it does not list")
 {
     SyncFixture vm;
