Fix: [Tests] A VM that has not read the store yet counts as one without callers

Cause: proxy_sync_test failed once at a load average of 18 (30 calls of the VM without callers, 28 of the other). The test gave each VM 60 ms to read the store. One that has not read it by then has the backoff of a VM with callers, as the next case checks; with 0 ms the same check fails with 76 and 76 calls.

Change: the test waits until the VM has read the store and is active or not; the bound is the same.

--- a/tests/proxy/sync_test.cpp
+++ b/tests/proxy/sync_test.cpp
@@ -176,7 +176,9 @@
         if (active)
             vm.store.items.push_back({.kind = FleetItemKind::Member, .id = "me", .value = "me"});
         vm.sync.start();
-        vm.run(core::Millis(60));
+        REQUIRE(vm.runUntil([&] {
+            return vm.hasUpstream("a") && vm.entries.isActive(vm.options.self.id) == active;
+        }));
         vm.store.unavailable = true;
         vm.run(core::Millis(700));
         return vm.store.refusedCalls;
