--- a/tests/cmake/proxy.cmake
+++ b/tests/cmake/proxy.cmake
@@ -23,6 +23,7 @@
 teaselreach_test(proxy_message_reader_test SOURCES proxy/message_reader_test.cpp LIBS tr_fleet)
 teaselreach_test(platform_test SOURCES proxy/platform_test.cpp LIBS tr_platform)
 teaselreach_test(proxy_planned_stop_limit_test SOURCES proxy/planned_stop_limit_test.cpp LIBS tr_fleet)
+teaselreach_test(proxy_silent_connection_test SOURCES proxy/silent_connection_test.cpp LIBS tr_platform)
 teaselreach_test(proxy_loop_daemon_test SOURCES proxy/loop_daemon_test.cpp LIBS tr_fleet)
 teaselreach_test(soak_ledger_test SOURCES unit/soak_ledger_test.cpp LIBS tr_soak)
 teaselreach_test(platform_main_test SOURCES proxy/platform_main_test.cpp LIBS tr_soak)
