Fix: [Limits] A VM that stood still uses a share that others have taken over

Cause: their registrations lapsed, others became active, and the two went on with their shares and empty windows.

Change: after a gap of more than 3.5 s between two turns of the event loop a VM is granted its share gradually, as after a restart, and pools it only once its record of the window is complete.

Evidence: proxy_loop_daemon_test, "a VM that stood still shares the pool's limit only after a full window", fails without the check.

--- a/src/placement/account_rate_limiter.cpp
+++ b/src/placement/account_rate_limiter.cpp
@@ -17,6 +17,9 @@
 void AccountRateLimiter::processRestarted(core::MonoTime now)
 {
     restartedAt_ = now;
+    earlierLevels_.clear();
+    for (auto &[account, window] : windows_)
+        window.requestsSinceRestart = 0;
     if (paced_)
         paced_->processRestarted(now);
 }
--- a/src/placement/account_rate_limiter_base.h
+++ b/src/placement/account_rate_limiter_base.h
@@ -24,7 +24,8 @@
     /** @param options Settings of the limits. */
     explicit AccountRateLimiter(AccountRateLimiterOptions options);
 
-    /** Records that this process replaces an earlier one whose admissions are unknown. */
+    /** Records that other processes may have admitted requests by this VM's share until now: an
+     * earlier one that this one replaces, or those of other VMs while this one stood still. */
     void processRestarted(core::MonoTime now);
     /** Takes over what is known of the use of accounts before the restart. An account that is not
      * listed used its limit steadily. */
--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -6,6 +6,7 @@
 #include "fleet/peer_messenger_base.h"
 #include "fleet/pool_reports_base.h"
 #include "fleet/share_hand_over_func.h"
+#include "fleet/standstill_base.h"
 #include "fleet/zone_load_exchange_base.h"
 #include "proxy/loop_daemon_type.h"
 
@@ -112,6 +113,10 @@
     static constexpr std::string_view metricsPath = "/metrics";
     /** Path of questions where a request would go, at the same address. */
     static constexpr std::string_view explainPath = "/explain";
+    /** Longest standstill after which the registration of this VM is sure to be in force, also if
+     * its last renewal failed. */
+    static constexpr core::Micros longestStandstill =
+        FleetSyncOptions {}.leaseTtl - 2 * FleetSyncOptions {}.renewInterval;
     /** Interval of the periodic work. */
     static constexpr core::Millis tickInterval {25};
     /** Ticks between two calls of runMaintenance(). */
@@ -130,6 +135,7 @@
         return {
             .serve =
                 [this](std::shared_ptr<CallerExchange> exchange) {
+                    noticeStandstill(core::MonoClock::now());
                     return flow_.serve(std::move(exchange));
                 },
             .limits = [this] { return sessionLimits(); },
@@ -265,6 +271,7 @@
     void runTick(core::MonoTime now, int count)
     {
         core::flushLog();
+        noticeStandstill(now);
         state_.tick(now);
         if (shutdownStartedAt_)
             handShareOver(now);
@@ -277,6 +284,18 @@
             runMaintenance(now);
     }
 
+    /** After a standstill in which the registration of this VM may have lapsed, other VMs may have
+     * admitted requests by its share. It is then granted gradually, as after a restart. */
+    void noticeStandstill(core::MonoTime now)
+    {
+        if (!standstill_.observed(now) || shutdownStartedAt_)
+            return;
+        core::logEvent(core::LogLevel::Warn, "stood_still", {{"vm", options_.self.id.str()}});
+        shares_.processRestarted(now);
+        usageCoverage_.membershipObserved(now, false);
+        updateShares(now);
+    }
+
     /** @return Whether this VM writes the use of accounts to the store for its pool: it is the
      * first of the pool's VMs that still send messages. */
     bool recordsAccountUse(core::MonoTime now) const
@@ -596,6 +615,7 @@
     std::shared_ptr<const RouteTable> limitedTable_; ///< Its accounts are set in the limiter.
     EntryVmSelector entries_;
     PeerLiveness liveness_;
+    Standstill standstill_ {longestStandstill};
     RequestFlow flow_;
     FleetState state_;
     FleetSync<Store> sync_;
--- a/tests/proxy/loop_daemon_test.cpp
+++ b/tests/proxy/loop_daemon_test.cpp
@@ -228,6 +228,32 @@
     CHECK(core::MonoClock::now() - returned >= limitWindow);
 }
 
+// Failure guarded against: a VM that stood still uses a share that others have taken over
+// meanwhile.
+TEST_CASE("a VM that stood still shares the pool's limit only after a full window")
+{
+    DaemonFixture fixture;
+    fixture.store.items.push_back(
+        {.kind = FleetItemKind::Member, .id = "me", .value = "registered"});
+    fixture.store.items.push_back(
+        {.kind = FleetItemKind::Member, .id = "b", .value = "registered"});
+    fixture.start();
+    const auto sendMessageAndReadShare = [&] {
+        fixture.sendPeerMessage({.sender = core::VmId("b")});
+        return fixture.metric("teaselreach_limit_part");
+    };
+    REQUIRE(eventually([&] { return sendMessageAndReadShare() > 0.9; }));
+    fixture.onLoop([] {
+        const core::MonoTime end = core::MonoClock::now() + core::Seconds(4);
+        while (core::MonoClock::now() < end)
+            std::this_thread::yield();
+    });
+    const core::MonoTime wentOn = core::MonoClock::now();
+    REQUIRE(eventually([&] { return sendMessageAndReadShare() < 0.5; }));
+    REQUIRE(eventually([&] { return sendMessageAndReadShare() > 0.9; }));
+    CHECK(core::MonoClock::now() - wentOn >= limitWindow - core::Millis(100));
+}
+
 TEST_CASE("paced accounts: a VM pools its share with one that hears the same VMs")
 {
     // Guards against a daemon that does not pass reports and members to the limiter.
