Fix: [Lint] clang refuses a constant made from the options of FleetSync

Cause: FleetSyncOptions holds strings, so it is no literal type for clang 14; GCC accepts it. Change: the constant is stated, with the two that it comes from.

--- a/src/proxy/loop_daemon_base.h
+++ b/src/proxy/loop_daemon_base.h
@@ -114,9 +114,8 @@
     /** Path of questions where a request would go, at the same address. */
     static constexpr std::string_view explainPath = "/explain";
     /** Longest standstill after which the registration of this VM is sure to be in force, also if
-     * its last renewal failed. */
-    static constexpr core::Micros longestStandstill =
-        FleetSyncOptions {}.leaseTtl - 2 * FleetSyncOptions {}.renewInterval;
+     * its last renewal failed: FleetSyncOptions::leaseTtl less two renewals. */
+    static constexpr core::Millis longestStandstill {3500};
     /** Interval of the periodic work. */
     static constexpr core::Millis tickInterval {25};
     /** Ticks between two calls of runMaintenance(). */
